--- /dev/null
+++ b/mintford/interface.py
@@ -0,0 +1,238 @@
+"""Types of the decision module: its settings, the events it takes and the actions it gives.
+
+All times are milliseconds on the caller's clock. Nothing here decides anything.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Effect(Enum):
+    """Whether a class of requests may run more than once."""
+
+    SAFE = "pure"
+    KEYED = "token"
+    UNSAFE = "side_effect"
+
+
+class Group(Enum):
+    """The backends that drop the repeats of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class BackendState(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListScope(Enum):
+    """What a backend list holds: changes, everything, everything as remembered, or nothing (a failed ask)."""
+
+    CHANGES = "INCREMENTAL"
+    FULL = "FULL"
+    SAVED = "SAVED"
+    FAILED = "FAILED"
+
+
+class Outcome(Enum):
+    """How an attempt or a counter call ended."""
+
+    OK = "Ok"
+    FAILED = "Failed"
+    FULL = "QueueFull"
+    TIMED_OUT = "TimedOut"
+    CONNECT = "ConnectError"
+    RESET = "ResetByPeer"
+    CANCELLED = "Canceled"
+    IGNORED = "Ignored"
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    name: str
+    aim: float
+    deadline: float
+    importance: float = 1.0
+    effect: Effect = Effect.UNSAFE
+    group: Group = Group.ALL
+    repeat_window: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A plan's quota (rate a second, burst, open attempts), prices, and hard ceiling; 0 means none."""
+
+    name: str
+    rate: float = 0.0
+    burst: float = 0.0
+    open_limit: int = 0
+    beyond_earns: float = 0.0
+    beyond_costs: float = 0.0
+    ceiling_rate: float = 0.0
+    ceiling_burst: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SafetyRules:
+    drain_grace: float
+    start_capacity: float
+    warm_within: float
+    fall_multiple: float
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    index: int
+    gateways: int
+    zone: str
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...]
+    rules: SafetyRules
+    max_attempts: int
+    may_duplicate: bool = False
+    can_cancel: bool = False
+    may_count: bool = False
+    must_ask_for_list: bool = False
+    max_retry_after: float = 0.0
+    count_wait: float = 0.0
+    most_units: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class BackendEntry:
+    backend: int
+    zone: str
+    cell: int
+    started: float
+    state: BackendState
+
+
+@dataclass(frozen=True, slots=True)
+class BackendsChanged:
+    scope: ListScope
+    entries: tuple[BackendEntry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    request: str
+    request_class: str
+    plan: str
+    customer: str
+    expires: float
+    units: float
+    spread: int
+    first: int
+    repeat: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    request: str
+    attempt: int
+    backend: int
+    outcome: Outcome
+    lag: float
+    finished: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerBegan:
+    request: str
+    attempt: int
+    backend: int
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLapsed:
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class CounterReplied:
+    name: str
+    outcome: Outcome
+    reading: float
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSpoke:
+    sender: int
+    payload: bytes
+
+
+Event = (
+    BackendsChanged
+    | RequestArrived
+    | AttemptEnded
+    | AnswerBegan
+    | RequestLapsed
+    | CounterReplied
+    | TimerFired
+    | PeerSpoke
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Start an attempt; the attempts of a request are numbered 0, 1, 2, ... in the order of their sends."""
+
+    request: str
+    backend: int
+    timeout: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    request: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """A final answer that promises a new try does no harm."""
+
+    request: str
+    retry_after: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """A final answer that promises nothing."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    delay: float
+    token: str
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """Add to a named number on the counter service (0 reads it); the reply carries the total."""
+
+    name: str
+    amount: float
+    expire_in: float
+
+
+@dataclass(frozen=True, slots=True)
+class FollowList:
+    enable: bool = True
+
+
+Action = Send | Cancel | Refuse | Fail | SetTimer | Count | FollowList
+Actions = list[Action]
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,118 @@
+"""A small bench-free world for one gateway: settings, a clock and the answers it asks for."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+
+from mintford import interface as api
+from mintford.rules import Gateway
+
+SAFE = api.RequestClass("view", aim=1000, deadline=3000, importance=1, effect=api.Effect.SAFE)
+KEYED = api.RequestClass(
+    "order",
+    aim=1000,
+    deadline=3000,
+    importance=4,
+    effect=api.Effect.KEYED,
+    group=api.Group.CELL,
+    repeat_window=2000,
+)
+UNSAFE = api.RequestClass("wipe", aim=1000, deadline=3000, importance=2, effect=api.Effect.UNSAFE)
+BASIC = api.Plan("basic", rate=2, burst=8, beyond_costs=1)
+FIRM = api.Plan("firm", rate=10, burst=20, open_limit=8, beyond_costs=1, ceiling_rate=20, ceiling_burst=40)
+BONUS = api.Plan("bonus", rate=1, burst=2, beyond_earns=0.2)
+RULES = api.SafetyRules(1000, 0.2, 10_000, 2)
+
+
+def settings(**changes: object) -> api.Settings:
+    values: dict[str, object] = dict(
+        index=0,
+        gateways=2,
+        zone="a",
+        classes=(SAFE, KEYED, UNSAFE),
+        plans=(BASIC, FIRM, BONUS),
+        rules=RULES,
+        max_attempts=3,
+        can_cancel=True,
+        may_count=True,
+        max_retry_after=500.0,
+        count_wait=50.0,
+    )
+    values.update(changes)
+    return api.Settings(**values)  # type: ignore[arg-type]
+
+
+def entry(
+    backend: int, state: api.BackendState = api.BackendState.READY, started: float = 0, cell: int = 0
+) -> api.BackendEntry:
+    return api.BackendEntry(backend, "a", cell, started, state)
+
+
+def backends(*entries: api.BackendEntry, scope: api.ListScope = api.ListScope.FULL) -> api.BackendsChanged:
+    return api.BackendsChanged(scope, entries)
+
+
+class World:
+    """Feeds events to one gateway and remembers its actions, each with the time it came."""
+
+    def __init__(self, entries: Iterable[api.BackendEntry] = (), seed: int = 1, **changes: object) -> None:
+        self.gateway = Gateway(settings(**changes), seed)
+        self.now, self.serial = 10_000.0, 0
+        self.timers: list[tuple[float, int, str]] = []
+        self.log: list[tuple[float, api.Action]] = []
+        self.give(backends(*(tuple(entries) or (entry(1), entry(2, cell=1), entry(3)))))
+
+    def give(self, event: api.Event) -> list[api.Action]:
+        actions = self.gateway.handle(self.now, event)
+        self.log += [(self.now, a) for a in actions]
+        for a in actions:
+            if isinstance(a, api.SetTimer):
+                heapq.heappush(self.timers, (self.now + a.delay, len(self.log), a.token))
+        return actions
+
+    def ask(
+        self,
+        name: str = "view",
+        plan: str = "basic",
+        customer: str = "c",
+        spread: int = 2,
+        life: float = 3000,
+    ) -> list[api.Action]:
+        self.serial += 1
+        return self.give(
+            api.RequestArrived(f"r{self.serial}", name, plan, customer, self.now + life, 1.0, spread, 0)
+        )
+
+    def end(
+        self,
+        send: api.Send,
+        outcome: api.Outcome = api.Outcome.OK,
+        attempt: int = 0,
+        finished: bool | None = None,
+    ) -> list[api.Action]:
+        done = outcome is api.Outcome.OK if finished is None else finished
+        return self.give(api.AttemptEnded(send.request, attempt, send.backend, outcome, 1.0, done))
+
+    def pass_time(self, milliseconds: float) -> list[api.Action]:
+        """Let time pass, with the timers firing as the gateway asked."""
+        actions: list[api.Action] = []
+        end = self.now + milliseconds
+        while self.timers and self.timers[0][0] <= end:
+            at, _, token = heapq.heappop(self.timers)
+            self.now = max(self.now, at)
+            actions += self.give(api.TimerFired(token))
+        self.now = end
+        return actions
+
+
+def sends(actions: Iterable[api.Action]) -> list[api.Send]:
+    return [a for a in actions if isinstance(a, api.Send)]
+
+
+def counts(actions: Iterable[api.Action]) -> list[api.Count]:
+    return [a for a in actions if isinstance(a, api.Count)]
+
+
+def refusals(actions: Iterable[api.Action]) -> list[api.Refuse]:
+    return [a for a in actions if isinstance(a, api.Refuse)]
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,316 @@
+"""Backend choice, health, further attempts, overload and the guards of the five rules, without the bench."""
+
+from __future__ import annotations
+
+from helpers import BASIC, World, backends, entry, refusals, sends
+
+from mintford import interface as api
+
+WIDE = api.Plan("basic")  # no quota, so that only the back end decides
+OPEN = dict(plans=(WIDE,), may_count=False)
+
+
+def world(*entries: api.BackendEntry, **changes: object) -> World:
+    return World(entries, **{**OPEN, **changes})
+
+
+def one(actions: list[api.Action]) -> api.Send:
+    (send,) = sends(actions)
+    return send
+
+
+def served_by(w: World, tries: int) -> set[int]:
+    used = set()
+    for _ in range(tries):
+        send = one(w.ask())
+        w.pass_time(20)
+        w.end(send)
+        used.add(send.backend)
+        w.pass_time(20)
+    return used
+
+
+def warm_up(w: World, rounds: int = 60, gap: float = 20, lag: float = 20) -> None:
+    for _ in range(rounds):
+        send = one(w.ask())
+        w.pass_time(lag)
+        w.end(send)
+        w.pass_time(gap)
+
+
+def test_an_empty_list_refuses_at_once() -> None:
+    w = world()
+    w.give(backends())
+    assert refusals(w.ask()) and not sends(w.ask())
+
+
+def test_draining_and_gone_backends_get_nothing_new() -> None:
+    w = world()
+    w.give(backends(entry(1, api.BackendState.DRAINING), scope=api.ListScope.CHANGES))
+    w.give(backends(entry(2, api.BackendState.GONE), scope=api.ListScope.CHANGES))
+    assert served_by(w, 5) == {3}
+
+
+def test_a_full_list_removes_what_it_omits() -> None:
+    w = world()
+    w.give(backends(entry(2)))
+    assert served_by(w, 5) == {2}
+
+
+def test_a_failed_list_keeps_the_old_one_and_asks_again_later() -> None:
+    w = world(must_ask_for_list=True)
+    w.give(api.BackendsChanged(api.ListScope.FAILED, ()))
+    assert one(w.ask())
+    timers = [a for _, a in w.log if isinstance(a, api.SetTimer) and a.token == "follow"]
+    assert timers
+    assert any(isinstance(a, api.FollowList) for a in w.give(api.TimerFired("follow")))
+
+
+def test_failing_backend_is_avoided_and_later_retested() -> None:
+    w = world()
+    warm_up(w)
+    bad, shares = 1, []
+    for _ in range(2):
+        hits = 0
+        for _ in range(60):
+            send = one(w.ask())
+            while True:
+                hits += send.backend == bad
+                w.pass_time(20)
+                outcome = api.Outcome.FAILED if send.backend == bad else api.Outcome.OK
+                again = sends(w.end(send, outcome, attempt=0 if send.backend == bad else w_attempt(w, send)))
+                if not again:
+                    break
+                send = again[0]
+        shares.append(hits)
+    assert shares[0] <= 10 and shares[1] <= 10
+    w.pass_time(20_000)
+    assert bad in served_by(w, 40)
+
+
+def w_attempt(w: World, send: api.Send) -> int:
+    return sum(1 for _, a in w.log if isinstance(a, api.Send) and a.request == send.request) - 1
+
+
+def test_silent_backend_is_left_while_its_peers_answer() -> None:
+    w = world()
+    warm_up(w)
+    hung = 0
+    for _ in range(150):
+        send = one(w.ask("wipe", life=60_000))
+        w.pass_time(50)
+        if send.backend == 1:
+            hung += 1
+        else:
+            w.end(send)
+    assert hung <= 8
+
+
+def test_overload_is_refused_early_and_the_lesser_class_first() -> None:
+    """Danger: told by latency, overload is seen a whole queue too late, and so is its end."""
+    w = world()
+    warm_up(w)
+    out = []
+    while len(out) < 500 and (s := sends(w.ask("view"))):
+        out += s
+    assert len(out) < 100
+    assert sends(w.ask("order")), "the dearer class still goes through"
+    while sends(w.ask("order")):
+        pass
+    for send in out:
+        w.end(send)
+    w.pass_time(100)
+    assert sends(w.ask("view")), "refusals end as soon as the load has gone"
+
+
+def test_a_gateway_without_answers_lets_requests_through() -> None:
+    """Danger: in a large fleet the floor fell under one request: no request, no answer, for ever."""
+    w = world(gateways=1000)
+    assert len(sends(w.ask()) + sends(w.ask())) == 2
+
+
+def test_not_run_is_sent_again_elsewhere() -> None:
+    w = world()
+    for name in ("view", "order", "wipe"):
+        first = one(w.ask(name))
+        again = one(w.end(first, api.Outcome.CONNECT))
+        assert again.backend != first.backend
+
+
+def test_unsafe_that_may_have_run_is_never_sent_again_nor_refused() -> None:
+    for outcome in (api.Outcome.FAILED, api.Outcome.RESET, api.Outcome.TIMED_OUT):
+        w = world()
+        send = one(w.ask("wipe"))
+        assert w.end(send, outcome) == [api.Fail(send.request)]
+
+
+def test_keyed_goes_again_only_inside_its_group_and_window() -> None:
+    w = world(entry(1, cell=0), entry(2, cell=1), entry(3, cell=0))
+    first = one(w.ask("order"))
+    same_cell = {1: {3}, 3: {1}, 2: set()}[first.backend]
+    assert {s.backend for s in sends(w.end(first, api.Outcome.FAILED))} == same_cell
+    lone = world(entry(1, cell=0), entry(2, cell=1))
+    first = one(lone.ask("order"))
+    assert lone.end(first, api.Outcome.FAILED) == [api.Fail(first.request)]
+    late = world(entry(1, cell=0), entry(3, cell=0))
+    late.gateway.classes["order"] = api.RequestClass(
+        "order", 5000, 9000, 1, api.Effect.KEYED, api.Group.CELL, 2000
+    )
+    first = one(late.ask("order", life=9000))
+    late.now += 1990
+    assert late.end(first, api.Outcome.FAILED) == [api.Fail(first.request)]
+
+
+def test_extra_attempts_stop_when_the_budget_is_spent() -> None:
+    w = world()
+    sent = asked = 0
+    for _ in range(300):
+        batch = sends(w.ask())
+        asked += 1
+        attempt = 0
+        while batch:
+            sent += 1
+            batch = sends(w.end(batch[0], api.Outcome.FAILED, attempt))
+            attempt += 1
+        w.pass_time(50)
+    assert sent <= asked * 1.6 + 10
+
+
+def test_every_request_held_is_ended_before_it_expires() -> None:
+    w = world()
+    send = one(w.ask("wipe", life=3000))
+    w.pass_time(2960)
+    ends = [(t, a) for t, a in w.log if isinstance(a, api.Fail) and a.request == send.request]
+    assert len(ends) == 1 and ends[0][0] <= 13_000
+    assert w.end(send, api.Outcome.TIMED_OUT) == []
+
+
+def test_an_attempt_out_far_longer_than_usual_is_moved_once() -> None:
+    """Danger: work done twice for every long request, or a silent backend that is waited for to the end."""
+    w = world()
+    warm_up(w, lag=100)
+    first = one(w.ask(life=60_000))
+    assert not [a for a in w.pass_time(450) if isinstance(a, api.Cancel)]
+    assert [a for a in w.pass_time(100) if isinstance(a, api.Cancel)] == [api.Cancel(first.request, 0)]
+    again = one(w.end(first, api.Outcome.CANCELLED))
+    assert again.backend != first.backend
+
+
+def test_one_class_unanswered_at_a_backend_is_told_from_the_others() -> None:
+    """Danger: a backend that fails one class alone looks half well, and keeps getting that class."""
+    w = world(max_attempts=1)
+    hits = {"view": 0, "order": 0}
+    for i in range(400):
+        name = "order" if i % 2 else "view"
+        send = one(w.ask(name))
+        w.pass_time(20)
+        bad = send.backend == 1 and name == "order"
+        w.end(send, api.Outcome.FAILED if bad else api.Outcome.OK)
+        hits[name] += send.backend == 1 and i > 100
+    assert hits["order"] <= 8 and hits["view"] >= 25
+
+
+def test_each_gateway_of_a_large_fleet_uses_few_backends_and_all_are_covered_evenly() -> None:
+    """Danger: met once a minute each, no backend can be judged."""
+    fleet, met = [entry(i) for i in range(70)], dict.fromkeys(range(70), 0)
+    for index in range(300):
+        w = World(fleet, **{**OPEN, "gateways": 300, "index": index})
+        assert 8 <= len(w.gateway.subset) <= 16
+        for b in w.gateway.subset:
+            met[b.id] += 1
+    assert min(met.values()) >= 0.6 * 300 * 8 / 70 and max(met.values()) <= 1.4 * 300 * 8 / 70
+
+
+def test_a_gateway_with_few_requests_sheds_by_recent_latency() -> None:
+    """Danger: three requests out at each of hundreds of gateways fill the servers for longer than the aim."""
+    w = world(gateways=300)
+    for lag in (100, 1500, 100):
+        sent = 0
+        for i in range(90):
+            for send in sends(w.ask()):
+                sent += i >= 30
+                w.pass_time(lag)
+                w.end(send, attempt=w_attempt(w, send))
+            w.pass_time(400)
+        assert sent < 36 if lag == 1500 else sent > 54
+
+
+def test_a_fleet_that_is_all_cold_serves_a_little_and_then_all() -> None:
+    w = world(entry(1, started=9_900), entry(2, started=9_900), entry(3, started=9_900))
+    served = [0, 0]
+    for half in (0, 1):
+        for _ in range(100):
+            for send in sends(w.ask()):
+                served[half] += 1
+                w.end(send)
+            w.pass_time(105)
+    assert 10 < served[0] < 70 and served[1] == 100
+
+
+def test_any_number_of_cold_backends_gets_less_than_it_surely_can_do() -> None:
+    """Danger: many gateways, each with a little for a cold backend, push it over together."""
+    hits = 0
+    for index in range(200):
+        w = World([entry(i, started=9_990 if i == 5 else 0) for i in range(20)], seed=index,
+                  **{**OPEN, "gateways": 200, "index": index})
+        for _ in range(10):
+            send = one(w.ask())
+            hits += send.backend == 5
+            w.end(send)
+    assert hits <= 0.2 * 2000 / 20
+
+
+def test_odd_settings_are_survived() -> None:
+    for spread in (0, 1, 5000):
+        for rate in (0.01, 10_000.0):
+            for gateways in (1, 1000):
+                plan = api.Plan("basic", rate=rate, burst=rate)
+                w = World([entry(1)], plans=(plan,), gateways=gateways, index=gateways - 1)
+                for life in (0, 3000):
+                    w.ask(spread=spread, life=life)
+                    w.pass_time(4000)
+                assert not w.gateway.requests
+    none = World(gateways=1000)
+    none.give(backends())
+    none.ask(spread=1, life=1000)
+    none.pass_time(2000)
+    assert not none.gateway.requests
+
+
+def test_odd_events_are_survived() -> None:
+    w = world()
+    w.give(api.AttemptEnded("nobody", 0, 9, api.Outcome.OK, 1, True))
+    w.give(api.RequestLapsed("nobody"))
+    w.give(api.TimerFired("unwanted"))
+    w.give(api.CounterReplied("nothing", api.Outcome.OK, 1))
+    w.give(api.PeerSpoke(1, b"\xff\x00"))
+    w.give(api.AnswerBegan("nobody", 0, 1))
+    send = one(w.ask("no such class", "no such plan"))
+    w.give(api.RequestLapsed(send.request))
+    assert w.end(send, api.Outcome.TIMED_OUT) == []
+    w.end(send, api.Outcome.TIMED_OUT)
+
+
+def test_a_cold_backend_gets_little_until_it_is_warm() -> None:
+    """Danger: a cold backend sent a warm one's load by every gateway falls over and stays down."""
+    w = world(entry(1), entry(2), entry(3))
+    warm_up(w, 400)
+    w.give(backends(entry(9, started=w.now - 100), scope=api.ListScope.CHANGES))
+    early = [one(w.ask()) for _ in range(1)]
+    w.end(early[0])
+    mark = w.now
+    warm_up(w, 50)
+    counts = [a.backend for t, a in w.log if t >= mark and isinstance(a, api.Send)]
+    assert counts.count(9) <= 0.25 * 0.5 * len(counts)
+    w.pass_time(11_000)
+    assert 9 in served_by(w, 40)
+
+
+def test_the_plan_is_met_by_its_settings_not_its_name() -> None:
+    renamed = api.Plan("zzz", BASIC.rate, BASIC.burst)
+    a = World(plans=(BASIC,))
+    b = World(plans=(renamed,))
+    for _ in range(30):
+        assert a.ask(plan="basic") == b.ask(plan="zzz")
+        a.pass_time(100)
+        b.pass_time(100)
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,26 @@
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+ROOT = Path(__file__).parents[1]
+
+
+def test_the_module_stays_short_and_its_lines_narrow() -> None:
+    lines = [line for line in (ROOT / "mintford/rules.py").read_text().splitlines() if line.strip()]
+    assert len(lines) <= 400
+    assert "mintford/interface.py" in "".join(lines[:3])
+
+
+def test_no_line_is_over_110_characters() -> None:
+    for path in [*ROOT.glob("mintford/*.py"), *ROOT.glob("tests/*.py")]:
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            assert len(line) <= 110, f"{path.name}:{number}"
+
+
+def test_the_readme_s_example_runs() -> None:
+    example = re.findall(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S)
+    assert len(example) == 1
+    space: dict[str, object] = {}
+    exec(example[0], space)
+    assert space["sent"] and space["served"]
