Put the decision module on real sockets

One process on asyncio with uvloop: a RESP server for clients, pools of connections to backends, the counter's client, and discovery's watch, round a driver that is the only caller of the module.

--- /dev/null
+++ b/roadpulley/__init__.py
@@ -0,0 +1,1 @@
+"""roadpulley: an API gateway on real sockets round the decision module `mintford`."""
--- /dev/null
+++ b/roadpulley/backends.py
@@ -0,0 +1,301 @@
+"""Connections to backends, and the attempts made on them.
+
+The sockets are driven directly rather than through transports: what may be said of an attempt depends on
+whether its last byte has left the process, a cutoff holds at the first byte, and an attempt that is given up
+must be closed before the next one is sent. `send` and `close` tell and do that at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import logging
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import hiredis
+
+from mintford.interface import BackendState, Outcome
+
+from .clock import Timers, now_ms
+from .config import Address
+
+log = logging.getLogger(__name__)
+
+IDLE_SHARE = 0.6  # of the keep-alive time: retired before the backend may close it under a request
+SWEEP_MS = 1_000.0
+CUTOFF_MARGIN_MS = 50.0  # before the end of the grace for new work to a draining backend
+READ_BYTES = 128 * 1024
+
+
+@dataclass(eq=False, slots=True)
+class Attempt:
+    """One try of a request at a backend; `ended` is called exactly once."""
+
+    backend: int
+    encode: Callable[[int], bytes]
+    expires: float  # when the client gives up
+    ended: Callable[[Attempt, Outcome, bytes], None]
+    connection: Connection | None = None
+    over: bool = False
+
+    def end(self, outcome: Outcome, value: bytes = b"") -> None:
+        if not self.over:
+            self.over, self.connection = True, None
+            self.ended(self, outcome, value)
+
+
+class Connection:
+    """One connection, with one attempt on it at a time.
+
+    Answers come in order and giving up means closing, so a second attempt would share the first one's fate.
+    """
+
+    def __init__(self, pool: Backends, host: Host, attempt: Attempt) -> None:
+        self.pool, self.host, self.address = pool, host, host.address
+        self.attempt: Attempt | None = attempt
+        self.reader = hiredis.Reader(notEnoughData=Ellipsis)
+        self.unsent = memoryview(b"")
+        self.up = self.closed = self.writing = False
+        self.idle_since = 0.0
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.fd = self.socket.fileno()
+        attempt.connection = self
+        try:
+            self.socket.setblocking(False)
+            self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            problem = self.socket.connect_ex(host.address)
+            if problem not in (0, errno.EINPROGRESS):
+                raise OSError(problem, "connect")
+        except OSError:
+            self.socket.close()
+            raise
+        self.timer: asyncio.TimerHandle | None = pool.loop.call_later(
+            pool.connect_timeout / 1000, self.end, Outcome.CONNECT
+        )
+        pool.loop.add_writer(self.fd, self._came_up)
+
+    def _came_up(self) -> None:
+        self.pool.loop.remove_writer(self.fd)
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            return self.end(Outcome.CONNECT)
+        self.up = True
+        self.pool.loop.add_reader(self.fd, self._readable)
+        self.write()
+
+    def start(self, attempt: Attempt) -> None:
+        self.attempt, attempt.connection = attempt, self
+        self.write()
+
+    def write(self) -> None:
+        # The wait for a connection may have outlasted the request or the time in which this backend, told
+        # to drain meanwhile, may be sent anything: both are judged again at the first byte.
+        attempt = self.attempt
+        assert attempt is not None
+        now = now_ms()
+        if now >= attempt.expires or not self.host.takes_new(now):
+            self.attempt = None
+            self.pool.release(self)
+            return attempt.end(Outcome.IGNORED if now >= attempt.expires else Outcome.CONNECT)
+        self.unsent = memoryview(attempt.encode(max(1, int(attempt.expires - now))))
+        self._flush()
+
+    def _flush(self) -> None:
+        try:
+            sent = self.socket.send(self.unsent)
+        except (BlockingIOError, InterruptedError):
+            sent = 0
+        except OSError:
+            return self.end(Outcome.CONNECT)  # the last byte did not leave
+        self.unsent = self.unsent[sent:]
+        if bool(self.unsent) != self.writing:
+            self.writing = not self.writing
+            if self.writing:
+                self.pool.loop.add_writer(self.fd, self._flush)
+            else:
+                self.pool.loop.remove_writer(self.fd)
+
+    def _readable(self) -> None:
+        try:
+            data = self.socket.recv(READ_BYTES)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            data = b""
+        if not data:
+            return self.end(self.broken())
+        self.reader.feed(data)
+        try:
+            reply = self.reader.gets()
+            more = self.reader.has_data()
+        except hiredis.ProtocolError:
+            log.warning("backend %s broke the protocol", self.host.address)
+            return self.end(self.broken())
+        if reply is Ellipsis:
+            return
+        attempt, self.attempt = self.attempt, None
+        if attempt is None or self.unsent or more:
+            self.close()  # an answer to nothing: what follows would be taken for another request's
+        else:
+            self.pool.release(self)
+        if attempt is not None:
+            attempt.end(*read_reply(reply))
+
+    def broken(self) -> Outcome:
+        """What a break says: a request whose last byte has not left cannot have run, any other may have."""
+        return Outcome.CONNECT if not self.up or self.unsent else Outcome.RESET
+
+    def end(self, outcome: Outcome) -> None:
+        """Close, and end the attempt that is on it. The close comes first: never two attempts at once."""
+        attempt, self.attempt = self.attempt, None
+        self.close()
+        if attempt is not None:
+            attempt.end(outcome)
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        if self.timer is not None:
+            self.timer.cancel()
+        self.pool.loop.remove_reader(self.fd)
+        self.pool.loop.remove_writer(self.fd)
+        self.socket.close()
+        self.pool.forget(self)
+
+    def alive(self) -> bool:
+        """Whether an idle connection still stands, so far as this machine has heard."""
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False  # it has ended, or says something that nobody asked for
+
+
+def read_reply(reply: object) -> tuple[Outcome, bytes]:
+    if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
+        return Outcome.OK, reply[0]
+    if isinstance(reply, hiredis.ReplyError) and str(reply).split(" ", 1)[0] == "BUSY":
+        return Outcome.FULL, b""
+    return Outcome.FAILED, b""
+
+
+class Host:
+    """A backend's address, its idle connections and when it was told to drain."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.idle: list[Connection] = []  # the last used at the end
+        self.cutoff = float("inf")
+
+    def takes_new(self, now: float) -> bool:
+        return now < self.cutoff
+
+
+class Backends:
+    """The pools. Decides nothing: it sends where it is told, or says why it cannot."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        timers: Timers,
+        connect_timeout: float,
+        keepalive: float,
+        drain_grace: float,
+        most: int,
+    ) -> None:
+        self.loop, self.timers, self.connect_timeout = loop, timers, connect_timeout
+        self.idle_ms, self.drain_grace, self.most = keepalive * IDLE_SHARE, drain_grace, most
+        self.hosts: dict[int, Host] = {}
+        self.connections: set[Connection] = set()
+        self.timers.at(now_ms() + SWEEP_MS, self.sweep)
+
+    # ---- the list ----
+
+    def update(self, backend: int, address: Address, state: BackendState) -> None:
+        if state is not BackendState.READY:
+            return self.retire(backend)
+        host = self.hosts.get(backend)
+        if host is None:
+            host = self.hosts[backend] = Host(address)
+        if host.address != address:
+            self.close_idle(host)
+            host.address = address
+        host.cutoff = float("inf")
+
+    def retire(self, backend: int) -> None:
+        if host := self.hosts.get(backend):
+            host.cutoff = min(host.cutoff, now_ms() + self.drain_grace - CUTOFF_MARGIN_MS)
+            self.close_idle(host)
+
+    # ---- attempts ----
+
+    def send(self, attempt: Attempt) -> None:
+        host = self.hosts.get(attempt.backend)
+        if host is None or not host.takes_new(now_ms()):
+            return attempt.end(Outcome.CONNECT)
+        while host.idle:
+            connection = host.idle.pop()
+            if now_ms() - connection.idle_since < self.idle_ms and connection.alive():
+                return connection.start(attempt)
+            connection.close()
+        if len(self.connections) >= self.most:
+            self.close_oldest()
+        if len(self.connections) >= self.most:
+            return attempt.end(Outcome.CONNECT)  # better one request turned away than no descriptors left
+        try:
+            self.connections.add(Connection(self, host, attempt))
+        except OSError as error:
+            log.warning("cannot open a connection to %s: %s", host.address, error)
+            attempt.end(Outcome.CONNECT)
+
+    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+        connection = attempt.connection
+        if connection is not None:
+            waiting = outcome is Outcome.TIMED_OUT and connection.broken() is Outcome.CONNECT
+            connection.end(Outcome.CONNECT if waiting else outcome)
+        else:
+            attempt.end(outcome)
+
+    # ---- pools ----
+
+    def release(self, connection: Connection) -> None:
+        host = connection.host
+        if host.cutoff < float("inf") or connection.address != host.address:
+            return connection.close()
+        connection.idle_since = now_ms()
+        host.idle.append(connection)
+
+    def forget(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+        if connection in connection.host.idle:
+            connection.host.idle.remove(connection)
+
+    def close_idle(self, host: Host) -> None:
+        for connection in list(host.idle):
+            connection.close()
+
+    def close_oldest(self) -> None:
+        idle = [h.idle[0] for h in self.hosts.values() if h.idle]
+        if idle:
+            min(idle, key=lambda c: c.idle_since).close()
+
+    def sweep(self) -> None:
+        now = now_ms()
+        for backend, host in list(self.hosts.items()):
+            for connection in list(host.idle):
+                if now - connection.idle_since < self.idle_ms:
+                    break
+                connection.close()
+            if not host.takes_new(now):
+                del self.hosts[backend]
+        self.timers.at(now + SWEEP_MS, self.sweep)
+
+    def close(self) -> None:
+        for connection in list(self.connections):
+            connection.end(connection.broken())
--- /dev/null
+++ b/roadpulley/config.py
@@ -0,0 +1,67 @@
+"""What the platform tells a gateway: the file named by LB_CONFIG."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from mintford import interface as api
+from mintford.wirehost import read_settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration does not say what a gateway needs."""
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    sockets: int
+    settings: api.Settings
+    connect_timeout: float  # milliseconds, as all times here
+    keepalive: float
+    max_open: int
+    known: dict[str, Any]  # the list of backends as this gateway last had it, in discovery's form
+
+
+def parse_address(text: str) -> Address:
+    host, colon, port = str(text).rpartition(":")
+    if not colon or not port.isdigit():
+        raise ValueError(f"not an address: {text!r}")
+    return host, int(port)
+
+
+def parse_config(raw: dict[str, Any]) -> Config:
+    try:
+        settings = raw["settings"]
+        caps = settings.get("caps") or {}
+        return Config(
+            name=str(raw.get("name") or ""),
+            listen=parse_address(raw["listen"]),
+            discovery=parse_address(raw["discovery"]),
+            counter=parse_address(raw["counter"]) if raw.get("counter") else None,
+            seed=int(str(raw.get("seed") or "0"), 16),
+            sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
+            settings=read_settings(settings),
+            connect_timeout=float(caps.get("connectTimeout") or 250),
+            keepalive=float(caps.get("keepalive") or 15_000),
+            max_open=int(caps.get("maxOpen") or 10_000),
+            known=raw.get("known") or {},
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise ConfigError(f"{type(error).__name__}: {error}") from error
+
+
+def load_config(path: str) -> Config:
+    try:
+        return parse_config(json.loads(Path(path).read_text()))
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path}: {error}") from error
--- /dev/null
+++ b/roadpulley/discovery.py
@@ -0,0 +1,143 @@
+"""The list of backends: reading it and watching it for changes."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import json
+import logging
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+
+from mintford.interface import BackendEntry, BackendState, ListScope
+
+from .config import Address, parse_address
+
+log = logging.getLogger(__name__)
+
+PATH = "/catalog/members"
+SILENT_S = 4.5  # an empty line comes every 2 s
+CONNECT_S = 1.0
+BACKOFF_S = (0.1, 1.0)  # the first wait before a new watch, and the longest
+LONGEST_LINE = 16 * 1024 * 1024
+STATES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
+
+
+class DiscoveryError(Exception):
+    """Discovery said what it should not."""
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    entry: BackendEntry
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class MemberList:
+    version: int
+    whole: bool
+    members: tuple[Member, ...]
+
+
+Listener = Callable[[ListScope, tuple[Member, ...]], None]
+
+
+def host_number(host: str) -> int:
+    """A number for a host's name: the same at every gateway and after every start."""
+    return int.from_bytes(hashlib.blake2b(host.encode(), digest_size=8).digest(), "big")
+
+
+def read_member(raw: dict[str, Any]) -> Member:
+    entry = BackendEntry(
+        backend=host_number(raw["host"]),
+        zone=str(raw.get("site") or ""),
+        cell=int(raw.get("block") or 0),
+        started=float(raw.get("born_ms") or 0),
+        state=STATES[raw["health"]],
+    )
+    return Member(entry, parse_address(raw["dial"]))
+
+
+def read_list(raw: Any) -> MemberList:
+    try:
+        members = tuple(read_member(host) for host in raw.get("hosts") or ())
+        return MemberList(int(raw["seq"]), bool(raw.get("whole")), members)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DiscoveryError(f"{type(error).__name__}: {error}") from error
+
+
+class Discovery:
+    """Follows the list from a version on and reports each change."""
+
+    def __init__(self, address: Address, version: int | None, listener: Listener) -> None:
+        self.address, self.version, self.listener = address, version, listener
+
+    async def run(self) -> None:
+        wait = BACKOFF_S[0]
+        while True:
+            heard = False
+            try:
+                async for line in self._lines(self._target()):
+                    heard = True
+                    if line.strip():
+                        self._take(line)
+                reason = "ended"
+            except (OSError, h11.ProtocolError, DiscoveryError) as error:  # time-outs are among these
+                reason = " ".join(str(error).split()) or type(error).__name__
+            wait = BACKOFF_S[0] if heard else min(BACKOFF_S[1], wait * 2)
+            log.info("watch %s; again in %.1f s", reason, wait)
+            await asyncio.sleep(wait)
+
+    def _target(self) -> str:
+        # With no version known, the whole list comes first.
+        return PATH if self.version is None else f"{PATH}?stream=1&index={self.version}"
+
+    def _take(self, line: bytes) -> None:
+        try:
+            raw = json.loads(line)
+        except ValueError as error:
+            raise DiscoveryError(str(error)) from error
+        try:
+            got = read_list(raw)
+        except DiscoveryError:
+            self.version = None  # what this change held is not known: read everything again
+            raise
+        if got.whole or got.members:
+            self.listener(ListScope.FULL if got.whole else ListScope.CHANGES, got.members)
+        self.version = got.version
+
+    async def _lines(self, target: str) -> AsyncIterator[bytes]:
+        host, port = self.address
+        async with asyncio.timeout(CONNECT_S):
+            reader, writer = await asyncio.open_connection(host, port)
+        try:
+            http = h11.Connection(h11.CLIENT)
+            headers = [("Host", f"{host}:{port}"), ("Accept", "application/json")]
+            writer.write(http.send(h11.Request(method="GET", target=target, headers=headers)) or b"")
+            writer.write(http.send(h11.EndOfMessage()) or b"")
+            rest = b""
+            while True:
+                event = http.next_event()
+                if event is h11.NEED_DATA:
+                    # A machine that is cut off says nothing; only the missing lines show it.
+                    async with asyncio.timeout(SILENT_S):
+                        http.receive_data(await reader.read(65536))
+                elif isinstance(event, h11.Response):
+                    if event.status_code != 200:
+                        raise DiscoveryError(f"status {event.status_code}")
+                elif isinstance(event, h11.Data):
+                    *lines, rest = (rest + event.data).split(b"\n")
+                    for line in lines:
+                        yield line
+                    if len(rest) > LONGEST_LINE:
+                        raise DiscoveryError("an endless line")
+                elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                    if rest.strip():
+                        yield rest
+                    return
+        finally:
+            writer.close()
--- /dev/null
+++ b/roadpulley/driver.py
@@ -0,0 +1,190 @@
+"""Drives the decision module: events in, actions out. Decides nothing itself."""
+
+from __future__ import annotations
+
+import logging
+import math
+from collections import deque
+from functools import partial
+
+from mintford import Gateway
+from mintford import interface as api
+
+from .backends import Attempt, Backends
+from .clients import Command, Slot, bulk
+from .clock import Timers, now_ms
+from .counter import Counter
+from .discovery import Member
+
+log = logging.getLogger(__name__)
+
+FAILED = b"-ERR failed\r\n"
+
+
+class Request:
+    """One request that is owed a final answer."""
+
+    __slots__ = ("attempts", "command", "expires", "slot")
+
+    def __init__(self, command: Command, slot: Slot, expires: float) -> None:
+        self.command, self.slot, self.expires = command, slot, expires
+        self.attempts = 0  # made so far
+
+
+class Driver:
+    """Owns the module, and is the only one to call it.
+
+    Events are taken one after another: an action that ends at once brings its event after the actions that
+    were given with it.
+    """
+
+    def __init__(
+        self,
+        settings: api.Settings,
+        seed: int,
+        timers: Timers,
+        backends: Backends,
+        counter: Counter | None,
+        max_open: int,
+    ) -> None:
+        self.gateway, self.settings = Gateway(settings, seed), settings
+        self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
+        self.requests: dict[str, Request] = {}
+        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.events: deque[api.Event] = deque()
+        self.busy = False
+
+    # ---- events ----
+
+    def give(self, event: api.Event) -> None:
+        self.events.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.events:
+                event = self.events.popleft()
+                try:
+                    for action in self.gateway.handle(now_ms(), event):
+                        self.act(action)
+                except Exception:
+                    # One event's fault must not take the others with it.
+                    log.exception("%s could not be handled", type(event).__name__)
+                    self.abandon(event)
+        finally:
+            self.busy = False
+
+    def abandon(self, event: api.Event) -> None:
+        """The honest end of a request whose event the module failed at: whether it ran is not known."""
+        if isinstance(event, api.RequestArrived | api.AttemptEnded):
+            self.finish(event.request, FAILED)
+
+    def members(self, scope: api.ListScope, members: tuple[Member, ...]) -> None:
+        if scope is not api.ListScope.CHANGES:
+            listed = {m.entry.backend for m in members}
+            for backend in set(self.backends.hosts) - listed:
+                self.backends.retire(backend)
+        for member in members:
+            self.backends.update(member.entry.backend, member.address, member.entry.state)
+        self.give(api.BackendsChanged(scope, tuple(m.entry for m in members)))
+
+    def on_command(self, command: Command, slot: Slot) -> None:
+        if command.id in self.requests:
+            slot.request = None  # the other one's
+            return slot.answer(b"-ERR id in use\r\n")
+        if len(self.requests) >= self.max_open:
+            return slot.answer(b"-BUSY\r\n")
+        given = command.attributes
+        try:
+            event = api.RequestArrived(
+                request=command.id,
+                request_class=given[b"c"].decode(),
+                plan=given.get(b"t", b"").decode(),
+                customer=command.customer,
+                expires=now_ms() + command.wait,
+                units=float(given.get(b"units", b"0")),
+                spread=int(given.get(b"spread", b"1")),
+                first=int(given.get(b"first", b"0")),
+                repeat=given.get(b"r") == b"1",
+            )
+            if not math.isfinite(event.units):
+                raise ValueError("units")
+        except ValueError:
+            return slot.answer(b"-ERR malformed attributes\r\n")
+        self.requests[command.id] = Request(command, slot, event.expires)
+        self.give(event)
+
+    def on_client_gone(self, request: str) -> None:
+        if self.requests.pop(request, None) is None:
+            return
+        self.give(api.RequestLapsed(request))
+        # Nobody is waiting any more; a backend may then drop what it has not begun.
+        for key, attempt in list(self.attempts.items()):
+            if key[0] == request:
+                self.backends.give_up(attempt, api.Outcome.CANCELLED)
+
+    def on_ended(
+        self, request: str, number: int, sent_at: float, attempt: Attempt, outcome: api.Outcome, value: bytes
+    ) -> None:
+        self.attempts.pop((request, number), None)
+        if outcome is api.Outcome.OK:
+            self.finish(request, bulk(value))
+        finished = request not in self.requests
+        lag = now_ms() - sent_at
+        self.give(api.AttemptEnded(request, number, attempt.backend, outcome, lag, finished))
+
+    def on_counted(self, name: str, outcome: api.Outcome, reading: float) -> None:
+        self.give(api.CounterReplied(name, outcome, reading))
+
+    # ---- actions ----
+
+    def act(self, action: api.Action) -> None:
+        match action:
+            case api.Send(request, backend, timeout):
+                self.send(request, backend, timeout)
+            case api.Cancel(request, number):
+                if attempt := self.attempts.get((request, number)):
+                    self.backends.give_up(attempt, api.Outcome.CANCELLED)
+            case api.Refuse(request, retry_after):
+                wait = math.ceil(retry_after)
+                self.finish(request, b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n")
+            case api.Fail(request):
+                self.finish(request, FAILED)
+            case api.SetTimer(delay, token):
+                self.timers.at(now_ms() + delay, partial(self.give, api.TimerFired(token)))
+            case api.Count(name, amount, expire_in):
+                if self.counter is None:
+                    self.give(api.CounterReplied(name, api.Outcome.CONNECT, 0.0))
+                else:
+                    self.counter.add(name, amount, expire_in, self.on_counted)
+            case api.FollowList():
+                pass  # the list is always followed
+
+    def send(self, request: str, backend: int, timeout: float) -> None:
+        now, owner = now_ms(), self.requests.get(request)
+        if owner is None or owner.attempts >= self.settings.max_attempts:
+            number = owner.attempts if owner else 0
+            self.give(api.AttemptEnded(request, number, backend, api.Outcome.IGNORED, 0.0, owner is None))
+            return
+        number, owner.attempts = owner.attempts, owner.attempts + 1
+        ended = partial(self.on_ended, request, number, now)
+        attempt = Attempt(backend, owner.command.encode, owner.expires, ended)
+        self.attempts[request, number] = attempt
+        limit = min(owner.expires, now + timeout) if timeout else owner.expires
+        self.timers.at(limit, partial(self.time_out, attempt))
+        self.backends.send(attempt)
+
+    def time_out(self, attempt: Attempt) -> None:
+        if not attempt.over:
+            self.backends.give_up(attempt, api.Outcome.TIMED_OUT)
+
+    def finish(self, request: str, reply: bytes) -> None:
+        """Give the one final answer; a second one is not sent."""
+        if owner := self.requests.pop(request, None):
+            owner.slot.answer(reply)
+
+    def fail_all(self) -> None:
+        """Answer what is still open when the process has to end."""
+        for request in list(self.requests):
+            self.finish(request, FAILED)
+            self.give(api.RequestLapsed(request))
