Test the gateway over loopback sockets

Fake backends, a counter and discovery inside the tests; ports are 0 and the tests wait for events. No change in behaviour.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 
 import uvloop
 
@@ -29,11 +30,9 @@
 CLOSING_S = 0.1
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, stop: asyncio.Event, ready: Callable[[int], None] | None = None) -> None:
+    """Serve until `stop` is set, then drain. `ready` is told the port once clients may come."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop.set)
     timers = Timers(loop)
     backends = Backends(
         loop,
@@ -54,10 +53,12 @@
     discovery = Discovery(config.discovery, version, driver.members)
     watch = loop.create_task(discovery.run())
     server = ClientServer(driver, int(config.sockets * CLIENT_SHARE))
-    await server.listen(*config.listen)
+    port = await server.listen(*config.listen)
     gc.collect()
     gc.freeze()  # what was loaded stays: no pause to look at it again
-    log.info("%s serves at %s:%d", config.name, *config.listen)
+    log.info("%s serves at %s:%d", config.name, config.listen[0], port)
+    if ready is not None:
+        ready(port)
 
     stopped = loop.create_task(stop.wait())
     await asyncio.wait({stopped, watch}, return_when=asyncio.FIRST_COMPLETED)
@@ -81,6 +82,13 @@
         counter.close()
 
 
+async def run(config: Config) -> None:
+    stop = asyncio.Event()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(signum, stop.set)
+    await serve(config, stop)
+
+
 def main() -> int:
     logging.basicConfig(
         level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
@@ -90,7 +98,7 @@
         print("roadpulley: LB_CONFIG is not set", file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(load_config(path)))
+        uvloop.run(run(load_config(path)))
     except (ConfigError, DiscoveryError) as error:
         print(f"roadpulley: bad configuration: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,291 @@
+"""Attempts on backend connections, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+from loopback import LOCAL, Backend, Reply, Server, World, encode, in_loop, request, running, until
+
+from mintford.interface import BackendState, Outcome
+from roadpulley import backends as module
+from roadpulley.backends import Attempt, Backends
+from roadpulley.clock import Timers, now_ms
+
+SERVED = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+
+@asynccontextmanager
+async def pool(*servers: Server, **given: Any) -> AsyncIterator[Backends]:
+    loop = asyncio.get_running_loop()
+    values: dict[str, Any] = dict(connect_timeout=250, keepalive=15_000, drain_grace=1_000, most=50)
+    made = Backends(loop, Timers(loop), **{**values, **given})
+    for number, server in enumerate(servers):
+        await server.start()
+        made.update(number, (LOCAL, server.port), BackendState.READY)
+    try:
+        yield made
+    finally:
+        made.close()
+        for server in servers:
+            await server.stop()
+
+
+class Try:
+    """An attempt and how it ended."""
+
+    def __init__(self, pool: Backends, backend: int = 0, wait: float = 3000, body: bytes = b"") -> None:
+        self.endings: list[tuple[Outcome, bytes]] = []
+        self.over = asyncio.Event()
+        self.attempt = Attempt(backend, self.encode, now_ms() + wait, self.ended)
+        self.body = body
+        pool.send(self.attempt)
+
+    def encode(self, wait: int) -> bytes:
+        return encode(*request(wait=wait, body=self.body))
+
+    def ended(self, attempt: Attempt, outcome: Outcome, value: bytes) -> None:
+        self.endings.append((outcome, value))
+        self.over.set()
+
+    async def result(self) -> tuple[Outcome, bytes]:
+        await self.over.wait()
+        (ending,) = self.endings
+        return ending
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome"),
+    [
+        (SERVED, Outcome.OK),
+        (b"-BUSY\r\n", Outcome.FULL),
+        (b"-BUSY queue\r\n", Outcome.FULL),
+        (b"-ERR failed\r\n", Outcome.FAILED),
+        (b"-ERR failed inflight=7\r\n", Outcome.FAILED),
+        (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome.FAILED),
+        (b"", Outcome.RESET),
+        (b"?\r\n", Outcome.RESET),
+    ],
+)
+def test_what_comes_back_tells_the_outcome(reply: bytes, outcome: Outcome) -> None:
+    async def script(command: list[bytes]) -> Reply:
+        return reply
+
+    async def scenario() -> None:
+        async with pool(Backend(script)) as made:
+            assert (await Try(made).result())[0] is outcome
+
+    in_loop(scenario)
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            server.server.close()
+            assert await Try(made).result() == (Outcome.CONNECT, b"")
+            assert await Try(made, backend=9).result() == (Outcome.CONNECT, b"")  # never listed
+
+    in_loop(scenario)
+
+
+def test_a_break_before_the_last_byte_never_ran() -> None:
+    """Nobody reads, so the tail of a large request stays in the process until the connection breaks."""
+
+    class Deaf(Server):
+        async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            go_on = self.go_on = asyncio.Event()
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await go_on.wait()
+            writer.transport.abort()
+
+    async def scenario() -> None:
+        server = Deaf()
+        async with pool(server) as made:
+            tried = Try(made, body=b"x" * 32_000_000)
+            connection = tried.attempt.connection
+            assert connection is not None
+            await until(lambda: server.accepted and connection.writing)
+            server.go_on.set()
+            assert (await tried.result())[0] is Outcome.CONNECT
+
+    in_loop(scenario)
+
+
+def test_a_large_request_goes_out_whole() -> None:
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            assert (await Try(made, body=b"x" * 8_000_000).result())[0] is Outcome.OK
+            assert server.got[0][4] == b"x" * 8_000_000
+
+    in_loop(scenario)
+
+
+def test_the_connection_used_last_is_used_again() -> None:
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            await asyncio.gather(Try(made).result(), Try(made).result())
+            assert server.accepted == 2
+            for _ in range(5):
+                assert (await Try(made).result())[0] is Outcome.OK
+            assert server.accepted == 2
+
+    in_loop(scenario)
+
+
+def test_a_connection_that_the_backend_has_closed_is_not_written_to() -> None:
+    """The end of a pooled connection may lie unread; a request written to it would end as a reset."""
+
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            assert (await Try(made).result())[0] is Outcome.OK
+            (connection,) = made.hosts[0].idle
+            made.loop.remove_reader(connection.fd)  # as if the event loop had not yet come to it
+            server.hang_up()
+            await until(lambda: not connection.alive())
+            assert (await Try(made).result())[0] is Outcome.OK
+            assert server.accepted == 2 and len(server.got) == 2
+
+    in_loop(scenario)
+
+
+def test_an_idle_connection_is_retired_before_the_backend_closes_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "SWEEP_MS", 5.0)
+
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            assert (await Try(made).result())[0] is Outcome.OK
+            (connection,) = made.hosts[0].idle
+            connection.idle_since -= made.idle_ms - 20
+            await until(lambda: server.ended)
+            assert not made.connections and made.idle_ms < 15_000 * 0.8
+
+    in_loop(scenario)
+
+
+def test_a_given_up_attempt_is_closed_before_its_end_is_told() -> None:
+    """What follows a given-up attempt is sent at once, and two must never be out together."""
+
+    async def silent(command: list[bytes]) -> Reply:
+        return None
+
+    async def scenario() -> None:
+        server = Backend(silent)
+        async with pool(server) as made:
+            tried = Try(made)
+            await until(lambda: server.got)
+            connection = tried.attempt.connection
+            assert connection is not None
+            closed: list[bool] = []
+            tried.attempt.ended = lambda *_: closed.append(connection.socket.fileno() == -1)
+            made.give_up(tried.attempt, Outcome.CANCELLED)
+            assert closed == [True]
+            await until(lambda: server.ended)
+
+    in_loop(scenario)
+
+
+def test_a_drain_heard_while_connecting_keeps_the_request_back() -> None:
+    """The cutoff holds at the first byte written, not when the attempt was asked for."""
+
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server, drain_grace=0) as made:
+            tried = Try(made)  # the connection is not up yet
+            made.update(0, (LOCAL, server.port), BackendState.DRAINING)
+            assert (await tried.result())[0] is Outcome.CONNECT
+            assert (await Try(made).result())[0] is Outcome.CONNECT
+            await until(lambda: not server.open)
+            assert not server.got
+
+    in_loop(scenario)
+
+
+def test_a_request_that_ended_while_connecting_is_not_sent() -> None:
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            assert (await Try(made, wait=0).result())[0] is Outcome.IGNORED
+            assert not server.got
+
+    in_loop(scenario)
+
+
+def test_a_time_out_before_the_connection_is_up_never_ran() -> None:
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            tried = Try(made)
+            made.give_up(tried.attempt, Outcome.TIMED_OUT)
+            assert (await tried.result())[0] is Outcome.CONNECT
+
+    in_loop(scenario)
+
+
+def test_the_bound_closes_idle_connections_and_then_turns_away() -> None:
+    async def silent(command: list[bytes]) -> Reply:
+        return None
+
+    async def scenario() -> None:
+        first, second = Backend(), Backend(silent)
+        async with pool(first, second, most=1) as made:
+            assert (await Try(made).result())[0] is Outcome.OK
+            held = Try(made, backend=1)
+            await until(lambda: second.got)
+            await until(lambda: first.ended)
+            assert (await Try(made).result())[0] is Outcome.CONNECT
+            assert not held.endings and len(made.connections) == 1
+
+    in_loop(scenario)
+
+
+def test_a_changed_address_is_followed() -> None:
+    async def scenario() -> None:
+        old, new = Backend(), Backend()
+        async with pool(old) as made:
+            await new.start()
+            assert (await Try(made).result())[0] is Outcome.OK
+            made.update(0, (LOCAL, new.port), BackendState.READY)
+            assert (await Try(made).result())[0] is Outcome.OK
+            assert len(old.got) == len(new.got) == 1
+            await until(lambda: old.ended)
+            await new.stop()
+
+    in_loop(scenario)
+
+
+def test_a_reset_is_tried_again_elsewhere_by_the_module() -> None:
+    async def scenario() -> None:
+        broke: list[bytes] = []
+
+        async def script(command: list[bytes]) -> Reply:
+            if not broke:
+                broke.append(command[2])
+                return b""
+            return SERVED
+
+        async with running(World(Backend(script), Backend(script))) as world:
+            assert await world.ask(await world.client()) == b"value"
+            assert sorted(len(b.got) for b in world.backends) == [1, 1]
+
+    in_loop(scenario)
+
+
+def test_unsafe_work_that_may_have_run_is_failed_and_not_sent_again() -> None:
+    async def script(command: list[bytes]) -> Reply:
+        return b""
+
+    async def scenario() -> None:
+        async with running(World(Backend(script), Backend(script))) as world:
+            reply = await world.ask(await world.client(), name=b"wipe", body=b"x")
+            assert str(reply) == "ERR failed"
+            assert sum(len(b.got) for b in world.backends) == 1
+
+    in_loop(scenario)
--- /dev/null
+++ b/tests/test_counter.py
@@ -0,0 +1,182 @@
+"""The counter's client, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from loopback import LOCAL, Backend, Reply, World, in_loop, request, running, until
+from loopback import Counter as Service
+
+from mintford.interface import Outcome
+from roadpulley import counter as module
+from roadpulley.clock import Timers
+from roadpulley.counter import Counter, read_answer
+
+Ending = tuple[str, Outcome, float]
+
+
+class Calls:
+    def __init__(self, counter: Counter) -> None:
+        self.counter, self.endings = counter, list[Ending]()
+
+    def add(self, name: str = "n", amount: float = 1.0) -> None:
+        self.counter.add(name, amount, 4000.0, lambda *ending: self.endings.append(ending))
+
+    async def ended(self, count: int) -> list[Ending]:
+        await until(lambda: len(self.endings) >= count)
+        return self.endings
+
+
+@asynccontextmanager
+async def calling(service: Service, wait: float = 2_000.0) -> AsyncIterator[Calls]:
+    loop = asyncio.get_running_loop()
+    await service.start()
+    counter = Counter(loop, Timers(loop), (LOCAL, service.port), wait)
+    try:
+        yield Calls(counter)
+    finally:
+        counter.close()
+        await service.stop()
+
+
+def test_calls_are_answered_in_order_with_their_totals() -> None:
+    async def scenario() -> None:
+        service = Service()
+        async with calling(service) as calls:
+            for amount in (1.0, 2.5, -0.5):
+                calls.add(amount=amount)
+            assert await calls.ended(3) == [("n", Outcome.OK, t) for t in (1.0, 3.5, 3.0)]
+            assert service.got[1] == [b"tally", b"n", b"2.500000", b"4000"]
+            assert service.accepted == 1
+
+    in_loop(scenario)
+
+
+def test_a_late_answer_is_its_own_call_s_and_dropped() -> None:
+    """Given to the next call, it would tell that one the total of another moment, or of another name."""
+
+    async def scenario() -> None:
+        go_on = asyncio.Event()
+
+        async def script(words: list[bytes]) -> Reply:
+            if words[2] == b"1.000000":
+                await go_on.wait()
+                return b"ok 111\r\n"
+            return b"ok 222\r\n"
+
+        async with calling(Service(script), wait=300.0) as calls:
+            calls.add(amount=1.0)
+            assert await calls.ended(1) == [("n", Outcome.TIMED_OUT, 0.0)]
+            calls.add(amount=2.0)
+            await asyncio.sleep(0)
+            go_on.set()
+            assert (await calls.ended(2))[1:] == [("n", Outcome.OK, 222.0)]
+
+    in_loop(scenario)
+
+
+def test_a_call_turned_away_added_nothing() -> None:
+    async def scenario() -> None:
+        async def script(words: list[bytes]) -> Reply:
+            return b"busy\r\n"
+
+        async with calling(Service(script)) as calls:
+            calls.add()
+            assert await calls.ended(1) == [("n", Outcome.FULL, 0.0)]
+
+    in_loop(scenario)
+
+
+def test_a_refused_connection_added_nothing_and_is_tried_again() -> None:
+    async def scenario() -> None:
+        service = Service()
+        async with calling(service) as calls:
+            service.server.close()
+            calls.add()
+            assert await calls.ended(1) == [("n", Outcome.CONNECT, 0.0)]
+            await service.start()
+            calls.counter.address = (LOCAL, service.port)
+            calls.add()
+            assert (await calls.ended(2))[1:] == [("n", Outcome.OK, 1.0)]
+
+    in_loop(scenario)
+
+
+def test_a_break_after_the_call_may_have_added() -> None:
+    async def scenario() -> None:
+        async def script(words: list[bytes]) -> Reply:
+            return b""
+
+        async with calling(Service(script)) as calls:
+            calls.add()
+            assert await calls.ended(1) == [("n", Outcome.TIMED_OUT, 0.0)]
+
+    in_loop(scenario)
+
+
+def test_a_connection_that_owes_and_stays_silent_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
+    """After the counter's machine vanished, its connections stay open and say nothing for ever."""
+    monkeypatch.setattr(module, "SILENT_MS", 50.0)
+
+    async def scenario() -> None:
+        silent = True
+
+        async def script(words: list[bytes]) -> Reply:
+            return None if silent else b"ok 5\r\n"
+
+        service = Service(script)
+        async with calling(service, wait=100.0) as calls:
+            calls.add()
+            await calls.ended(1)
+            silent = False
+            calls.add()
+            assert (await calls.ended(2))[1:] == [("n", Outcome.OK, 5.0)]
+            assert service.accepted == 2
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize(
+    ("line", "ending"),
+    [
+        (b"ok 12.5", (Outcome.OK, 12.5)),
+        (b"busy", (Outcome.FULL, 0.0)),
+        (b"error", (Outcome.FULL, 0.0)),
+        (b"ok", (Outcome.TIMED_OUT, 0.0)),
+        (b"ok x", (Outcome.TIMED_OUT, 0.0)),
+        (b"what", (Outcome.TIMED_OUT, 0.0)),
+    ],
+)
+def test_answers(line: bytes, ending: tuple[Outcome, float]) -> None:
+    assert read_answer(line) == ending
+
+
+def test_a_quota_is_held_with_the_counter_s_help() -> None:
+    async def scenario() -> None:
+        async with running(World(*(Backend() for _ in range(4)))) as world:
+            peer = await world.client()
+            replies = []
+            for number in range(8):
+                replies.append(await world.ask(peer, id=b"%d" % number, plan=b"basic"))
+            served = [r for r in replies if r == b"value"]
+            refused = [str(r) for r in replies if r != b"value"]
+            assert 1 <= len(served) <= 4 and all(r.startswith("BUSY ") for r in refused)
+            assert world.counter.got
+
+    in_loop(scenario)
+
+
+def test_a_silent_counter_does_not_hold_up_requests_for_long() -> None:
+    async def silent(words: list[bytes]) -> Reply:
+        return None
+
+    async def scenario() -> None:
+        async with running(World(Backend(), counter=Service(silent))) as world:
+            peer = await world.client()
+            peer.send(*request(plan=b"basic"))
+            assert await peer.receive() == b"value"
+
+    in_loop(scenario)
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,142 @@
+"""Following the list of backends, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+from loopback import LOCAL, Backend, Discovery, World, host, in_loop, running, until
+
+from mintford.interface import BackendState, ListScope
+from roadpulley import discovery as module
+from roadpulley.discovery import DiscoveryError, Member, host_number, read_list
+
+Heard = list[tuple[ListScope, list[tuple[int, BackendState]]]]
+
+
+class Watch:
+    """Discovery's client at work against a fake, and what it reported."""
+
+    def __init__(self, version: int | None = 41) -> None:
+        self.service, self.version, self.heard = Discovery(), version, Heard()
+
+    def take(self, scope: ListScope, members: tuple[Member, ...]) -> None:
+        self.heard.append((scope, [(m.entry.backend, m.entry.state) for m in members]))
+
+    async def __aenter__(self) -> Watch:
+        await self.service.start()
+        address = (LOCAL, self.service.port)
+        self.task = asyncio.create_task(module.Discovery(address, self.version, self.take).run())
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self.task.cancel()
+        await asyncio.wait({self.task})
+        await self.service.stop()
+
+    async def watched(self, count: int) -> None:
+        await until(lambda: len(self.service.watches) >= count)
+
+
+def test_changes_are_followed_from_the_known_version_on() -> None:
+    async def scenario() -> None:
+        async with Watch() as watch:
+            await watch.watched(1)
+            assert watch.service.requests == ["/catalog/members?stream=1&index=41"]
+            watch.service.say(b"")
+            watch.service.change(42, host("h0", 1, "draining"))
+            watch.service.change(43, host("h1", 1), whole=True)
+            await until(lambda: len(watch.heard) == 2)
+            assert watch.heard == [
+                (ListScope.CHANGES, [(host_number("h0"), BackendState.DRAINING)]),
+                (ListScope.FULL, [(host_number("h1"), BackendState.READY)]),
+            ]
+
+    in_loop(scenario)
+
+
+def test_without_a_known_list_the_whole_one_is_read_first() -> None:
+    async def scenario() -> None:
+        async with Watch(version=None) as watch:
+            watch.service.whole = {"seq": 7, "whole": True, "hosts": [host("h0", 1)]}
+            await watch.watched(1)
+            assert watch.service.requests[0] == "/catalog/members"
+            assert watch.service.requests[1] == "/catalog/members?stream=1&index=7"
+            assert [scope for scope, _ in watch.heard] == [ListScope.FULL]
+
+    in_loop(scenario)
+
+
+def test_a_watch_that_ends_is_taken_up_where_it_stood() -> None:
+    async def scenario() -> None:
+        async with Watch() as watch:
+            await watch.watched(1)
+            watch.service.change(50, host("h0", 1))
+            await until(lambda: watch.heard)
+            watch.service.hang_up()
+            await watch.watched(2)
+            assert watch.service.requests[-1] == "/catalog/members?stream=1&index=50"
+
+    in_loop(scenario)
+
+
+def test_a_silent_watch_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A cut off machine says nothing, and the list would stay as it was for ever."""
+    monkeypatch.setattr(module, "SILENT_S", 0.05)
+
+    async def scenario() -> None:
+        async with Watch() as watch:
+            await watch.watched(2)
+
+    in_loop(scenario)
+
+
+def test_a_change_that_cannot_be_read_brings_the_whole_list() -> None:
+    async def scenario() -> None:
+        async with Watch() as watch:
+            await watch.watched(1)
+            watch.service.change(42, {"host": "h0"})
+            await until(lambda: "/catalog/members" in watch.service.requests)
+            await watch.watched(2)
+            assert [scope for scope, _ in watch.heard] == [] or watch.heard[0][0] is ListScope.FULL
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        [],
+        {},
+        {"seq": "x"},
+        {"seq": 1, "hosts": [{"host": "h", "dial": "nowhere", "health": "up"}]},
+        {"seq": 1, "hosts": [{"host": "h", "dial": "127.0.0.1:1", "health": "odd"}]},
+        {"seq": 1, "hosts": [3]},
+    ],
+)
+def test_a_malformed_list_is_named(raw: Any) -> None:
+    with pytest.raises(DiscoveryError):
+        read_list(raw)
+
+
+def test_a_host_has_one_number_everywhere() -> None:
+    assert host_number("s-5be2a07c") == host_number("s-5be2a07c") != host_number("s-5be2a07d")
+
+
+def test_a_drained_backend_gets_nothing_new_and_a_new_one_is_used() -> None:
+    async def scenario() -> None:
+        first, second = Backend(), Backend()
+        world = World(first)
+        await second.start()
+        async with running(world):
+            peer = await world.client()
+            assert await world.ask(peer) == b"value"
+            world.discovery.change(42, host("h0", first.port, "draining"), host("h9", second.port))
+            await until(lambda: first.ended)  # the idle connection goes as the change is heard
+            for number in range(3):
+                assert await world.ask(peer, id=b"%d" % number) == b"value"
+            assert len(first.got) == 1 and len(second.got) == 3
+        await second.stop()
+
+    in_loop(scenario)
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,136 @@
+"""The program as a process: start, SIGTERM, exit code."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from loopback import LOCAL, Backend, Peer, Reply, World, in_loop, request, until
+
+from roadpulley import clock
+from roadpulley.config import ConfigError, parse_config
+
+ROOT = Path(__file__).parents[1]
+
+
+async def start(config: Path) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "roadpulley",
+        cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(config)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+async def connect(port: int) -> Peer:
+    while True:
+        try:
+            return Peer(*await asyncio.open_connection(LOCAL, port))
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.01)
+
+
+def test_sigterm_finishes_what_is_in_and_ends_with_0(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        go_on = asyncio.Event()
+
+        async def script(command: list[bytes]) -> Reply:
+            await go_on.wait()
+            return b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+        backend = Backend(script)
+        world = World(backend)
+        for server in (backend, world.counter, world.discovery):
+            await server.start()
+        with socket.create_server((LOCAL, 0)) as free:
+            port = free.getsockname()[1]
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
+        process = await start(config)
+        try:
+            peer, idle = await connect(port), await connect(port)
+            peer.send(b"PING")
+            assert await peer.receive() == b"PONG"
+            peer.send(*request())
+            await until(lambda: backend.got)
+            process.send_signal(signal.SIGTERM)
+            late = await connect(port)  # the front has not noticed yet
+            late.send(b"PING")
+            assert await late.receive() == b"PONG"
+            assert await idle.receive() is None  # closed between requests
+            assert process.returncode is None
+            go_on.set()
+            assert await peer.receive() == b"value"
+            assert await peer.receive() is None
+            assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+            for server in (backend, world.counter, world.discovery):
+                await server.stop()
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("text", ["", "[]", "{}", '{"listen": "here", "discovery": "there", "settings": {}}'])
+def test_a_bad_configuration_is_named_in_one_line(tmp_path: Path, text: str) -> None:
+    config = tmp_path / "config.json"
+    config.write_text(text)
+    run = subprocess.run(
+        [sys.executable, "-m", "roadpulley"],
+        cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(config)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert run.returncode == 2 and run.stderr.count("\n") == 1
+    assert run.stderr.startswith("roadpulley: bad configuration: ")
+
+
+def test_the_settings_are_those_of_the_simulator_s_wire() -> None:
+    config = parse_config(
+        {
+            "listen": "10.0.0.4:6379",
+            "discovery": "10.2.0.1:8500",
+            "seed": "ff",
+            "settings": {"selfIndex": 2, "caps": {"maxAttempts": 4, "keepalive": 9000.0}},
+        }
+    )
+    assert config.settings.index == 2 and config.settings.max_attempts == 4
+    assert (config.keepalive, config.seed, config.counter) == (9000.0, 255, None)
+    with pytest.raises(ConfigError):
+        parse_config({"listen": "10.0.0.4:6379", "discovery": "x", "settings": {}})
+
+
+def test_timers_never_come_early_and_keep_their_order(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The module ignores a timer that comes early, and the request it was for would never be ended."""
+
+    async def scenario() -> None:
+        timers = clock.Timers(asyncio.get_running_loop())
+        start = clock.now_ms()
+        early: list[float] = []
+        fired: list[int] = []
+
+        def fire(place: int, due: float) -> None:
+            fired.append(place)
+            early.append(due - clock.now_ms())
+
+        waits = [3.4, 0.6, 2.5, 0.0, 7.7, 1.49]
+        for wait in waits:
+            place, due = waits.index(wait), start + wait
+            timers.at(due, lambda place=place, due=due: fire(place, due))  # type: ignore[misc]
+        await until(lambda: len(fired) == len(waits))
+        assert fired == [3, 1, 5, 2, 0, 4] and max(early) <= 0
+
+    in_loop(scenario)
