Cancel time-outs of attempts and counter calls that have ended

They are cancelled now, and cancelled ones at the head of the queue are dropped without a wake-up of their own.

--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -18,7 +18,7 @@
 
 from mintford.interface import BackendState, Outcome
 
-from .clock import Timers, now_ms
+from .clock import Timer, Timers, now_ms
 from .config import Address
 
 log = logging.getLogger(__name__)
@@ -38,11 +38,14 @@
     expires: float  # when the client gives up
     ended: Callable[[Attempt, Outcome, bytes], None]
     connection: Connection | None = None
+    timer: Timer | None = None  # of its time-out
     over: bool = False
 
     def end(self, outcome: Outcome, value: bytes = b"") -> None:
         if not self.over:
             self.over, self.connection = True, None
+            if self.timer is not None:
+                self.timer.cancel()
             self.ended(self, outcome, value)
 
 
--- a/roadpulley/counter.py
+++ b/roadpulley/counter.py
@@ -7,11 +7,12 @@
 import zlib
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import cast
 
 from mintford.interface import Outcome
 
-from .clock import Timers, now_ms
+from .clock import Timer, Timers, now_ms
 from .config import Address
 
 log = logging.getLogger(__name__)
@@ -28,14 +29,17 @@
 class Call:
     """One call; `done` is called exactly once."""
 
-    __slots__ = ("done", "line", "name", "over")
+    __slots__ = ("done", "line", "name", "over", "timer")
 
     def __init__(self, name: str, line: bytes, done: Done) -> None:
         self.name, self.line, self.done, self.over = name, line, done, False
+        self.timer: Timer | None = None
 
     def end(self, outcome: Outcome, reading: float = 0.0) -> None:
         if not self.over:
             self.over = True
+            if self.timer is not None:
+                self.timer.cancel()
             self.done(self.name, outcome, reading)
 
 
@@ -166,12 +170,11 @@
         call = Call(name, line, done)
         lane = self.lanes[zlib.crc32(encoded) % len(self.lanes)]
         lane.add(call)
-        self.timers.at(now_ms() + self.wait, lambda: self.expire(lane, call))
+        call.timer = self.timers.at(now_ms() + self.wait, partial(self.expire, lane, call))
 
     def expire(self, lane: Lane, call: Call) -> None:
-        if not call.over:
-            written = call not in lane.waiting
-            call.end(Outcome.TIMED_OUT if written else Outcome.CONNECT)
+        written = call not in lane.waiting
+        call.end(Outcome.TIMED_OUT if written else Outcome.CONNECT)
 
     def close(self) -> None:
         for lane in self.lanes:
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -171,13 +171,9 @@
         attempt = Attempt(backend, owner.command.encode, owner.expires, ended)
         self.attempts[request, number] = attempt
         limit = min(owner.expires, now + timeout) if timeout else owner.expires
-        self.timers.at(limit, partial(self.time_out, attempt))
+        attempt.timer = self.timers.at(limit, partial(self.backends.give_up, attempt, api.Outcome.TIMED_OUT))
         self.backends.send(attempt)
 
-    def time_out(self, attempt: Attempt) -> None:
-        if not attempt.over:
-            self.backends.give_up(attempt, api.Outcome.TIMED_OUT)
-
     def finish(self, request: str, reply: bytes) -> None:
         """Give the one final answer; a second one is not sent."""
         if owner := self.requests.pop(request, None):
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -134,3 +134,16 @@
         assert fired == [3, 1, 5, 2, 0, 4] and max(early) <= 0
 
     in_loop(scenario)
+
+
+def test_a_cancelled_timer_is_silent_and_wakes_nobody() -> None:
+    async def scenario() -> None:
+        timers = clock.Timers(asyncio.get_running_loop())
+        fired: list[str] = []
+        start = clock.now_ms()
+        timers.at(start + 5, lambda: fired.append("cancelled")).cancel()
+        timers.at(start + 10, lambda: fired.append("kept"))
+        await until(lambda: fired)
+        assert fired == ["kept"] and not timers._heap
+
+    in_loop(scenario)
