End every request at its expiry, whatever the module does

Cause, found by reading: a fault while the module handled a timer or a counter's reply left its request open for ever, without an answer and with its state; only faults at an arrival or an attempt's end were covered. One timer for each request now gives up what is out, lets the module answer, and fails the request if it does not. It takes the place of one timer for each attempt. Connections that cannot be opened are told once a second rather than in a line each.

The new driver tests run a scripted module; the one on forgotten requests waits in vain without the mend.

--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -216,6 +216,7 @@
         self.idle_ms, self.drain_grace, self.most = keepalive * IDLE_SHARE, drain_grace, most
         self.hosts: dict[int, Host] = {}
         self.connections: set[Connection] = set()
+        self.unopened: list[OSError] = []  # since the last sweep: one line tells of all
         self.timers.at(now_ms() + SWEEP_MS, self.sweep)
 
     # ---- the list ----
@@ -254,7 +255,7 @@
         try:
             self.connections.add(Connection(self, host, attempt))
         except OSError as error:
-            log.warning("cannot open a connection to %s: %s", host.address, error)
+            self.unopened.append(error)
             attempt.end(Outcome.CONNECT)
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
@@ -297,6 +298,9 @@
                 connection.close()
             if not host.takes_new(now):
                 del self.hosts[backend]
+        if self.unopened:
+            log.warning("%d connections not opened, the last: %s", len(self.unopened), self.unopened[-1])
+            self.unopened.clear()
         self.timers.at(now + SWEEP_MS, self.sweep)
 
     def close(self) -> None:
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -12,7 +12,7 @@
 
 from .backends import Attempt, Backends
 from .clients import Command, Slot, bulk
-from .clock import Timers, now_ms
+from .clock import Timer, Timers, now_ms
 from .counter import Counter
 from .discovery import Member
 
@@ -24,11 +24,13 @@
 class Request:
     """One request that is owed a final answer."""
 
-    __slots__ = ("attempts", "command", "expires", "slot")
+    __slots__ = ("command", "expires", "live", "made", "slot", "timer")
 
     def __init__(self, command: Command, slot: Slot, expires: float) -> None:
         self.command, self.slot, self.expires = command, slot, expires
-        self.attempts = 0  # made so far
+        self.made = 0  # attempts so far
+        self.live: dict[int, Attempt] = {}  # attempts out, by number
+        self.timer: Timer | None = None  # of its end
 
 
 class Driver:
@@ -50,7 +52,7 @@
         self.gateway, self.settings = Gateway(settings, seed), settings
         self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
         self.requests: dict[str, Request] = {}
-        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
         self.events: deque[api.Event] = deque()
         self.busy = False
 
@@ -111,25 +113,45 @@
                 raise ValueError("units")
         except ValueError:
             return slot.answer(b"-ERR malformed attributes\r\n")
-        self.requests[command.id] = Request(command, slot, event.expires)
+        owner = self.requests[command.id] = Request(command, slot, event.expires)
+        owner.timer = self.timers.at(owner.expires, partial(self.on_expired, owner))
         self.give(event)
 
+    def on_expired(self, owner: Request) -> None:
+        """The client's patience ends: so do the attempts, and the module owes the final answer."""
+        request = owner.command.id
+        self.give_up(owner, api.Outcome.TIMED_OUT)
+        if self.requests.get(request) is owner:
+            # Only a fault brings a request here unanswered; its client must not wait in vain even so.
+            log.error("request %s had no answer at its end", request)
+            self.finish(request, FAILED)
+            self.give(api.RequestLapsed(request))
+
     def on_client_gone(self, request: str) -> None:
-        if self.requests.pop(request, None) is None:
+        owner = self.requests.pop(request, None)
+        if owner is None:
             return
         self.give(api.RequestLapsed(request))
         # Nobody is waiting any more; a backend may then drop what it has not begun.
-        for key, attempt in list(self.attempts.items()):
-            if key[0] == request:
-                self.backends.give_up(attempt, api.Outcome.CANCELLED)
+        self.give_up(owner, api.Outcome.CANCELLED)
+        self.settle(owner)
 
     def on_ended(
-        self, request: str, number: int, sent_at: float, attempt: Attempt, outcome: api.Outcome, value: bytes
+        self,
+        owner: Request,
+        number: int,
+        sent_at: float,
+        attempt: Attempt,
+        outcome: api.Outcome,
+        value: bytes,
     ) -> None:
-        self.attempts.pop((request, number), None)
+        request = owner.command.id
+        del self.attempts[request, number], owner.live[number]
         if outcome is api.Outcome.OK:
             self.finish(request, bulk(value))
-        finished = request not in self.requests
+        finished = self.requests.get(request) is not owner
+        if finished:
+            self.settle(owner)
         lag = now_ms() - sent_at
         self.give(api.AttemptEnded(request, number, attempt.backend, outcome, lag, finished))
 
@@ -162,22 +184,33 @@
 
     def send(self, request: str, backend: int, timeout: float) -> None:
         now, owner = now_ms(), self.requests.get(request)
-        if owner is None or owner.attempts >= self.settings.max_attempts:
-            number = owner.attempts if owner else 0
+        if owner is None or owner.made >= self.settings.max_attempts:
+            number = owner.made if owner else 0
             self.give(api.AttemptEnded(request, number, backend, api.Outcome.IGNORED, 0.0, owner is None))
             return
-        number, owner.attempts = owner.attempts, owner.attempts + 1
-        ended = partial(self.on_ended, request, number, now)
+        number, owner.made = owner.made, owner.made + 1
+        ended = partial(self.on_ended, owner, number, now)
         attempt = Attempt(backend, owner.command.encode, owner.expires, ended)
-        self.attempts[request, number] = attempt
-        limit = min(owner.expires, now + timeout) if timeout else owner.expires
-        attempt.timer = self.timers.at(limit, partial(self.backends.give_up, attempt, api.Outcome.TIMED_OUT))
+        self.attempts[request, number] = owner.live[number] = attempt
+        if 0 < timeout < owner.expires - now:
+            give_up = partial(self.backends.give_up, attempt, api.Outcome.TIMED_OUT)
+            attempt.timer = self.timers.at(now + timeout, give_up)
         self.backends.send(attempt)
 
+    def give_up(self, owner: Request, outcome: api.Outcome) -> None:
+        for attempt in list(owner.live.values()):
+            self.backends.give_up(attempt, outcome)
+
     def finish(self, request: str, reply: bytes) -> None:
         """Give the one final answer; a second one is not sent."""
         if owner := self.requests.pop(request, None):
             owner.slot.answer(reply)
+            self.settle(owner)
+
+    def settle(self, owner: Request) -> None:
+        """Once a request is answered and nothing of it is out, its timer is not needed."""
+        if owner.timer is not None and not owner.live:
+            owner.timer.cancel()
 
     def fail_all(self) -> None:
         """Answer what is still open when the process has to end."""
--- /dev/null
+++ b/tests/test_driver.py
@@ -0,0 +1,134 @@
+"""The driver between a scripted module and the sockets' parts, without any socket."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from helpers import settings
+from loopback import LOCAL, in_loop, request, until
+
+from mintford import interface as api
+from roadpulley.backends import Backends
+from roadpulley.clients import ClientConnection, ClientServer, Slot, parse_command
+from roadpulley.clock import Timers
+from roadpulley.driver import FAILED, Driver
+
+
+class Module:
+    """Stands in for the decision module: keeps the events, and answers each with what a test says."""
+
+    def __init__(self) -> None:
+        self.events: list[api.Event] = []
+        self.answers: dict[type, list[api.Action] | Exception] = {}
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        self.events.append(event)
+        answer = self.answers.get(type(event), [])
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def of(self, kind: type) -> list[api.Event]:
+        return [event for event in self.events if type(event) is kind]
+
+
+class Scene:
+    def __init__(self, max_open: int = 10) -> None:
+        loop = asyncio.get_running_loop()
+        timers = Timers(loop)
+        self.backends = Backends(loop, timers, 250, 15_000, 1_000, 10)
+        self.driver = Driver(settings(max_attempts=2), 1, timers, self.backends, None, max_open)
+        self.module = Module()
+        self.driver.gateway = self.module  # type: ignore[assignment]
+        self.connection = ClientConnection(ClientServer(self.driver, 10))
+
+    def ask(self, id: bytes = b"r1", wait: int = 3000) -> Slot:
+        slot = Slot(self.connection)
+        slot.request = id.decode()
+        self.connection.slots.append(slot)
+        self.driver.on_command(parse_command(list(request(id, wait=wait))), slot)
+        return slot
+
+
+def test_a_fault_in_the_module_ends_its_request_with_a_failure(caplog: pytest.LogCaptureFixture) -> None:
+    async def scenario() -> None:
+        scene = Scene()
+        scene.module.answers[api.RequestArrived] = ValueError("what")
+        assert scene.ask().reply == FAILED
+        scene.module.answers[api.RequestArrived] = [api.Refuse("r2", 30.5)]
+        assert scene.ask(b"r2").reply == b"-BUSY 31\r\n"
+
+    in_loop(scenario)
+    assert "RequestArrived could not be handled" in caplog.text
+
+
+def test_a_request_that_the_module_forgets_is_failed_at_its_end() -> None:
+    """A fault at a timer or a counter's reply would leave its client without an answer."""
+
+    async def scenario() -> None:
+        scene = Scene()
+        slot = scene.ask(wait=20)
+        assert slot.reply is None
+        await until(lambda: slot.answered)
+        assert slot.reply == FAILED and not scene.driver.requests
+        assert scene.module.of(api.RequestLapsed) == [api.RequestLapsed("r1")]
+
+    in_loop(scenario)
+
+
+def test_attempts_are_limited_and_ignored_after_the_answer() -> None:
+    async def scenario() -> None:
+        scene = Scene()
+        send = api.Send("r1", 7)
+        scene.module.answers[api.RequestArrived] = [send, send, send, api.Refuse("r1"), send]
+        scene.ask()
+        ended = scene.module.of(api.AttemptEnded)
+        outcomes = [(e.attempt, e.outcome, e.finished) for e in ended if isinstance(e, api.AttemptEnded)]
+        assert outcomes == [
+            (0, api.Outcome.CONNECT, False),  # a backend that was never listed
+            (1, api.Outcome.CONNECT, False),
+            (2, api.Outcome.IGNORED, False),
+            (0, api.Outcome.IGNORED, True),
+        ]
+
+    in_loop(scenario)
+
+
+def test_an_attempt_s_own_time_out_leaves_the_request_open() -> None:
+    async def scenario() -> None:
+        scene = Scene()
+        server = await asyncio.start_server(lambda *_: None, LOCAL, 0)
+        port = server.sockets[0].getsockname()[1]
+        scene.backends.update(7, (LOCAL, port), api.BackendState.READY)
+        scene.module.answers[api.RequestArrived] = [api.Send("r1", 7, timeout=20.0)]
+        scene.module.answers[api.AttemptEnded] = [api.Refuse("r1")]
+        slot = scene.ask()
+        await until(lambda: slot.answered)
+        (ended,) = scene.module.of(api.AttemptEnded)
+        assert isinstance(ended, api.AttemptEnded)
+        assert (ended.outcome, ended.finished) == (api.Outcome.TIMED_OUT, False) and ended.lag >= 20
+        assert slot.reply == b"-BUSY\r\n"
+        server.close()
+
+    in_loop(scenario)
+
+
+def test_more_open_requests_than_allowed_are_turned_away() -> None:
+    async def scenario() -> None:
+        scene = Scene(max_open=1)
+        assert scene.ask().reply is None
+        assert scene.ask(b"r2").reply == b"-BUSY\r\n"
+        assert len(scene.module.events) == 1
+
+    in_loop(scenario)
+
+
+def test_without_a_counter_calls_end_as_never_made() -> None:
+    async def scenario() -> None:
+        scene = Scene()
+        scene.module.answers[api.RequestArrived] = [api.Count("n", 1.0, 100.0)]
+        scene.ask()
+        assert scene.module.of(api.CounterReplied) == [api.CounterReplied("n", api.Outcome.CONNECT, 0.0)]
+
+    in_loop(scenario)
