--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 import pytest
-from loopback import LOCAL, Backend, Peer, Reply, World, in_loop, request, until
+from loopback import LOCAL, Backend, Peer, Reply, World, in_loop, request, running, until
 
 from roadpulley import clock
 from roadpulley.config import ConfigError, parse_config
@@ -82,6 +82,26 @@
     in_loop(scenario)
 
 
+def test_what_is_open_at_the_end_is_failed_rather_than_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    """SIGKILL would leave its client without an answer; whether it ran is not known, so it is no refusal."""
+    monkeypatch.setattr("roadpulley.__main__.LAST_ANSWER_S", 0.05)
+
+    async def silent(command: list[bytes]) -> Reply:
+        return None
+
+    async def scenario() -> None:
+        backend = Backend(silent)
+        async with running(World(backend)) as world:
+            peer = await world.client()
+            peer.send(*request())
+            await until(lambda: backend.got)
+            world.stop.set()
+            assert str(await peer.receive()) == "ERR failed"
+            assert await peer.receive() is None
+
+    in_loop(scenario)
+
+
 @pytest.mark.parametrize("text", ["", "[]", "{}", '{"listen": "here", "discovery": "there", "settings": {}}'])
 def test_a_bad_configuration_is_named_in_one_line(tmp_path: Path, text: str) -> None:
     config = tmp_path / "config.json"
