--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -9,6 +9,7 @@
 import signal
 import sys
 from collections.abc import Callable
+from functools import partial
 
 import uvloop
 
@@ -30,8 +31,48 @@
 CLOSING_S = 0.1
 
 
-async def serve(config: Config, stop: asyncio.Event, ready: Callable[[int], None] | None = None) -> None:
-    """Serve until `stop` is set, then drain. `ready` is told the port once clients may come."""
+class Reload:
+    """A wish to read the configuration again, kept until somebody can fulfil it."""
+
+    def __init__(self) -> None:
+        self.wanted = False
+        self.act: Callable[[], None] | None = None
+
+    def __call__(self) -> None:
+        self.wanted = self.act is None
+        if self.act is not None:
+            self.act()
+
+    def ready(self, act: Callable[[], None]) -> None:
+        self.act = act
+        if self.wanted:
+            self()
+
+
+def reload(load: Callable[[], Config], discovery: Discovery, counter: Counter | None) -> None:
+    """Take up the addresses that the configuration names now; all else stays as it was at the start."""
+    try:
+        config = load()
+    except ConfigError as error:
+        return log.error("not reloaded, the old configuration stands: %s", error)
+    log.info("reloaded")
+    if config.discovery != discovery.address:
+        discovery.move(config.discovery)
+    if counter is not None and config.counter is not None:
+        counter.move(config.counter)
+
+
+async def serve(
+    config: Config,
+    stop: asyncio.Event,
+    ready: Callable[[int], None] | None = None,
+    again: Reload | None = None,
+    load: Callable[[], Config] | None = None,
+) -> None:
+    """Serve until `stop` is set, then drain. `ready` is told the port once clients may come.
+
+    A call of `again` brings a new configuration from `load`.
+    """
     loop = asyncio.get_running_loop()
     timers = Timers(loop)
     backends = Backends(
@@ -53,6 +94,8 @@
     discovery = Discovery(config.discovery, version, driver.members)
     watch = loop.create_task(discovery.run())
     server = ClientServer(driver, int(config.sockets * CLIENT_SHARE))
+    if again is not None and load is not None:
+        again.ready(partial(reload, load, discovery, counter))
     port = await server.listen(*config.listen)
     gc.collect()
     gc.freeze()  # what was loaded stays: no pause to look at it again
@@ -82,11 +125,14 @@
         counter.close()
 
 
-async def run(config: Config) -> None:
-    stop = asyncio.Event()
+async def run(path: str) -> None:
+    loop, stop, again = asyncio.get_running_loop(), asyncio.Event(), Reload()
     for signum in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(signum, stop.set)
-    await serve(config, stop)
+        loop.add_signal_handler(signum, stop.set)
+    # Danger: without a handler SIGHUP ends the process, and all requests that are open in it.
+    loop.add_signal_handler(signal.SIGHUP, again)
+    load = partial(load_config, path)
+    await serve(load(), stop, again=again, load=load)
 
 
 def main() -> int:
@@ -98,7 +144,7 @@
         print("roadpulley: LB_CONFIG is not set", file=sys.stderr)
         return 2
     try:
-        uvloop.run(run(load_config(path)))
+        uvloop.run(run(path))
     except (ConfigError, DiscoveryError) as error:
         print(f"roadpulley: bad configuration: {error}", file=sys.stderr)
         return 2
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -75,26 +75,52 @@
 
     def __init__(self, address: Address, version: int | None, listener: Listener) -> None:
         self.address, self.version, self.listener = address, version, listener
+        self._heard = False  # anything on the last watch
+        self._moved = asyncio.Event()
+
+    def move(self, address: Address) -> None:
+        """Leave the watch and follow another address from now on.
+
+        Its versions need not be those of the old one, so the whole list is read before its changes.
+        """
+        self.address, self.version = address, None
+        self._moved.set()
 
     async def run(self) -> None:
         wait = BACKOFF_S[0]
         while True:
-            heard = False
+            self._moved.clear()
+            self._heard = False
+            watch = asyncio.ensure_future(self._watch())
+            moved = asyncio.ensure_future(self._moved.wait())
             try:
-                async for line in self._lines(self._target()):
-                    heard = True
-                    if line.strip():
-                        self._take(line)
-                reason = "ended"
-            except (OSError, h11.ProtocolError, DiscoveryError) as error:  # time-outs are among these
-                reason = " ".join(str(error).split()) or type(error).__name__
-            except Exception:
-                # Without a watch the list goes stale and drains are missed, so it goes on whatever came.
-                log.exception("a change could not be taken")
-                reason, self.version = "failed", None
-            wait = BACKOFF_S[0] if heard else min(BACKOFF_S[1], wait * 2)
-            log.info("watch %s; again in %.1f s", reason, wait)
-            await asyncio.sleep(wait)
+                await asyncio.wait({watch, moved}, return_when=asyncio.FIRST_COMPLETED)
+                if moved.done():
+                    log.info("watch moves to %s:%d", *self.address)
+                    wait = BACKOFF_S[0]
+                    continue
+                wait = BACKOFF_S[0] if self._heard else min(BACKOFF_S[1], wait * 2)
+                log.info("watch %s; again in %.1f s", watch.result(), wait)
+                await asyncio.wait({moved}, timeout=wait)
+            finally:
+                watch.cancel()
+                moved.cancel()
+
+    async def _watch(self) -> str:
+        """Follow the list until the connection ends; gives the reason."""
+        try:
+            async for line in self._lines(self._target()):
+                self._heard = True
+                if line.strip():
+                    self._take(line)
+            return "ended"
+        except (OSError, h11.ProtocolError, DiscoveryError) as error:  # time-outs are among these
+            return " ".join(str(error).split()) or type(error).__name__
+        except Exception:
+            # Without a watch the list goes stale and drains are missed, so it goes on whatever came.
+            log.exception("a change could not be taken")
+            self.version = None
+            return "failed"
 
     def _target(self) -> str:
         # With no version known, the whole list comes first.
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -82,6 +82,58 @@
     in_loop(scenario)
 
 
+def test_sighup_takes_up_new_addresses_and_leaves_open_requests_alone(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        go_on = asyncio.Event()
+
+        async def script(command: list[bytes]) -> Reply:
+            await go_on.wait()
+            return b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+        backend, late = Backend(script), Backend()
+        world, other = World(backend), World(late)
+        servers = [backend, late, world.counter, world.discovery, other.counter, other.discovery]
+        for server in servers:
+            await server.start()
+        other.discovery.whole = {"seq": 3, "whole": True, "hosts": other.hosts()}
+        with socket.create_server((LOCAL, 0)) as free:
+            port = free.getsockname()[1]
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
+        process = await start(config)
+        try:
+            peer, second = await connect(port), await connect(port)
+            peer.send(*request(plan=b"basic"))
+            await until(lambda: backend.got)
+            config.write_text("not a configuration")
+            process.send_signal(signal.SIGHUP)
+            second.send(b"PING")
+            assert await second.receive() == b"PONG"
+            assert process.returncode is None
+            config.write_text(json.dumps({**other.config(), "listen": f"{LOCAL}:1"}))
+            process.send_signal(signal.SIGHUP)
+            await until(lambda: other.discovery.watches)
+            second.send(*request(b"second", name=b"wipe"))
+            assert await second.receive() == b"value"
+            assert len(late.got) == 1
+            third = await connect(port)  # `listen` stays
+            third.send(*request(b"third", plan=b"basic", customer=b"00000000b4d65522"))
+            assert await third.receive() == b"value"
+            await until(lambda: other.counter.got)
+            go_on.set()
+            assert await peer.receive() == b"value"
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+            for server in servers:
+                await server.stop()
+
+    in_loop(scenario)
+
+
 def test_what_is_open_at_the_end_is_failed_rather_than_lost(monkeypatch: pytest.MonkeyPatch) -> None:
     """SIGKILL would leave its client without an answer; whether it ran is not known, so it is no refusal."""
     monkeypatch.setattr("roadpulley.__main__.LAST_ANSWER_S", 0.05)
