--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -16,7 +16,7 @@
 from mintford.interface import ListScope
 
 from .backends import Backends
-from .clients import ClientServer
+from .clients import ClientServer, Terms
 from .clock import Timers
 from .config import Config, ConfigError, load_config
 from .counter import Counter
@@ -26,6 +26,7 @@
 log = logging.getLogger("roadpulley")
 
 CLIENT_SHARE, BACKEND_SHARE = 0.5, 0.25  # of the descriptors; the rest is headroom
+MEMORY_SHARE = 0.125  # of the memory, for answers that clients leave unread
 STILL_COMING_S = 0.45  # after SIGTERM, connections go on coming for this long
 LAST_ANSWER_S = 3.4  # after SIGTERM: what is open then is failed, before SIGKILL would lose it
 CLOSING_S = 0.1
@@ -93,10 +94,17 @@
         driver.members(ListScope.SAVED, known.members)
     discovery = Discovery(config.discovery, version, driver.members)
     watch = loop.create_task(discovery.run())
-    server = ClientServer(driver, int(config.sockets * CLIENT_SHARE))
+    server = ClientServer(
+        loop,
+        timers,
+        driver,
+        Terms(config.settings),
+        int(config.sockets * CLIENT_SHARE),
+        int(config.memory_mb * MEMORY_SHARE * 2**20),
+    )
     if again is not None and load is not None:
         again.ready(partial(reload, load, discovery, counter))
-    port = await server.listen(*config.listen)
+    port = server.listen(*config.listen)
     gc.collect()
     gc.freeze()  # what was loaded stays: no pause to look at it again
     log.info("%s serves at %s:%d", config.name, config.listen[0], port)
--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -10,23 +10,27 @@
 import asyncio
 import errno
 import logging
+import re
 import socket
+from collections import Counter as Tally
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import hiredis
-
 from mintford.interface import BackendState, Outcome
 
 from .clock import Timer, Timers, now_ms
 from .config import Address
+from .resp import Malformed, parse_answer
 
 log = logging.getLogger(__name__)
 
+ERROR = re.compile(rb"(?:BUSY|ERR failed)(?: [!-~]{1,512})?")  # a load report may stand last
+
 IDLE_SHARE = 0.6  # of the keep-alive time: retired before the backend may close it under a request
 SWEEP_MS = 1_000.0
 CUTOFF_MARGIN_MS = 50.0  # before the end of the grace for new work to a draining backend
-READ_BYTES = 128 * 1024
+READ_BYTES = 64 * 1024
+REST_MS = 5.0  # before a connection is used again: what follows its last answer uncalled for shows by then
 
 
 @dataclass(eq=False, slots=True)
@@ -58,7 +62,7 @@
     def __init__(self, pool: Backends, host: Host, attempt: Attempt) -> None:
         self.pool, self.host, self.address = pool, host, host.address
         self.attempt: Attempt | None = attempt
-        self.reader = hiredis.Reader(notEnoughData=Ellipsis)
+        self.answer = bytearray()  # what has come of it
         self.unsent = memoryview(b"")
         self.up = self.closed = self.writing = False
         self.idle_since = 0.0
@@ -123,29 +127,38 @@
 
     def _readable(self) -> None:
         try:
-            data = self.socket.recv(READ_BYTES)
+            count = self.socket.recv_into(self.pool.buffer)
         except (BlockingIOError, InterruptedError):
             return
         except OSError:
-            data = b""
-        if not data:
+            count = 0
+        if not count:
             return self.end(self.broken())
-        self.reader.feed(data)
+        if self.attempt is None:
+            self.pool.spoilt["said what nobody asked for"] += 1
+            return self.close()
+        self.answer += self.pool.view[:count]
         try:
-            reply = self.reader.gets()
-            more = self.reader.has_data()
-        except hiredis.ProtocolError:
-            log.warning("backend %s broke the protocol", self.host.address)
+            answer = parse_answer(self.answer)
+        except Malformed as error:
+            self.pool.spoilt[str(error)] += 1
             return self.end(self.broken())
-        if reply is Ellipsis:
+        if answer is None:
             return
+        self.answer = bytearray()
+        outcome, usable = read_error(answer.error)
+        if answer.value is not None:
+            outcome, usable = Outcome.OK, True
+        if self.unsent and outcome is not Outcome.FULL:
+            return self.end(self.broken())  # nobody answers what has not come: it is another's, or noise
         attempt, self.attempt = self.attempt, None
-        if attempt is None or self.unsent or more:
-            self.close()  # an answer to nothing: what follows would be taken for another request's
-        else:
+        # Danger: what else comes here would be taken for the answer to the next request.
+        if usable and answer.clean and not self.unsent:
             self.pool.release(self)
-        if attempt is not None:
-            attempt.end(*read_reply(reply))
+        else:
+            self.pool.spoilt["more than an answer, or an unknown error"] += 1
+            self.close()
+        attempt.end(outcome, answer.value or b"")
 
     def broken(self) -> Outcome:
         """What a break says: a request whose last byte has not left cannot have run, any other may have."""
@@ -180,12 +193,11 @@
         return False  # it has ended, or says something that nobody asked for
 
 
-def read_reply(reply: object) -> tuple[Outcome, bytes]:
-    if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
-        return Outcome.OK, reply[0]
-    if isinstance(reply, hiredis.ReplyError) and str(reply).split(" ", 1)[0] == "BUSY":
-        return Outcome.FULL, b""
-    return Outcome.FAILED, b""
+def read_error(line: bytes) -> tuple[Outcome, bool]:
+    """What an error line says, and whether it is one that leaves its connection usable."""
+    if ERROR.fullmatch(line):
+        return (Outcome.FULL if line.startswith(b"BUSY") else Outcome.FAILED), True
+    return Outcome.FAILED, False
 
 
 class Host:
@@ -216,7 +228,10 @@
         self.idle_ms, self.drain_grace, self.most = keepalive * IDLE_SHARE, drain_grace, most
         self.hosts: dict[int, Host] = {}
         self.connections: set[Connection] = set()
-        self.unopened: list[OSError] = []  # since the last sweep: one line tells of all
+        self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
+        self.view = memoryview(self.buffer)
+        self.unopened: Tally[str] = Tally()  # since the last sweep: one line tells of all
+        self.spoilt: Tally[str] = Tally()  # answers, likewise
         self.timers.at(now_ms() + SWEEP_MS, self.sweep)
 
     # ---- the list ----
@@ -243,9 +258,13 @@
         host = self.hosts.get(attempt.backend)
         if host is None or not host.takes_new(now_ms()):
             return attempt.end(Outcome.CONNECT)
-        while host.idle:
-            connection = host.idle.pop()
-            if now_ms() - connection.idle_since < self.idle_ms and connection.alive():
+        now = now_ms()
+        for connection in host.idle[::-1]:  # the last used first, once it has rested
+            rested = now - connection.idle_since
+            if rested < REST_MS:
+                continue
+            if rested < self.idle_ms and connection.alive():
+                host.idle.remove(connection)
                 return connection.start(attempt)
             connection.close()
         if len(self.connections) >= self.most:
@@ -255,7 +274,7 @@
         try:
             self.connections.add(Connection(self, host, attempt))
         except OSError as error:
-            self.unopened.append(error)
+            self.unopened[error.strerror or "unknown"] += 1
             attempt.end(Outcome.CONNECT)
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
@@ -298,9 +317,10 @@
                 connection.close()
             if not host.takes_new(now):
                 del self.hosts[backend]
-        if self.unopened:
-            log.warning("%d connections not opened, the last: %s", len(self.unopened), self.unopened[-1])
-            self.unopened.clear()
+        for what, tally in (("connections not opened", self.unopened), ("spoilt answers", self.spoilt)):
+            if tally:
+                log.warning("%s: %s", what, dict(tally))
+                tally.clear()
         self.timers.at(now + SWEEP_MS, self.sweep)
 
     def close(self) -> None:
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -1,24 +1,49 @@
-"""The RESP server that clients connect to."""
+"""The RESP server that clients connect to.
+
+The sockets are driven directly: connections that come by hundreds are taken in as there is room for them, and
+what each may make the process hold is bounded.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import logging
-import math
+import re
+import socket
+from collections import Counter as Tally
 from collections import deque
 from dataclasses import dataclass
-from typing import Protocol, cast
+from typing import Protocol
+
+from mintford import interface as api
 
-import hiredis
+from .clock import Timer, Timers, now_ms
+from .resp import CommandReader, Malformed, bulk
 
 log = logging.getLogger(__name__)
 
-REQUESTS = {b"API.READ", b"API.WRITE"}
 MOST_WAITING = 32  # commands of one connection that may wait for their answers before it is read no further
+MOST_HELD = 128 * 1024  # bytes of these commands, likewise
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread, likewise
-LARGEST = 128 * 1024  # bytes of a command that is not whole yet; values hold 64 KiB at most
-BACKLOG = 200  # connections that may come at one stroke, within the headroom of descriptors
+READ_BYTES = 32 * 1024
+BACKLOG = 1024  # connections that wait to be taken in, at no cost in descriptors
+TAKEN_AT_ONCE = 32  # so that those taken in are also read between
+SWEEP_MS, SUMMARY_MS = 250.0, 1_000.0
+WHOLE_MS = 2_000.0  # from connecting, or from its first byte, until a command has to be whole
+SLOW_MS = 5_000.0  # how long a client may leave answers unread without taking any
+SPARE_MS = 2_000.0  # unused for this long: may be closed when room is short
+IDLE_MS = 30_000.0  # unused for this long: closed
+YOUNG_MS = 100.0  # in which a new connection is let say something, however short room is
+RETRY_MS = 20.0  # until there may be room, or a descriptor, again
 HARMLESS = {b"CLIENT", b"SELECT"}  # commands of connection set-up
+VERBS = {b"API.READ": True, b"API.WRITE": False}  # whether it serves the classes that are safe to repeat
+
+NUMBER = re.compile(rb"\d{1,12}(?:\.\d{1,12})?")  # `float` and `int` take far more: nan, 1_0, +1, spaces
+WHOLE = re.compile(rb"\d{1,6}")
+CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
+CUSTOMERS = 2**33
+NAME = re.compile(rb"[!-~]{1,64}")  # of a request, and of its effect
+LONGEST_WAIT = 2.0  # times the class's deadline, which the client's whole patience does not exceed
 
 
 @dataclass(slots=True)
@@ -32,8 +57,13 @@
     length: int  # arguments in all
     id: str
     customer: str
-    attributes: dict[bytes, bytes]
+    request_class: str
+    plan: str
     wait: float  # how long the client waits, in milliseconds
+    units: float
+    spread: int
+    first: int
+    repeat: bool
 
     def encode(self, wait: int) -> bytes:
         """The command with the time left that a backend is told."""
@@ -41,46 +71,91 @@
         return b"*%d\r\n%b%b%b" % (self.length, self.head, bulk(attributes), self.body)
 
 
-def bulk(value: bytes) -> bytes:
-    return b"$%d\r\n%b\r\n" % (len(value), value)
-
-
-def parse_command(args: list[bytes]) -> Command:
-    """Raises ValueError, with the reason, for what is not a request."""
-    if not 4 <= len(args) <= 5:
-        raise ValueError("wrong number of arguments")
-    verb, customer, request, listed = args[:4]
-    attributes: dict[bytes, bytes] = {}
-    before = after = None
-    items = listed.split(b",")
-    for place, item in enumerate(items):
-        name, equals, value = item.partition(b"=")
-        if not equals or name in attributes:
-            raise ValueError("malformed attributes")
-        attributes[name] = value
-        if name == b"d":
-            before = b",".join([*items[:place], b"d="])
-            after = b"".join(b"," + other for other in items[place + 1 :])
-    if before is None or after is None or b"c" not in attributes:
-        raise ValueError("class or time left missing")
-    wait = float(attributes[b"d"])
-    if not (math.isfinite(wait) and wait > 0):
-        raise ValueError("no time left")
-    head = bulk(verb) + bulk(customer) + bulk(request)
-    body = b"".join(bulk(arg) for arg in args[4:])
-    names = request.decode("ascii"), customer.decode("ascii")
-    if not all(names):
-        raise ValueError("id or customer missing")
-    return Command(head, before, after, body, len(args), *names, attributes, wait)
+class Terms:
+    """What the settings let a request name."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self.classes = {c.name.encode(): c for c in settings.classes}
+        self.plans = {p.name.encode(): p.name for p in settings.plans}
+        self.most_units, self.gateways = settings.most_units, settings.gateways
+
+    def parse(self, args: list[bytes]) -> Command:
+        """Raises ValueError, with the reason, for what is not a request of a known class, plan and size.
+
+        Danger: this is the only check. Unknown plans have no quota, negative units fill a bucket and take
+        from the counter's total for all gateways, and a customer is kept with the first plan it came with.
+        """
+        if not 4 <= len(args) <= 5:
+            raise ValueError("wrong number of arguments")
+        verb, customer, request, listed = args[:4]
+        given: dict[bytes, bytes] = {}
+        for item in listed.split(b","):
+            name, equals, value = item.partition(b"=")
+            if not equals or name in given:
+                raise ValueError("malformed attributes")
+            given[name] = value
+        kind, plan = self.classes.get(given.get(b"c", b"")), self.plans.get(given.get(b"t", b""))
+        if kind is None:
+            raise ValueError("unknown class")
+        if plan is None:
+            raise ValueError("unknown plan")
+        if VERBS[verb.upper()] != (kind.effect is api.Effect.SAFE):
+            raise ValueError("class of another command")
+        if not CUSTOMER.fullmatch(customer) or (number := int(customer, 16)) >= CUSTOMERS:
+            raise ValueError("malformed customer")
+        if not NAME.fullmatch(request):
+            raise ValueError("malformed id")
+        if kind.effect is api.Effect.KEYED and not NAME.fullmatch(given.get(b"k", b"")):
+            raise ValueError("key missing")
+        wait, units = decimal(given, b"d"), decimal(given, b"units")
+        spread, first = integer(given, b"spread"), integer(given, b"first")
+        if not 0 < wait <= kind.deadline * LONGEST_WAIT:
+            raise ValueError("time left out of range")
+        if not 0 < units <= self.most_units:
+            raise ValueError("units out of range")
+        if not (1 <= spread <= self.gateways and first < self.gateways):
+            raise ValueError("set out of range")
+        at = listed.index(b"d=") if listed.startswith(b"d=") else listed.index(b",d=") + 1
+        before, after = listed[: at + 2], listed[at + 2 + len(given[b"d"]) :]
+        head = bulk(verb) + bulk(customer) + bulk(request)
+        body = bulk(args[4]) if len(args) > 4 else b""
+        return Command(
+            head,
+            before,
+            after,
+            body,
+            len(args),
+            request.decode("ascii"),
+            f"{number:016x}",
+            kind.name,
+            plan,
+            wait,
+            units,
+            spread,
+            first,
+            given.get(b"r") == b"1",
+        )
+
+
+def decimal(given: dict[bytes, bytes], name: bytes) -> float:
+    if not NUMBER.fullmatch(text := given.get(name, b"")):
+        raise ValueError(f"{name.decode()} is no number")
+    return float(text)
+
+
+def integer(given: dict[bytes, bytes], name: bytes) -> int:
+    if not WHOLE.fullmatch(text := given.get(name, b"")):
+        raise ValueError(f"{name.decode()} is no number")
+    return int(text)
 
 
 class Slot:
     """The place of one command among the answers of its connection."""
 
-    __slots__ = ("answered", "connection", "reply", "request")
+    __slots__ = ("answered", "connection", "reply", "request", "size")
 
-    def __init__(self, connection: ClientConnection) -> None:
-        self.connection = connection
+    def __init__(self, connection: ClientConnection, size: int = 0) -> None:
+        self.connection, self.size = connection, size
         self.reply: bytes | None = None
         self.request: str | None = None  # the id of a request that is still open
         self.answered = False
@@ -97,53 +172,47 @@
     def on_client_gone(self, request: str) -> None: ...
 
 
-class ClientConnection(asyncio.Protocol):
-    def __init__(self, server: ClientServer) -> None:
-        self.server = server
-        self.reader = hiredis.Reader(notEnoughData=Ellipsis)
+class ClientConnection:
+    def __init__(self, server: ClientServer, accepted: socket.socket) -> None:
+        self.server, self.socket, self.fd = server, accepted, accepted.fileno()
+        self.reader = CommandReader()
         self.slots: deque[Slot] = deque()
-        self.transport: asyncio.Transport | None = None
-        self.slow = self.stopped = self.closing = self.pumping = self.unread = False
-        self.unparsed = 0
+        self.held = 0  # bytes of the commands in `slots`
+        self.unsent = bytearray()
+        self.reading = self.writing = self.closing = self.closed = self.pumping = self.unread = False
+        self.used_at = self.moved_at = now_ms()  # moved: answers were last taken by the client
+        self.due: float | None = self.used_at + WHOLE_MS  # of a command that is owed; None: between commands
+        self._throttle()
 
     # ---- from the event loop ----
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
-        self.transport.set_write_buffer_limits(high=MOST_UNREAD)
-        self.server.opened(self)
-
-    def connection_lost(self, error: Exception | None) -> None:
-        self.transport = None
-        self.server.closed(self)
-        slots, self.slots = self.slots, deque()
-        for slot in slots:
-            slot.answered = True
-            if slot.request is not None:
-                self.server.handler.on_client_gone(slot.request)
-
-    def pause_writing(self) -> None:
-        # A client that asks and does not read would make us hold all of its answers.
-        self.slow = True
-        self._throttle()
-
-    def resume_writing(self) -> None:
-        self.slow = False
-        self.pump()
+    def _readable(self) -> None:
+        try:
+            count = self.socket.recv_into(self.server.buffer)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            count = 0
+        if not count:
+            return self.close()  # a client that closes has gone away
+        self.received(self.server.view[:count])
 
-    def data_received(self, data: bytes) -> None:
+    def received(self, data: bytes | memoryview) -> None:
         if self.closing:
             return  # nothing more is answered here, and it must not pile up either
-        self.unparsed += len(data)
         self.reader.feed(data)
         self.unread = True
         self.pump()
 
+    def _writable(self) -> None:
+        self._send()
+        self.pump()
+
     # ---- commands ----
 
     def pump(self) -> None:
         """Take commands and write answers, as far as both go; answers given at once are written together."""
-        if self.pumping:
+        if self.pumping or self.closed:
             return
         self.pumping = True
         try:
@@ -153,63 +222,90 @@
                 self._write()
         finally:
             self.pumping = False
-        if self.transport is not None and not self.slots and (self.closing or self.server.draining):
-            self.transport.close()
+        if not self.slots and not self.unsent and (self.closing or self.server.draining):
+            self.close()
         self._throttle()
 
     def _stuck(self) -> bool:
-        return self.slow or self.closing or len(self.slots) >= MOST_WAITING
+        full = len(self.slots) >= MOST_WAITING or self.held > MOST_HELD
+        return self.closing or self.closed or full or len(self.unsent) > self.server.most_unread
 
     def _take(self) -> None:
         """Take what commands the bytes read so far hold."""
         try:
             while not self._stuck():
-                args = self.reader.gets()
-                if args is Ellipsis:
+                args = self.reader.next()
+                if args is None:
                     self.unread = False
-                    if self.unparsed > LARGEST:
-                        raise hiredis.ProtocolError("command too long")
+                    if not self.reader.held:
+                        self.due = None
+                    elif self.due is None:
+                        self.due = now_ms() + WHOLE_MS
                     return
-                self.unparsed = 0
+                self.due = None
                 self.command(args)
-        except (hiredis.ProtocolError, MemoryError) as error:
-            self.refuse_protocol(error)
+        except Malformed as error:
+            self.refuse_protocol(str(error))
 
     def _write(self) -> None:
         """Write the answers that are due, in the order of the commands."""
         due: list[bytes] = []
         while self.slots and self.slots[0].reply is not None:
-            due.append(self.slots.popleft().reply or b"")
-        if due and self.transport is not None:
-            self.transport.write(due[0] if len(due) == 1 else b"".join(due))
+            slot = self.slots.popleft()
+            self.held -= slot.size
+            due.append(slot.reply or b"")
+        if due and not self.closed:
+            waiting = bool(self.unsent)
+            self.unsent += due[0] if len(due) == 1 else b"".join(due)
+            if not waiting:
+                self._send()
             self.server.used(self)
 
-    def _throttle(self) -> None:
-        if self.transport is None or self.transport.is_closing():
-            return
-        if (stop := self._stuck()) != self.stopped:
-            self.stopped = stop
-            (self.transport.pause_reading if stop else self.transport.resume_reading)()
+    def _send(self) -> None:
+        try:
+            sent = self.socket.send(self.unsent)
+        except (BlockingIOError, InterruptedError):
+            sent = 0
+        except OSError:
+            return self.close()
+        if sent:
+            self.moved_at = now_ms()
+        del self.unsent[:sent]
+        if bool(self.unsent) != self.writing:
+            self.writing = not self.writing
+            if self.writing:
+                self.server.loop.add_writer(self.fd, self._writable)
+            else:
+                self.server.loop.remove_writer(self.fd)
 
-    def refuse_protocol(self, error: Exception) -> None:
+    def _throttle(self) -> None:
+        if not self.closed and (go := not self._stuck()) != self.reading:
+            self.reading = go
+            if go:
+                self.server.loop.add_reader(self.fd, self._readable)
+            else:
+                self.server.loop.remove_reader(self.fd)
+
+    def refuse_protocol(self, reason: str) -> None:
         # What follows cannot be told from the rest of a command; earlier requests still get their answers.
         slot = Slot(self)
         slot.answered, slot.reply = True, b"-ERR protocol error\r\n"
         self.slots.append(slot)
         self.closing = True
-        log.warning("client broke the protocol: %s", " ".join(str(error).split()))
+        self.server.refused[reason] += 1
 
-    def command(self, args: object) -> None:
-        if not isinstance(args, list) or not args or not all(isinstance(arg, bytes) for arg in args):
-            return self.refuse_protocol(ValueError("not an array of bulk strings"))
-        slot = Slot(self)
+    def command(self, args: list[bytes]) -> None:
+        slot = Slot(self, sum(map(len, args)))
+        self.held += slot.size
         self.slots.append(slot)
         verb = args[0].upper()
-        if verb in REQUESTS:
+        if verb in VERBS:
             try:
-                command = parse_command(args)
+                command = self.server.terms.parse(args)
             except ValueError as error:
-                return slot.answer(b"-ERR %b\r\n" % " ".join(str(error).split()).encode())
+                self.server.refused[str(error)] += 1
+                return slot.answer(b"-ERR %b\r\n" % str(error).encode())
+            self.server.asked(self)
             slot.request = command.id
             self.server.handler.on_command(command, slot)
         elif verb == b"PING":
@@ -222,55 +318,161 @@
         else:
             slot.answer(b"-ERR unknown command\r\n")
 
+    # ---- the end ----
+
     @property
     def idle(self) -> bool:
-        return not self.slots and self.transport is not None and not self.transport.is_closing()
+        return not self.slots and not self.unsent and not self.closed
+
+    def retire(self) -> bool:
+        """Close unless something is open here, also what has come and was not read yet."""
+        if self.idle and self.reading:
+            self._readable()
+        if self.idle:
+            self.close()
+        return self.closed
+
+    def check(self, now: float) -> None:
+        """End what the client has begun and does not go on with."""
+        if self.unsent and now - self.moved_at > SLOW_MS:
+            self.server.refused["answers left unread"] += 1
+            self.close()
+        elif self.due is not None and now > self.due and not self.closing and self.reading:
+            self.refuse_protocol("command not whole in time")
+            self.pump()
+        elif self.idle and now - self.used_at > IDLE_MS:
+            self.retire()
+
+    def close(self) -> None:
+        if self.closed:
+            return
+        self.closed = True
+        self.server.loop.remove_reader(self.fd)
+        self.server.loop.remove_writer(self.fd)
+        self.socket.close()
+        self.server.forget(self)
+        slots, self.slots, self.unsent = self.slots, deque(), bytearray()
+        for slot in slots:
+            slot.answered = True
+            if slot.request is not None:
+                self.server.handler.on_client_gone(slot.request)
 
 
 class ClientServer:
-    """Listens, and bounds the connections of clients."""
-
-    def __init__(self, handler: Handler, most: int) -> None:
-        self.handler, self.most = handler, most
+    """Listens, and bounds the connections of clients and what they may hold."""
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        timers: Timers,
+        handler: Handler,
+        terms: Terms,
+        most: int,
+        memory: int,
+    ) -> None:
+        self.loop, self.timers, self.handler, self.terms, self.most = loop, timers, handler, terms, most
+        self.most_unread = min(MOST_UNREAD, memory // max(1, most))
+        self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
+        self.view = memoryview(self.buffer)
         self.connections: dict[ClientConnection, None] = {}  # the longest unused first
-        self.draining = False
-        self.listener: asyncio.Server | None = None
+        self.silent: dict[ClientConnection, None] = {}  # of these, those that never asked, the oldest first
+        self.refused: Tally[str] = Tally()  # since the last line of the log, by reason
+        self.told_at = 0.0
+        self.draining = self.accepting = False
+        self.listener: socket.socket | None = None
+        self.waiting: Timer | None = None  # to accept again
         self.empty = asyncio.Event()
         self.empty.set()
 
-    async def listen(self, host: str, port: int) -> int:
+    def listen(self, host: str, port: int) -> int:
         """Start to accept; gives the port."""
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(
-            lambda: ClientConnection(self), host, port, backlog=BACKLOG, reuse_address=True
-        )
-        return int(self.listener.sockets[0].getsockname()[1])
-
-    def opened(self, connection: ClientConnection) -> None:
-        self.connections[connection] = None
-        self.empty.clear()
-        if len(self.connections) > self.most:
-            # Out of descriptors nothing works any more, so give up a connection that nobody is using.
-            spare = next((c for c in self.connections if c.idle), connection)
-            if spare.transport is not None:
-                spare.transport.close()
-        elif self.draining and connection.transport is not None:
-            connection.transport.close()
+        self.listener = socket.create_server((host, port), backlog=BACKLOG)
+        self.listener.setblocking(False)
+        self._accept_more()
+        self.sweep()
+        return int(self.listener.getsockname()[1])
+
+    # ---- accepting ----
+
+    def _accept_more(self) -> None:
+        self.waiting = None
+        if self.listener is not None and not self.accepting:
+            self.accepting = True
+            self.loop.add_reader(self.listener.fileno(), self._accept)
+
+    def _pause(self) -> None:
+        """Those that wait in the kernel's queue cost nothing; closing them would fail their requests."""
+        if self.listener is not None and self.accepting:
+            self.accepting = False
+            self.loop.remove_reader(self.listener.fileno())
+            self.waiting = self.timers.at(now_ms() + RETRY_MS, self._accept_more)
+
+    def _accept(self) -> None:
+        for turn in range(TAKEN_AT_ONCE):
+            if self.listener is None:
+                return
+            if len(self.connections) >= self.most:
+                if turn:
+                    return  # room is made only for one that is known to wait, as on the first turn
+                if not self.make_room():
+                    return self._pause()
+            try:
+                accepted, _address = self.listener.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as error:
+                self.refused[f"not accepted: {error.strerror}"] += 1
+                return self._pause()
+            accepted.setblocking(False)
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = ClientConnection(self, accepted)
+            self.connections[connection] = self.silent[connection] = None
+            self.empty.clear()
+
+    def make_room(self) -> bool:
+        """Give up a connection that nobody is using; one that never asked goes first."""
+        now = now_ms()
+        oldest = next((c for c in self.silent if c.idle), None)
+        if oldest is not None and now - oldest.used_at > YOUNG_MS and oldest.retire():
+            return True
+        spare = next((c for c in self.connections if c.idle and c not in self.silent), None)
+        return spare is not None and now - spare.used_at > SPARE_MS and spare.retire()
+
+    # ---- connections ----
+
+    def asked(self, connection: ClientConnection) -> None:
+        self.silent.pop(connection, None)
 
     def used(self, connection: ClientConnection) -> None:
-        self.connections.pop(connection, None)
-        self.connections[connection] = None
+        connection.used_at = now_ms()
+        if connection in self.connections:
+            del self.connections[connection]
+            self.connections[connection] = None
 
-    def closed(self, connection: ClientConnection) -> None:
+    def forget(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
+        self.silent.pop(connection, None)
         if not self.connections:
             self.empty.set()
 
+    def sweep(self) -> None:
+        now = now_ms()
+        for connection in list(self.connections):
+            connection.check(now)
+        if self.refused and now - self.told_at >= SUMMARY_MS:  # one line tells of all
+            log.warning("refused: %s", dict(self.refused))
+            self.refused.clear()
+            self.told_at = now
+        self.timers.at(now + SWEEP_MS, self.sweep)
+
     def drain(self) -> None:
         """Accept nothing more, and close each connection as soon as it has its answers."""
-        self.draining = True
         if self.listener is not None:
+            if len(self.connections) < self.most:
+                self._accept()
+            self._pause()
             self.listener.close()
+            self.listener = None
+        self.draining = True
         for connection in list(self.connections):
-            if connection.idle:
-                connection.pump()
+            connection.retire()
--- a/roadpulley/config.py
+++ b/roadpulley/config.py
@@ -25,6 +25,7 @@
     counter: Address | None
     seed: int
     sockets: int
+    memory_mb: int
     settings: api.Settings
     connect_timeout: float  # milliseconds, as all times here
     keepalive: float
@@ -50,6 +51,7 @@
             counter=parse_address(raw["counter"]) if raw.get("counter") else None,
             seed=int(str(raw.get("seed") or "0"), 16),
             sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
+            memory_mb=int((raw.get("limits") or {}).get("memory_mb") or 64),
             settings=read_settings(settings),
             connect_timeout=float(caps.get("connectTimeout") or 250),
             keepalive=float(caps.get("keepalive") or 15_000),
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -11,10 +11,11 @@
 from mintford import interface as api
 
 from .backends import Attempt, Backends
-from .clients import Command, Slot, bulk
+from .clients import Command, Slot
 from .clock import Timer, Timers, now_ms
 from .counter import Counter
 from .discovery import Member
+from .resp import bulk
 
 log = logging.getLogger(__name__)
 
@@ -96,23 +97,17 @@
             return slot.answer(b"-ERR id in use\r\n")
         if len(self.requests) >= self.max_open:
             return slot.answer(b"-BUSY\r\n")
-        given = command.attributes
-        try:
-            event = api.RequestArrived(
-                request=command.id,
-                request_class=given[b"c"].decode(),
-                plan=given.get(b"t", b"").decode(),
-                customer=command.customer,
-                expires=now_ms() + command.wait,
-                units=float(given.get(b"units", b"0")),
-                spread=int(given.get(b"spread", b"1")),
-                first=int(given.get(b"first", b"0")),
-                repeat=given.get(b"r") == b"1",
-            )
-            if not math.isfinite(event.units):
-                raise ValueError("units")
-        except ValueError:
-            return slot.answer(b"-ERR malformed attributes\r\n")
+        event = api.RequestArrived(
+            request=command.id,
+            request_class=command.request_class,
+            plan=command.plan,
+            customer=command.customer,
+            expires=now_ms() + command.wait,
+            units=command.units,
+            spread=command.spread,
+            first=command.first,
+            repeat=command.repeat,
+        )
         owner = self.requests[command.id] = Request(command, slot, event.expires)
         owner.timer = self.timers.at(owner.expires, partial(self.on_expired, owner))
         self.give(event)
--- /dev/null
+++ b/roadpulley/resp.py
@@ -0,0 +1,147 @@
+"""RESP2 as the protocol uses it: the commands of clients and the answers of backends.
+
+Peers are not trusted. Only the protocol's own forms are read, a length out of range is refused at its
+header, and what is kept of an unfinished message is bounded. A general RESP reader accepts far more (maps,
+sets, nested and endless arrays, values of gigabytes) and rejects a whole answer for a spoilt part of it that
+is not needed.
+"""
+
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+LARGEST_VALUE = 64 * 1024
+LARGEST_COMMAND = LARGEST_VALUE + 4 * 1024  # all of its arguments together
+MOST_ARGUMENTS = 16
+LONGEST_ERROR = 1024
+LARGEST_EXTRA = 4 * 1024  # figures on use and load report, as they are on the wire
+
+COUNT = re.compile(rb"\*(\d{1,6})\r\n")
+LENGTH = re.compile(rb"\$(\d{1,6})\r\n")
+BEGUN = {COUNT: re.compile(rb"\*(?:\d{0,6}|\d{1,6}\r)"), LENGTH: re.compile(rb"\$(?:\d{0,6}|\d{1,6}\r)")}
+SERVED = re.compile(rb"\*3\r\n\$(\d{1,5})\r\n")
+SERVED_BEGUN = re.compile(rb"\*(?:3(?:\r(?:\n(?:\$(?:\d{0,5}|\d{1,5}\r))?)?)?)?")
+EXTRA = re.compile(rb"\$-1\r\n|:-?\d{1,18}\r\n|\$(\d{1,5})\r\n")
+EXTRA_BEGUN = re.compile(rb"\$(?:-1?|-1\r|\d{0,5}|\d{1,5}\r)|:-?(?:\d{0,18}|\d{1,18}\r)")
+
+
+class Malformed(Exception):
+    """What came is none of the protocol's forms; nothing after it can be understood either."""
+
+
+def bulk(value: bytes) -> bytes:
+    return b"$%d\r\n%b\r\n" % (len(value), value)
+
+
+class CommandReader:
+    """Cuts a client's bytes into commands: arrays of bulk strings."""
+
+    __slots__ = ("_args", "_at", "_buffer", "_left", "_size", "_total")
+
+    def __init__(self) -> None:
+        self._buffer, self._at = bytearray(), 0  # what is before `_at` has been taken
+        self._args: list[bytes] = []  # of the command that has begun
+        self._left, self._size = 0, -1  # arguments to come; length of the next one, -1 before its header
+        self._total = 0
+
+    def feed(self, data: bytes | memoryview) -> None:
+        if self._at:
+            del self._buffer[: self._at]
+            self._at = 0
+        self._buffer += data
+
+    @property
+    def held(self) -> int:
+        """Bytes that are kept of a command that is not whole; 0 between commands."""
+        return len(self._buffer) - self._at + self._total + (1 if self._left else 0)
+
+    def next(self) -> list[bytes] | None:
+        """The next whole command, if there is one."""
+        while True:
+            if self._size < 0:
+                number = self._header(LENGTH if self._left else COUNT)
+                if number is None:
+                    return None
+                if not self._left:
+                    if not 0 < number <= MOST_ARGUMENTS:
+                        raise Malformed("number of arguments")
+                    self._left, self._args, self._total = number, [], 0
+                    continue
+                self._total += number
+                if number > LARGEST_VALUE or self._total > LARGEST_COMMAND:
+                    raise Malformed("length of an argument")
+                self._size = number
+            end = self._at + self._size
+            if len(self._buffer) < end + 2:
+                return None
+            if self._buffer[end : end + 2] != b"\r\n":
+                raise Malformed("end of an argument")
+            self._args.append(bytes(self._buffer[self._at : end]))
+            self._at, self._size = end + 2, -1
+            self._left -= 1
+            if not self._left:
+                args, self._args, self._total = self._args, [], 0
+                return args
+
+    def _header(self, form: re.Pattern[bytes]) -> int | None:
+        if got := form.match(self._buffer, self._at):
+            self._at = got.end()
+            return int(got[1])
+        # A line that never ends, or that begins as no header does, is told by its first bytes.
+        rest = self._buffer[self._at : self._at + 10]
+        if rest and not BEGUN[form].fullmatch(rest):
+            raise Malformed("not an array of bulk strings")
+        return None
+
+
+class Answer(NamedTuple):
+    value: bytes | None  # None: an error line
+    error: bytes
+    clean: bool  # the answer was whole and nothing followed it: the connection may be used again
+
+
+def parse_answer(data: bytearray) -> Answer | None:
+    """The answer of a backend that `data` holds, None while it is not whole."""
+    if data.startswith(b"-"):
+        end = data.find(b"\r\n", 0, LONGEST_ERROR)
+        if end >= 0:
+            return Answer(None, bytes(data[1:end]), end + 2 == len(data))
+        if len(data) >= LONGEST_ERROR:
+            raise Malformed("an endless error")
+        return None
+    head = SERVED.match(data)
+    if head is None:
+        if not SERVED_BEGUN.fullmatch(data[:20]):
+            raise Malformed("not an answer")
+        return None
+    end = head.end() + int(head[1])
+    if int(head[1]) > LARGEST_VALUE:
+        raise Malformed("length of the value")
+    if len(data) < end + 2:
+        return None
+    if data[end : end + 2] != b"\r\n":
+        raise Malformed("end of the value")
+    at = end + 2
+    for _ in range(2):
+        after = parse_extra(data, at)
+        if after is None and len(data) - end <= LARGEST_EXTRA:
+            return None
+        if after is None or after < 0:
+            # The value is whole and followed by what belongs behind it; only that can't be read.
+            return Answer(bytes(data[head.end() : end]), b"", False)
+        at = after
+    return Answer(bytes(data[head.end() : end]), b"", at == len(data))
+
+
+def parse_extra(data: bytearray, at: int) -> int | None:
+    """Where the figures or the report at a place end: None while not whole, -1 if they can't be read."""
+    if got := EXTRA.match(data, at):
+        if got[1] is None:
+            return got.end()
+        end = got.end() + int(got[1])
+        if int(got[1]) > LARGEST_EXTRA or not b"\r\n".startswith(data[end : end + 2]):
+            return -1
+        return end + 2 if len(data) >= end + 2 else None
+    rest = data[at : at + 22]
+    return None if not rest or EXTRA_BEGUN.fullmatch(rest) else -1
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -30,6 +30,7 @@
     },
     "classes": [
         {"name": "view", "aim": 1500.0, "deadline": 4000.0, "effect": "pure", "importance": 1.0},
+        {"name": "keyed", "aim": 1500.0, "deadline": 4000.0, "effect": "token", "repeatWindow": 4000.0},
         {"name": "wipe", "aim": 1500.0, "deadline": 4000.0, "effect": "side_effect", "importance": 1.0},
     ],
     "packages": [
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -15,7 +15,34 @@
 from roadpulley.backends import Attempt, Backends
 from roadpulley.clock import Timers, now_ms
 
-SERVED = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+VALUE = b"*3\r\n$5\r\nvalue\r\n"
+SERVED = VALUE + b"$-1\r\n$-1\r\n"
+SPOILT = [
+    b"?\r\n",
+    b"+OK\r\n",
+    b":1\r\n",
+    b"HTTP/1.1 200 OK\r\n",
+    b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+    b"*2\r\n$5\r\nvalue\r\n$-1\r\n",
+    b"*3\r\n+value\r\n$-1\r\n$-1\r\n",
+    b"*3\r\n$4\r\nvalue\r\n$-1\r\n$-1\r\n",
+    b"*3\r\n$7\r\nvalue\r\n$-1\r\n$-1\r\n",
+    b"*3\r\n$3000000000\r\n",  # and it would keep coming
+    b"*3\r\n$65537\r\n",
+    b"*3\r\n$-5\r\n",
+    b"*4294967295\r\n",
+    b"*1\r\n" * 50,
+    b"%1\r\n*1\r\n:1\r\n:2\r\n",
+    b"x" * 2000,
+    b"-" + b"x" * 2000,
+]
+UNREADABLE = [
+    b":what\r\n$-1\r\n",
+    b"$-1\r\n$-7\r\n",
+    b"$-1\r\n?\r\n",
+    b"$2\r\nlong\r\n$-1\r\n",
+    b"$-1\r\n$99999\r\n",
+]
 
 
 @asynccontextmanager
@@ -34,6 +61,12 @@
             await server.stop()
 
 
+async def rested(pool: Backends) -> None:
+    """Until the idle connections may be used again."""
+    idle = [connection for host in pool.hosts.values() for connection in host.idle]
+    await until(lambda: all(now_ms() - connection.idle_since > module.REST_MS for connection in idle))
+
+
 class Try:
     """An attempt and how it ended."""
 
@@ -65,9 +98,10 @@
         (b"-BUSY queue\r\n", Outcome.FULL),
         (b"-ERR failed\r\n", Outcome.FAILED),
         (b"-ERR failed inflight=7\r\n", Outcome.FAILED),
-        (b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", Outcome.FAILED),
+        (b"-OTHER\r\n", Outcome.FAILED),
         (b"", Outcome.RESET),
-        (b"?\r\n", Outcome.RESET),
+        *((spoilt, Outcome.RESET) for spoilt in SPOILT),
+        *((VALUE + after, Outcome.OK) for after in UNREADABLE),
     ],
 )
 def test_what_comes_back_tells_the_outcome(reply: bytes, outcome: Outcome) -> None:
@@ -81,6 +115,66 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize("reply", [*(r for r in SPOILT), b"-OTHER\r\n", *(VALUE + u for u in UNREADABLE)])
+def test_a_connection_that_brought_more_or_else_than_an_answer_is_not_used_again(reply: bytes) -> None:
+    """The rest of it would be taken for the answer to the next request, or keep that one waiting."""
+
+    async def script(command: list[bytes]) -> Reply:
+        return reply
+
+    async def scenario() -> None:
+        server = Backend(script)
+        async with pool(server) as made:
+            await Try(made).result()
+            assert not made.connections and not made.hosts[0].idle
+            server.script = server.serve
+            assert await Try(made).result() == (Outcome.OK, b"value")
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("reply", [SERVED, b"-BUSY\r\n", b"-ERR failed\r\n"])
+def test_an_answer_in_pieces_leaves_its_connection_usable(reply: bytes) -> None:
+    async def script(command: list[bytes]) -> Reply:
+        (writer,) = server.open
+        for byte in reply:
+            writer.write(bytes([byte]))
+            await writer.drain()
+            await asyncio.sleep(0)
+        return None
+
+    server = Backend(script)
+
+    async def scenario() -> None:
+        async with pool(server) as made:
+            for _ in range(2):
+                await Try(made).result()
+                await rested(made)
+            assert server.accepted == 1
+
+    in_loop(scenario)
+
+
+def test_what_follows_an_answer_later_is_no_later_request_s() -> None:
+    """A second copy or noise may come after the read that brought the answer."""
+
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            assert (await Try(made).result())[0] is Outcome.OK
+            (connection,), (writer,) = made.hosts[0].idle, server.open
+            made.loop.remove_reader(connection.fd)  # as if the event loop had not yet come to it
+            writer.write(b"*3\r\n$5\r\nother\r\n$-1\r\n$-1\r\n")
+            await until(lambda: not connection.alive())
+            assert await Try(made).result() == (Outcome.OK, b"value")
+            # Not even the copy that is still under way: a connection rests before it is used again.
+            made.hosts[0].idle[-1].idle_since = now_ms() + 60_000
+            assert await Try(made).result() == (Outcome.OK, b"value")
+            assert server.accepted == 3
+
+    in_loop(scenario)
+
+
 def test_a_refused_connection_never_ran() -> None:
     async def scenario() -> None:
         server = Backend()
@@ -132,6 +226,7 @@
             await asyncio.gather(Try(made).result(), Try(made).result())
             assert server.accepted == 2
             for _ in range(5):
+                await rested(made)
                 assert (await Try(made).result())[0] is Outcome.OK
             assert server.accepted == 2
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import hiredis
 import pytest
@@ -77,17 +81,40 @@
     in_loop(scenario)
 
 
+LISTED = b"c=view,t=free,d=480,units=1,spread=1,first=0"
+CUSTOMER = b"00000000b4d65521"
+
+
+def changed(old: bytes, new: bytes, verb: bytes = b"API.READ") -> tuple[bytes, ...]:
+    assert old in LISTED
+    return verb, CUSTOMER, b"b", LISTED.replace(old, new)
+
+
 @pytest.mark.parametrize(
     "command",
     [
         (b"API.READ",),
-        (b"API.READ", b"a", b"b", b"nonsense"),
-        (b"API.READ", b"a", b"b", b"c=view,t=free"),
-        (b"API.READ", b"a", b"b", b"c=view,d=-3"),
-        (b"API.READ", b"a", b"b", b"c=view,d=nan"),
-        (b"API.READ", b"a", b"b", b"c=view,d=3,units=x"),
-        (b"API.READ", b"\xff", b"b", b"c=view,d=3"),
-        (b"API.READ", b"a", b"", b"c=view,d=3"),
+        (b"API.READ", CUSTOMER, b"b", b"nonsense"),
+        (b"API.READ", CUSTOMER, b"b", LISTED, b"body", b"more"),
+        (b"API.READ", b"a", b"b", LISTED),
+        (b"API.READ", b"0000000200000000", b"b", LISTED),  # 2^33
+        (b"API.READ", b"+0000000b4d65521", b"b", LISTED),
+        (b"API.READ", b"\xff" * 16, b"b", LISTED),
+        (b"API.READ", CUSTOMER, b"", LISTED),
+        (b"API.READ", CUSTOMER, b"a b", LISTED),
+        (b"API.READ", CUSTOMER, b"x" * 65, LISTED),
+        (b"API.WRITE", CUSTOMER, b"b", LISTED),
+        (b"API.READ", CUSTOMER, b"b", LISTED.replace(b"view", b"wipe")),
+        (b"API.WRITE", CUSTOMER, b"b", LISTED.replace(b"view", b"keyed")),  # without k
+        (b"API.READ", CUSTOMER, b"b", LISTED + b",d=3"),
+        changed(b",d=480", b""),
+        *(changed(b"480", new) for new in (b"", b"-3", b"0", b"1e3", b"1_0", b" 5")),
+        *(changed(b"480", new) for new in (b"999999999", b"nan", b"inf", b"soon")),
+        *(changed(b"view", new) for new in (b"", b"views", b"\xff")),
+        *(changed(b"free", new) for new in (b"", b"golden")),
+        *(changed(b"units=1", b"units=" + new) for new in (b"", b"0", b"-1", b"2", b"1_0", b"nan", b"x")),
+        *(changed(b"spread=1", b"spread=" + new) for new in (b"", b"0", b"2", b"-1", b"x", b"1.0")),
+        *(changed(b"first=0", b"first=" + new) for new in (b"", b"1", b"-1", b"x")),
         (b"HELLO", b"3"),
         (b"",),
     ],
@@ -159,35 +186,160 @@
     in_loop(scenario)
 
 
+@contextmanager
+def server_seen(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[clients.ClientServer]]:
+    """The server of the gateway that is started meanwhile."""
+    seen: list[clients.ClientServer] = []
+    keep = clients.ClientServer.listen
+
+    def listen(self: clients.ClientServer, host: str, port: int) -> int:
+        seen.append(self)
+        return keep(self, host, port)
+
+    with monkeypatch.context() as patch:
+        patch.setattr(clients.ClientServer, "listen", listen)
+        yield seen
+
+
 def test_a_slow_reader_does_not_grow_memory(monkeypatch: pytest.MonkeyPatch) -> None:
     """A client that asks and never reads is read no further, so that its answers stay few."""
-    server: list[clients.ClientServer] = []
-    keep = clients.ClientServer.opened
 
-    def opened(self: clients.ClientServer, connection: clients.ClientConnection) -> None:
-        server[:] = [self]
-        keep(self, connection)
+    async def scenario() -> None:
+        with server_seen(monkeypatch) as seen:
+            async with running(World(Backend())) as world:
+                peer = await world.client()
+                await until(lambda: seen[0].connections)
+                (connection,) = seen[0].connections
+                echo = encode(b"PING", b"x" * 65536)
+                written = 0
+                while connection.reading:
+                    peer.writer.write(echo)
+                    written += 1
+                    await asyncio.sleep(0)
+                held = len(connection.unsent) + sum(len(slot.reply or b"") for slot in connection.slots)
+                assert held <= seen[0].most_unread + 2 * 66_000
+                for _ in range(written):  # once it reads, it gets all of them
+                    assert await peer.receive() == b"x" * 65536
+
+    in_loop(scenario)
+
 
-    monkeypatch.setattr(clients.ClientServer, "opened", opened)
+def test_a_client_that_never_reads_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "SLOW_MS", 50.0)
+    monkeypatch.setattr(clients, "SWEEP_MS", 10.0)
+
+    async def scenario() -> None:
+        with server_seen(monkeypatch) as seen:
+            async with running(World(Backend())) as world:
+                peer = await world.client()
+                peer.writer.transport.pause_reading()  # type: ignore[attr-defined]
+                await until(lambda: seen[0].connections)
+                while seen[0].connections:
+                    peer.send(b"PING", b"x" * 65536)
+                    await asyncio.sleep(0)
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize(
+    "said",
+    [
+        b"",
+        b"*",
+        b"*3\r\n$8\r\nAPI",
+        encode(*request(b"early")) + b"*4\r\n",
+        b"*1\r\n$65536\r\n" + b"x" * 60_000,
+    ],
+)
+def test_what_is_not_whole_in_time_is_closed(monkeypatch: pytest.MonkeyPatch, said: bytes) -> None:
+    """Half a command, or nothing at all, would hold a descriptor for ever."""
+    monkeypatch.setattr(clients, "WHOLE_MS", 50.0)
+    monkeypatch.setattr(clients, "SWEEP_MS", 10.0)
 
     async def scenario() -> None:
         async with running(World(Backend())) as world:
+            asked = await world.client()
+            assert await world.ask(asked) == b"value"
             peer = await world.client()
-            echo = encode(b"PING", b"x" * 65536)
-            await until(lambda: server)
-            (connection,) = server[0].connections
-            written = 0
-            while not connection.stopped:
-                peer.writer.write(echo)
-                written += 1
-                await asyncio.sleep(0)
-            assert connection.transport is not None
-            held = connection.transport.get_write_buffer_size() + sum(
-                len(slot.reply or b"") for slot in connection.slots
-            )
-            assert held <= clients.MOST_UNREAD + (clients.MOST_WAITING + 2) * 66_000
-            for _ in range(written):  # once it reads, it gets all of them
-                assert await peer.receive() == b"x" * 65536
+            peer.writer.write(said)
+            if b"early" in said:
+                assert await peer.receive() == b"value"
+            assert failed(await peer.receive())
+            assert await peer.receive() is None
+            assert await world.ask(asked, id=b"later") == b"value"  # idle between commands is no offence
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"x" * 50,
+        b"\r\n",
+        b"*-1\r\n",
+        b"*0\r\n",
+        b"*1000\r\n",
+        b"*+1\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n$65537\r\n",
+        b"*2\r\n$60000\r\n" + b"x" * 60_000 + b"\r\n$60000\r\n",
+        b"*1\r\n$62914560\r\n",
+        b"*1\r\n$3\r\nPINGS",
+        b"*1\r\n:3\r\n",
+        b"*1\r\n*1\r\n",
+        b"$" + b"1" * 50,
+    ],
+)
+def test_what_can_become_no_command_is_refused_at_once(data: bytes) -> None:
+    """Not only at the end of a line that may never end, or once 60 MB have come."""
+
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+            peer.writer.write(data)
+            assert failed(await peer.receive())
+            assert await peer.receive() is None
+
+    in_loop(scenario)
+
+
+def test_silent_clients_by_hundreds_do_not_keep_others_out() -> None:
+    async def scenario() -> None:
+        async with running(World(Backend(), sockets=60)) as world:
+            asked = await world.client()
+            assert await world.ask(asked) == b"value"
+            silent = [await world.client() for _ in range(100)]
+            late = await world.client()
+            assert await world.ask(late, id=b"late") == b"value"
+            assert await world.ask(asked, id=b"again") == b"value"  # one that asked is not given up for them
+            for peer in silent[:50]:
+                assert await peer.receive() is None
+
+    in_loop(scenario)
+
+
+def test_running_out_of_descriptors_is_survived(monkeypatch: pytest.MonkeyPatch) -> None:
+    class Short:
+        """A listener that finds no descriptor left for a while."""
+
+        def __init__(self, listener: socket.socket) -> None:
+            self.listener, self.short = listener, 3
+
+        def accept(self) -> tuple[socket.socket, object]:
+            self.short -= 1
+            if self.short >= 0:
+                raise OSError(errno.EMFILE, "too many open files")
+            return self.listener.accept()
+
+        def __getattr__(self, name: str) -> object:
+            return getattr(self.listener, name)
+
+    async def scenario() -> None:
+        with server_seen(monkeypatch) as seen:
+            async with running(World(Backend())) as world:
+                assert seen[0].listener is not None
+                seen[0].listener = Short(seen[0].listener)  # type: ignore[assignment]
+                assert await world.ask(await world.client()) == b"value"
 
     in_loop(scenario)
 
@@ -216,12 +368,14 @@
     in_loop(scenario)
 
 
-def test_at_the_bound_an_unused_connection_makes_room() -> None:
+def test_at_the_bound_an_unused_connection_makes_room(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(clients, "SPARE_MS", 0.0)
+
     async def scenario() -> None:
         async with running(World(Backend(), sockets=6)) as world:
             peers: list[Peer] = [await world.client() for _ in range(3)]
-            for peer in peers:
-                assert await world.ask(peer) == b"value"
+            for number, peer in enumerate(peers):
+                assert await world.ask(peer, id=b"%d" % number) == b"value"
             fourth = await world.client()
             assert await world.ask(fourth) == b"value"
             assert await peers[0].receive() is None
@@ -270,7 +424,7 @@
     in_loop(scenario)
 
 
-def test_what_follows_a_broken_protocol_does_not_pile_up() -> None:
+def test_what_follows_a_broken_protocol_does_not_pile_up(monkeypatch: pytest.MonkeyPatch) -> None:
     """The connection stays for its earlier answers, and a client may go on writing to it."""
 
     async def scenario() -> None:
@@ -280,18 +434,18 @@
             await go_on.wait()
             return array(b"value")
 
-        connection = clients.ClientConnection(clients.ClientServer(None, 10))  # type: ignore[arg-type]
-        connection.data_received(b"?what\r\n")
-        for _ in range(100):
-            connection.data_received(b"x" * 65536)
-        assert connection.closing and connection.unparsed < 1000
         backend = Backend(script)
-        async with running(World(backend)) as world:
-            peer = await world.client()
-            peer.writer.write(encode(*request()) + b"?what\r\n")
-            await until(lambda: backend.got)
-            go_on.set()
-            assert await peer.receive() == b"value"
-            assert failed(await peer.receive())
+        with server_seen(monkeypatch) as seen:
+            async with running(World(backend)) as world:
+                peer = await world.client()
+                await until(lambda: seen[0].connections)
+                (connection,) = seen[0].connections
+                peer.writer.write(encode(*request()) + b"?what\r\n" + b"x" * 10_000_000)
+                await until(lambda: backend.got)
+                assert connection.closing and not connection.reading
+                assert connection.reader.held <= clients.READ_BYTES
+                go_on.set()
+                assert await peer.receive() == b"value"
+                assert failed(await peer.receive())
 
     in_loop(scenario)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 import pytest
-from helpers import settings
+from helpers import BONUS, SAFE, settings
 from loopback import LOCAL, in_loop, request, until
 
 from mintford import interface as api
 from roadpulley.backends import Backends
-from roadpulley.clients import ClientConnection, ClientServer, Slot, parse_command
+from roadpulley.clients import ClientConnection, ClientServer, Slot, Terms
 from roadpulley.clock import Timers
 from roadpulley.driver import FAILED, Driver
 
@@ -38,16 +39,21 @@
         loop = asyncio.get_running_loop()
         timers = Timers(loop)
         self.backends = Backends(loop, timers, 250, 15_000, 1_000, 10)
-        self.driver = Driver(settings(max_attempts=2), 1, timers, self.backends, None, max_open)
+        terms = settings(max_attempts=2, classes=(SAFE,))
+        self.driver = Driver(terms, 1, timers, self.backends, None, max_open)
         self.module = Module()
         self.driver.gateway = self.module  # type: ignore[assignment]
-        self.connection = ClientConnection(ClientServer(self.driver, 10))
+        self.terms = Terms(self.driver.settings)
+        server = ClientServer(loop, timers, self.driver, self.terms, 10, 1_000_000)
+        self.near, self.far = socket.socketpair()
+        self.connection = ClientConnection(server, self.near)
 
     def ask(self, id: bytes = b"r1", wait: int = 3000) -> Slot:
         slot = Slot(self.connection)
         slot.request = id.decode()
         self.connection.slots.append(slot)
-        self.driver.on_command(parse_command(list(request(id, wait=wait))), slot)
+        args = list(request(id, plan=BONUS.name.encode(), wait=wait))
+        self.driver.on_command(self.terms.parse(args), slot)
         return slot
 
 
