Take large values within a budget, and idle connections only as long as they hold

The bound of a value is now 1 MiB, and all unfinished answers together have a fifth of the memory; answers that clients have not taken have another, past which the client that took nothing for the longest time is given up. A silent counter connection is left after 300 ms instead of 1 s.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -26,7 +26,7 @@
 log = logging.getLogger("roadpulley")
 
 CLIENT_SHARE, BACKEND_SHARE = 0.5, 0.25  # of the descriptors; the rest is headroom
-MEMORY_SHARE = 0.125  # of the memory, for answers that clients leave unread
+MEMORY_SHARE = 0.2  # of the memory, for answers that are not whole, and again for those not yet taken
 STILL_COMING_S = 0.45  # after SIGTERM, connections go on coming for this long
 LAST_ANSWER_S = 3.4  # after SIGTERM: what is open then is failed, before SIGKILL would lose it
 CLOSING_S = 0.1
@@ -76,6 +76,7 @@
     """
     loop = asyncio.get_running_loop()
     timers = Timers(loop)
+    memory = int(config.memory_mb * MEMORY_SHARE * 2**20)
     backends = Backends(
         loop,
         timers,
@@ -83,6 +84,7 @@
         config.keepalive,
         config.settings.rules.drain_grace,
         int(config.sockets * BACKEND_SHARE),
+        memory,
     )
     counter = Counter(loop, timers, config.counter, config.settings.count_wait) if config.counter else None
     driver = Driver(config.settings, config.seed, timers, backends, counter, config.max_open)
@@ -100,7 +102,7 @@
         driver,
         Terms(config.settings),
         int(config.sockets * CLIENT_SHARE),
-        int(config.memory_mb * MEMORY_SHARE * 2**20),
+        memory,
     )
     if again is not None and load is not None:
         again.ready(partial(reload, load, discovery, counter))
--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 import errno
 import logging
 import re
@@ -27,12 +28,50 @@
 ERROR = re.compile(rb"(?:BUSY|ERR failed)(?: [!-~]{1,512})?")  # a load report may stand last
 
 IDLE_SHARE = 0.6  # of the keep-alive time: retired before the backend may close it under a request
+AGES_MS = (100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0, float("inf"))
+DOUBT, EXCESS, FADE = 5.0, 0.15, 0.9  # requests that say nothing yet; losses over the usual; kept each sweep
 SWEEP_MS = 1_000.0
 CUTOFF_MARGIN_MS = 50.0  # before the end of the grace for new work to a draining backend
 READ_BYTES = 64 * 1024
 REST_MS = 5.0  # before a connection is used again: what follows its last answer uncalled for shows by then
 
 
+class Freshness:
+    """How long a connection may stand idle before a request on it is likely to be lost, as learned.
+
+    Backends close idle connections at the latest after the time in the settings, and some of them, or what
+    lies between, drop them unheard after a fraction of it. What becomes of the requests tells: more losses
+    than on connections that were new, from some age on, and connections are used no longer than that.
+    """
+
+    def __init__(self) -> None:
+        self.tried = [0.0] * (len(AGES_MS) + 1)  # of late, by age; the last are connections that were new
+        self.lost = [0.0] * (len(AGES_MS) + 1)
+        self.limit = AGES_MS[-1]
+
+    def note(self, age: float | None, lost: bool) -> None:
+        """Take in what became of a request; the age is that of its connection when it was sent."""
+        place = -1 if age is None else bisect.bisect_left(AGES_MS, age, hi=len(AGES_MS) - 1)
+        self.tried[place] += 1
+        self.lost[place] += lost
+        if lost:
+            self.judge()
+
+    def fade(self) -> None:
+        """Forget slowly, so that a longer age is tried again."""
+        self.tried = [FADE * count for count in self.tried]
+        self.lost = [FADE * count for count in self.lost]
+        self.judge()
+
+    def judge(self) -> None:
+        usual = self.lost[-1] / (self.tried[-1] + DOUBT)
+        self.limit = AGES_MS[-1]
+        for place in range(1, len(AGES_MS)):
+            if self.lost[place] / (self.tried[place] + DOUBT) > usual + EXCESS:
+                self.limit = AGES_MS[place - 1]
+                break
+
+
 @dataclass(eq=False, slots=True)
 class Attempt:
     """One try of a request at a backend; `ended` is called exactly once."""
@@ -66,6 +105,7 @@
         self.unsent = memoryview(b"")
         self.up = self.closed = self.writing = False
         self.idle_since = 0.0
+        self.age: float | None = None  # idle until its last request; None: that was its first
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.fd = self.socket.fileno()
         attempt.connection = self
@@ -94,6 +134,7 @@
         self.write()
 
     def start(self, attempt: Attempt) -> None:
+        self.age = now_ms() - self.idle_since
         self.attempt, attempt.connection = attempt, self
         self.write()
 
@@ -133,11 +174,19 @@
         except OSError:
             count = 0
         if not count:
+            if self.attempt is not None and not self.answer:
+                self.pool.freshness.note(self.age, True)
             return self.end(self.broken())
         if self.attempt is None:
             self.pool.spoilt["said what nobody asked for"] += 1
             return self.close()
+        if not self.answer:
+            self.pool.freshness.note(self.age, False)
         self.answer += self.pool.view[:count]
+        self.pool.held += count
+        if self.pool.held > self.pool.most_held:
+            self.pool.spoilt["no room for it"] += 1
+            return self.end(self.broken())
         try:
             answer = parse_answer(self.answer)
         except Malformed as error:
@@ -145,7 +194,7 @@
             return self.end(self.broken())
         if answer is None:
             return
-        self.answer = bytearray()
+        self.drop_answer()
         outcome, usable = read_error(answer.error)
         if answer.value is not None:
             outcome, usable = Outcome.OK, True
@@ -160,6 +209,10 @@
             self.close()
         attempt.end(outcome, answer.value or b"")
 
+    def drop_answer(self) -> None:
+        self.pool.held -= len(self.answer)
+        self.answer = bytearray()
+
     def broken(self) -> Outcome:
         """What a break says: a request whose last byte has not left cannot have run, any other may have."""
         return Outcome.CONNECT if not self.up or self.unsent else Outcome.RESET
@@ -175,6 +228,7 @@
         if self.closed:
             return
         self.closed = True
+        self.drop_answer()
         if self.timer is not None:
             self.timer.cancel()
         self.pool.loop.remove_reader(self.fd)
@@ -223,9 +277,12 @@
         keepalive: float,
         drain_grace: float,
         most: int,
+        memory: int,
     ) -> None:
         self.loop, self.timers, self.connect_timeout = loop, timers, connect_timeout
         self.idle_ms, self.drain_grace, self.most = keepalive * IDLE_SHARE, drain_grace, most
+        self.most_held, self.held = memory, 0  # bytes of answers that are not whole, of all connections
+        self.freshness = Freshness()
         self.hosts: dict[int, Host] = {}
         self.connections: set[Connection] = set()
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
@@ -263,7 +320,7 @@
             rested = now - connection.idle_since
             if rested < REST_MS:
                 continue
-            if rested < self.idle_ms and connection.alive():
+            if rested < min(self.idle_ms, self.freshness.limit) and connection.alive():
                 host.idle.remove(connection)
                 return connection.start(attempt)
             connection.close()
@@ -310,9 +367,10 @@
 
     def sweep(self) -> None:
         now = now_ms()
+        self.freshness.fade()
         for backend, host in list(self.hosts.items()):
             for connection in list(host.idle):
-                if now - connection.idle_since < self.idle_ms:
+                if now - connection.idle_since < min(self.idle_ms, self.freshness.limit):
                     break
                 connection.close()
             if not host.takes_new(now):
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -228,7 +228,7 @@
 
     def _stuck(self) -> bool:
         full = len(self.slots) >= MOST_WAITING or self.held > MOST_HELD
-        return self.closing or self.closed or full or len(self.unsent) > self.server.most_unread
+        return self.closing or self.closed or full or len(self.unsent) > MOST_UNREAD
 
     def _take(self) -> None:
         """Take what commands the bytes read so far hold."""
@@ -255,11 +255,15 @@
             self.held -= slot.size
             due.append(slot.reply or b"")
         if due and not self.closed:
-            waiting = bool(self.unsent)
+            waiting, before = bool(self.unsent), len(self.unsent)
             self.unsent += due[0] if len(due) == 1 else b"".join(due)
+            self.server.unsent += len(self.unsent) - before
             if not waiting:
+                self.moved_at = now_ms()
                 self._send()
             self.server.used(self)
+            if self.server.unsent > self.server.most_unsent:
+                self.server.drop_slowest()
 
     def _send(self) -> None:
         try:
@@ -271,6 +275,7 @@
         if sent:
             self.moved_at = now_ms()
         del self.unsent[:sent]
+        self.server.unsent -= sent
         if bool(self.unsent) != self.writing:
             self.writing = not self.writing
             if self.writing:
@@ -351,6 +356,7 @@
         self.server.loop.remove_writer(self.fd)
         self.socket.close()
         self.server.forget(self)
+        self.server.unsent -= len(self.unsent)
         slots, self.slots, self.unsent = self.slots, deque(), bytearray()
         for slot in slots:
             slot.answered = True
@@ -371,7 +377,7 @@
         memory: int,
     ) -> None:
         self.loop, self.timers, self.handler, self.terms, self.most = loop, timers, handler, terms, most
-        self.most_unread = min(MOST_UNREAD, memory // max(1, most))
+        self.most_unsent, self.unsent = memory, 0  # bytes of answers that are not taken yet, of all clients
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
         self.view = memoryview(self.buffer)
         self.connections: dict[ClientConnection, None] = {}  # the longest unused first
@@ -455,6 +461,13 @@
         if not self.connections:
             self.empty.set()
 
+    def drop_slowest(self) -> None:
+        """Give up the client that has taken nothing for the longest time, before memory runs out."""
+        slowest = min((c for c in self.connections if c.unsent), key=lambda c: c.moved_at, default=None)
+        if slowest is not None:
+            self.refused["answers left unread"] += 1
+            slowest.close()
+
     def sweep(self) -> None:
         now = now_ms()
         for connection in list(self.connections):
--- a/roadpulley/counter.py
+++ b/roadpulley/counter.py
@@ -20,7 +20,7 @@
 log = logging.getLogger(__name__)
 
 CONNECTIONS = 4  # a slow part of the counter holds up only the answers behind it on one of them
-SILENT_MS = 1_000.0  # a connection that owes an answer and says nothing for this long is taken for lost
+SILENT_MS = 300.0  # a connection that owes an answer and says nothing for this long is taken for lost
 RETIRE_MS = 3_000.0  # unused for this long: closed before the counter does it under a call
 MOST_OWED = 1_000  # calls written and unanswered on one connection
 LONGEST_LINE = 1024
--- a/roadpulley/resp.py
+++ b/roadpulley/resp.py
@@ -14,14 +14,15 @@
 LARGEST_VALUE = 64 * 1024
 LARGEST_COMMAND = LARGEST_VALUE + 4 * 1024  # all of its arguments together
 MOST_ARGUMENTS = 16
+LARGEST_ANSWER = 1024 * 1024  # backends send values well over 64 KiB, whatever the protocol says
 LONGEST_ERROR = 1024
 LARGEST_EXTRA = 4 * 1024  # figures on use and load report, as they are on the wire
 
 COUNT = re.compile(rb"\*(\d{1,6})\r\n")
 LENGTH = re.compile(rb"\$(\d{1,6})\r\n")
 BEGUN = {COUNT: re.compile(rb"\*(?:\d{0,6}|\d{1,6}\r)"), LENGTH: re.compile(rb"\$(?:\d{0,6}|\d{1,6}\r)")}
-SERVED = re.compile(rb"\*3\r\n\$(\d{1,5})\r\n")
-SERVED_BEGUN = re.compile(rb"\*(?:3(?:\r(?:\n(?:\$(?:\d{0,5}|\d{1,5}\r))?)?)?)?")
+SERVED = re.compile(rb"\*3\r\n\$(\d{1,7})\r\n")
+SERVED_BEGUN = re.compile(rb"\*(?:3(?:\r(?:\n(?:\$(?:\d{0,7}|\d{1,7}\r))?)?)?)?")
 EXTRA = re.compile(rb"\$-1\r\n|:-?\d{1,18}\r\n|\$(\d{1,5})\r\n")
 EXTRA_BEGUN = re.compile(rb"\$(?:-1?|-1\r|\d{0,5}|\d{1,5}\r)|:-?(?:\d{0,18}|\d{1,18}\r)")
 
@@ -116,7 +117,7 @@
             raise Malformed("not an answer")
         return None
     end = head.end() + int(head[1])
-    if int(head[1]) > LARGEST_VALUE:
+    if int(head[1]) > LARGEST_ANSWER:
         raise Malformed("length of the value")
     if len(data) < end + 2:
         return None
@@ -129,9 +130,9 @@
             return None
         if after is None or after < 0:
             # The value is whole and followed by what belongs behind it; only that can't be read.
-            return Answer(bytes(data[head.end() : end]), b"", False)
+            return Answer(bytes(memoryview(data)[head.end() : end]), b"", False)
         at = after
-    return Answer(bytes(data[head.end() : end]), b"", at == len(data))
+    return Answer(bytes(memoryview(data)[head.end() : end]), b"", at == len(data))
 
 
 def parse_extra(data: bytearray, at: int) -> int | None:
