Move the gateway's modules into core and edges

The product grows by whole subsystems, and one flat package has no place for them. One gateway's way of a request now stands in roadpulley/core, how requests come in stands in roadpulley/edges, and arrows point one way: the request type that the driver and the RESP server share moves from the server to core/command.py. Tests mirror the packages.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -15,13 +15,13 @@
 
 from mintford.interface import ListScope, Settings
 
-from .backends import Backends
-from .clients import ClientServer, Terms
-from .clock import Timers
-from .config import Config, ConfigError, load_config
-from .counter import Counter
-from .discovery import Discovery, DiscoveryError, read_list
-from .driver import Driver
+from .core.backends import Backends
+from .core.clock import Timers
+from .core.counter import Counter
+from .core.discovery import Discovery, DiscoveryError, read_list
+from .core.driver import Driver
+from .core.settings import Config, ConfigError, load_config
+from .edges.clients import ClientServer, Terms
 
 log = logging.getLogger("roadpulley")
 
--- /dev/null
+++ b/roadpulley/core/__init__.py
@@ -0,0 +1,1 @@
+"""One gateway's way of a request."""
--- a/roadpulley/backends.py
+++ b/roadpulley/core/backends.py
@@ -20,8 +20,8 @@
 from mintford.interface import BackendState, Outcome
 
 from .clock import Timer, Timers, now_ms
-from .config import Address
 from .resp import Malformed, parse_answer
+from .settings import Address
 
 log = logging.getLogger(__name__)
 
--- a/roadpulley/counter.py
+++ b/roadpulley/core/counter.py
@@ -15,7 +15,7 @@
 from mintford.interface import Outcome
 
 from .clock import Timer, Timers, now_ms
-from .config import Address
+from .settings import Address
 
 log = logging.getLogger(__name__)
 
--- a/roadpulley/discovery.py
+++ b/roadpulley/core/discovery.py
@@ -14,7 +14,7 @@
 
 from mintford.interface import BackendEntry, BackendState, ListScope
 
-from .config import Address, parse_address
+from .settings import Address, parse_address
 
 log = logging.getLogger(__name__)
 
--- a/roadpulley/driver.py
+++ b/roadpulley/core/driver.py
@@ -11,8 +11,8 @@
 from mintford import interface as api
 
 from .backends import Attempt, Backends
-from .clients import Command, Slot
 from .clock import Timer, Timers, now_ms
+from .command import Command, Slot
 from .counter import Counter
 from .discovery import Member
 from .resp import bulk
--- /dev/null
+++ b/roadpulley/edges/__init__.py
@@ -0,0 +1,1 @@
+"""How requests come in."""
--- a/roadpulley/clients.py
+++ b/roadpulley/edges/clients.py
@@ -12,13 +12,12 @@
 import socket
 from collections import Counter as Tally
 from collections import deque
-from dataclasses import dataclass
 from typing import Protocol
 
 from mintford import interface as api
-
-from .clock import Timer, Timers, now_ms
-from .resp import CommandReader, Malformed, bulk
+from roadpulley.core.clock import Timer, Timers, now_ms
+from roadpulley.core.command import Command
+from roadpulley.core.resp import CommandReader, Malformed, bulk
 
 log = logging.getLogger(__name__)
 
@@ -46,31 +45,6 @@
 LONGEST_WAIT = 2.0  # times the class's deadline, which the client's whole patience does not exceed
 
 
-@dataclass(slots=True)
-class Command:
-    """A request as it came; all but the time left is passed on unchanged."""
-
-    head: bytes  # encoded: command, customer, id
-    before: bytes  # of the attributes, what stands before the time left
-    after: bytes
-    body: bytes  # encoded: what follows the attributes
-    length: int  # arguments in all
-    id: str
-    customer: str
-    request_class: str
-    plan: str
-    wait: float  # how long the client waits, in milliseconds
-    units: float
-    spread: int
-    first: int
-    repeat: bool
-
-    def encode(self, wait: int) -> bytes:
-        """The command with the time left that a backend is told."""
-        attributes = b"%b%d%b" % (self.before, wait, self.after)
-        return b"*%d\r\n%b%b%b" % (self.length, self.head, bulk(attributes), self.body)
-
-
 class Terms:
     """What the settings let a request name."""
 
--- a/tests/test_backends.py
+++ b/tests/core/test_backends.py
@@ -11,9 +11,9 @@
 from loopback import LOCAL, Backend, Reply, Server, World, encode, in_loop, request, running, until
 
 from mintford.interface import BackendState, Outcome
-from roadpulley import backends as module
-from roadpulley.backends import Attempt, Backends
-from roadpulley.clock import Timers, now_ms
+from roadpulley.core import backends as module
+from roadpulley.core.backends import Attempt, Backends
+from roadpulley.core.clock import Timers, now_ms
 
 VALUE = b"*3\r\n$5\r\nvalue\r\n"
 SERVED = VALUE + b"$-1\r\n$-1\r\n"
--- a/tests/test_counter.py
+++ b/tests/core/test_counter.py
@@ -11,9 +11,9 @@
 from loopback import Counter as Service
 
 from mintford.interface import Outcome
-from roadpulley import counter as module
-from roadpulley.clock import Timers
-from roadpulley.counter import Counter, read_answer
+from roadpulley.core import counter as module
+from roadpulley.core.clock import Timers
+from roadpulley.core.counter import Counter, read_answer
 
 Ending = tuple[str, Outcome, float]
 
--- a/tests/test_discovery.py
+++ b/tests/core/test_discovery.py
@@ -9,8 +9,8 @@
 from loopback import LOCAL, Backend, Discovery, World, host, in_loop, running, until
 
 from mintford.interface import BackendState, ListScope
-from roadpulley import discovery as module
-from roadpulley.discovery import DiscoveryError, Member, host_number, read_list
+from roadpulley.core import discovery as module
+from roadpulley.core.discovery import DiscoveryError, Member, host_number, read_list
 
 Heard = list[tuple[ListScope, list[tuple[int, BackendState]]]]
 
--- a/tests/test_driver.py
+++ b/tests/core/test_driver.py
@@ -10,10 +10,10 @@
 from loopback import LOCAL, in_loop, request, until
 
 from mintford import interface as api
-from roadpulley.backends import Backends
-from roadpulley.clients import ClientConnection, ClientServer, Slot, Terms
-from roadpulley.clock import Timers
-from roadpulley.driver import FAILED, Driver
+from roadpulley.core.backends import Backends
+from roadpulley.core.clock import Timers
+from roadpulley.core.driver import FAILED, Driver
+from roadpulley.edges.clients import ClientConnection, ClientServer, Slot, Terms
 
 
 class Module:
--- a/tests/test_limits.py
+++ b/tests/decisions/test_limits.py
@@ -3,7 +3,7 @@
 import re
 from pathlib import Path
 
-ROOT = Path(__file__).parents[1]
+ROOT = Path(__file__).parents[2]
 
 
 def test_the_module_stays_short_and_its_lines_narrow() -> None:
@@ -13,7 +13,7 @@
 
 
 def test_no_line_is_over_110_characters() -> None:
-    for path in [*ROOT.glob("mintford/*.py"), *ROOT.glob("tests/*.py")]:
+    for path in [*ROOT.glob("mintford/**/*.py"), *ROOT.glob("tests/**/*.py")]:
         for number, line in enumerate(path.read_text().splitlines(), 1):
             assert len(line) <= 110, f"{path.name}:{number}"
 
--- a/tests/test_rules_hold.py
+++ b/tests/decisions/test_rules_hold.py
@@ -148,7 +148,7 @@
     )
     digests = set()
     for hash_seed in ("1", "2", "77"):
-        path = os.pathsep.join([str(here), str(here.parent)])
+        path = os.pathsep.join([str(here), str(here.parent), str(here.parents[1])])
         env = {**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": path}
         run = subprocess.run(
             [sys.executable, "-c", code], env=env, capture_output=True, text=True, check=True
--- a/tests/test_wirehost.py
+++ b/tests/decisions/test_wirehost.py
@@ -106,7 +106,7 @@
         input=batch(*CREATE) + "oops\n",
         capture_output=True,
         text=True,
-        cwd=Path(__file__).parents[1],
+        cwd=Path(__file__).parents[2],
     )
     assert run.returncode == 2 and "Traceback" not in run.stderr
     assert len(run.stdout.splitlines()) == 1
--- a/tests/test_clients.py
+++ b/tests/edges/test_clients.py
@@ -12,7 +12,7 @@
 import pytest
 from loopback import Backend, Peer, Reply, World, encode, in_loop, request, running, until
 
-from roadpulley import clients
+from roadpulley.edges import clients
 
 
 def array(value: bytes) -> bytes:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -12,7 +12,7 @@
 import uvloop
 
 from roadpulley.__main__ import serve
-from roadpulley.config import parse_config
+from roadpulley.core.settings import parse_config
 
 LOCAL = "127.0.0.1"
 SETTINGS: dict[str, Any] = {
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -18,9 +18,9 @@
 from loopback import LOCAL, Backend, Peer, Reply, Server, World, in_loop, request, running, until
 
 from mintford import interface as api
-from roadpulley import clock
 from roadpulley.__main__ import drain_times
-from roadpulley.config import ConfigError, parse_config
+from roadpulley.core import clock
+from roadpulley.core.settings import ConfigError, parse_config
 
 ROOT = Path(__file__).parents[1]
 
