--- /dev/null
+++ b/roadpulley/testbed/auditor.py
@@ -0,0 +1,385 @@
+"""Says from the ledgers which rules held, with figures. No clock, no socket, no file.
+
+The five rules are those that every gateway is held to; `protocol` is a sixth: nobody sent what the protocol
+pages don't allow. Every time limit is wider by the time for which the gateway or the machine demonstrably
+stood still, and a request on a link that the timeline disturbed is not held against the gateway: it is
+counted as excused instead.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from mintford import interface as api
+
+from .ledger import MACHINE, Ask, Attempt, Ledger, Told
+from .terms import Terms
+
+SOCKET_MS = 50.0  # each time limit is this much longer on sockets
+CEILING_MS = 150.0  # the slack of a ceiling is wider by what its rate gives in this time
+TOLD_MS = 6_000.0  # what discovery has to tell counts as told after this, whether or not it arrived
+TO_BLAME = 2 / 3  # of the work that felled a cold node must come from gateways that were told of its start
+COLD_SLACK = 4.0  # requests of mean work over the budget of a cold node: chance
+LATE_MS = 100.0  # the machine stood still for this long in all: the run was late
+SHOWN = 12  # breaches that are kept in words; all are counted
+
+
+@dataclass
+class Rule:
+    name: str
+    breaches: int = 0
+    words: list[str] = field(default_factory=list)  # of the first breaches
+    figures: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def ok(self) -> bool:
+        return not self.breaches
+
+    def breach(self, words: str) -> None:
+        self.breaches += 1
+        if len(self.words) < SHOWN:
+            self.words.append(words)
+
+    def to_json(self) -> dict[str, Any]:
+        return {"ok": self.ok, "breaches": self.breaches, "words": self.words, **self.figures}
+
+
+@dataclass
+class Verdict:
+    rules: dict[str, Rule]
+    late_ms: float  # for which the machine stood still
+
+    @property
+    def ok(self) -> bool:
+        return all(rule.ok for rule in self.rules.values())
+
+    @property
+    def late(self) -> bool:
+        return self.late_ms >= LATE_MS
+
+    def lines(self) -> Iterable[str]:
+        for rule in self.rules.values():
+            figures = ", ".join(f"{name} {value:g}" for name, value in rule.figures.items())
+            yield f"{'held  ' if rule.ok else 'BROKEN'} {rule.name:<9} {figures}"
+            yield from (f"         {words}" for words in rule.words)
+        if self.late:
+            yield (
+                f"late: the machine stood still for {self.late_ms:.0f} ms; time limits were widened by that, "
+                "and no gateway is blamed for it"
+            )
+
+
+class Bucket:
+    """An exact store of units: starts full, fills at a rate a second, holds its burst at most."""
+
+    def __init__(self, rate: float, burst: float, now: float) -> None:
+        self.rate, self.burst, self.level, self.at = rate, burst, burst, now
+
+    def fill(self, now: float) -> float:
+        self.level = min(self.burst, self.level + max(0.0, now - self.at) / 1000 * self.rate)
+        self.at = max(self.at, now)
+        return self.level
+
+
+class Case:
+    """The ledgers, sorted for questions."""
+
+    def __init__(self, ledger: Ledger, terms: Terms) -> None:
+        self.ledger, self.terms = ledger, terms
+        self.by_id: dict[str, list[Attempt]] = defaultdict(list)  # those that came whole, in their order
+        for attempt in ledger.attempts:
+            if attempt.last_at is not None:
+                self.by_id[attempt.id].append(attempt)
+        for attempts in self.by_id.values():
+            attempts.sort(key=came)
+        self.told: dict[tuple[str, str], list[Told]] = defaultdict(list)
+        for told in sorted(ledger.told, key=self.told_at):
+            self.told[told.gateway, told.node].append(told)
+
+    def told_at(self, told: Told) -> float:
+        """When it counts as told: at once, or, on a disturbed link, at the latest moment that counts."""
+        link = f"{told.gateway}>discovery"
+        return told.at + TOLD_MS if self.ledger.disturbed(link, told.at, told.at + TOLD_MS) else told.at
+
+    def last_told(self, gateway: str, node: str, before: float) -> Told | None:
+        found = None
+        for told in self.told[gateway, node]:
+            if self.told_at(told) > before:
+                break
+            found = told
+        return found
+
+
+def came(attempt: Attempt) -> float:
+    assert attempt.last_at is not None
+    return attempt.last_at
+
+
+def may_have_run(attempt: Attempt) -> bool:
+    return attempt.how != "busy"
+
+
+# ---- rule 1: every request answered, once, in time, with what was made for it ----
+
+
+def answered(case: Case, rule: Rule) -> None:
+    ledger = case.ledger
+    made = {(a.node, a.serial): a.id for a in ledger.attempts if a.serial}
+    excused = late = lost = pending = 0
+    slowest = 0.0
+    for ask in ledger.asks:
+        if ask.how in ("unreachable", "left"):
+            continue
+        limit = ask.sent_at + ask.wait + case.terms.answer_slack + SOCKET_MS
+        limit += ledger.paused(ask.gateway, ask.sent_at, limit)
+        wrong = fault_of(case, ask, limit, made)
+        if ask.answered_at is not None and ask.how in ("served", "refused", "failed"):
+            slowest = max(slowest, ask.answered_at - ask.sent_at - ask.wait)
+        if ask.how == "open" and limit > ledger.closed_at:
+            pending += 1  # nobody looked until its time was up
+        elif not wrong:
+            continue
+        elif ledger.killed(ask.gateway, ask.sent_at, limit) or ledger.disturbed(
+            f"clients>{ask.gateway}", ask.sent_at, limit
+        ):
+            excused += 1
+        else:
+            late += wrong.startswith("late")
+            lost += not wrong.startswith("late")
+            rule.breach(f"{ask.id} at {ask.gateway}: {wrong}")
+    for odd in ledger.oddities:
+        if odd.link.startswith("clients>") and not ledger.disturbed(odd.link, odd.at, odd.at):
+            rule.breach(f"{odd.link}: {odd.what}")
+    rule.figures.update(
+        asked=len(ledger.asks),
+        late=late,
+        lost=lost,
+        excused=excused,
+        pending=pending,
+        over_deadline_ms=slowest,
+    )
+
+
+def fault_of(case: Case, ask: Ask, limit: float, made: dict[tuple[str, int], str]) -> str:
+    """What is wrong with the end of a request, in words; empty if nothing is."""
+    if ask.crossed_at is not None:
+        before = [a for a in case.by_id[ask.id] if a.gateway == ask.gateway and came(a) < ask.crossed_at]
+        if before:
+            return "its connection was closed though the request had been read and sent on"
+    if ask.how == "open":
+        return "never answered"
+    if ask.how in ("lost", "spoilt"):
+        return ask.note or "its connection ended without a whole answer"
+    if ask.answered_at is not None and ask.answered_at > limit:
+        return f"late by {ask.answered_at - limit:.0f} ms"
+    if ask.how == "served" and made.get((ask.node, ask.serial)) != ask.id:
+        return f"served with value {ask.serial} of {ask.node or '?'}, which was not made for it"
+    return ""
+
+
+# ---- rule 2: effects never repeat ----
+
+
+def effects(case: Case, rule: Rule) -> None:
+    repeats = overlaps = refusals = twice = 0
+    for id, attempts in case.by_id.items():
+        kind = case.terms.classes.get(attempts[0].kind)
+        if kind is None:
+            continue
+        runs = sum(a.ran for a in attempts)
+        if kind.effect is not api.Effect.SAFE and runs > 1:
+            twice += 1
+            rule.breach(f"{id} ({kind.name}): its effect happened {runs} times")
+        for number, attempt in enumerate(attempts[1:], 1):
+            earlier = attempts[:number]
+            if words := forbidden(case, kind, earlier, attempt):
+                repeats += 1
+                rule.breach(f"{id} ({kind.name}): {words}")
+            if not case.terms.may_duplicate and any(still_out(case, a, attempt) for a in earlier):
+                overlaps += 1
+                rule.breach(f"{id} ({kind.name}): sent to {attempt.node} while an earlier attempt was out")
+    for ask in case.ledger.asks:
+        kind = case.terms.classes.get(ask.kind)
+        if ask.how != "refused" or kind is None or ask.answered_at is None or harmless(kind):
+            continue
+        if any(may_have_run(a) and came(a) <= ask.answered_at for a in case.by_id[ask.id]):
+            refusals += 1
+            rule.breach(f"{ask.id} ({kind.name}): refused though it may have run")
+    rule.figures.update(repeats=repeats, overlaps=overlaps, refusals=refusals, ran_twice=twice)
+
+
+def harmless(kind: api.RequestClass) -> bool:
+    by_all = kind.effect is api.Effect.KEYED and kind.group is api.Group.ALL
+    return kind.effect is api.Effect.SAFE or by_all
+
+
+def forbidden(case: Case, kind: api.RequestClass, earlier: list[Attempt], attempt: Attempt) -> str:
+    ran = [a for a in earlier if may_have_run(a)]
+    if not ran or kind.effect is api.Effect.SAFE:
+        return ""
+    if kind.effect is api.Effect.UNSAFE:
+        return f"sent again to {attempt.node} though {ran[0].node} may have run it"
+    first = ran[0]
+    window = kind.repeat_window + SOCKET_MS
+    window += case.ledger.paused(attempt.gateway, came(first), came(attempt))
+    if came(attempt) - came(first) > window:
+        return f"sent again {came(attempt) - came(first):.0f} ms after the first, past the window"
+    places = {s.node: (s.zone, s.cell) for s in case.ledger.started}
+    one, other = places.get(first.node, ("", 0)), places.get(attempt.node, ("", 0))
+    apart = one[0] != other[0] or (kind.group is api.Group.CELL and one[1] != other[1])
+    if kind.group is not api.Group.ALL and apart:
+        return f"sent again to {attempt.node}, outside the group of {first.node} that drops repeats"
+    return ""
+
+
+def still_out(case: Case, earlier: Attempt, later: Attempt) -> bool:
+    ends = [at for at in (earlier.ended_at, earlier.gone_at) if at is not None]
+    slack = SOCKET_MS + case.ledger.paused(later.gateway, came(earlier), came(later))
+    return not ends or min(ends) > came(later) + slack
+
+
+# ---- rule 3: drains honoured ----
+
+
+def drains(case: Case, rule: Rule) -> None:
+    judged, worst, excused = 0, 0.0, 0
+    for attempt in case.ledger.attempts:
+        told = case.last_told(attempt.gateway, attempt.node, attempt.first_at)
+        if told is None or told.health == "up":
+            continue
+        judged += 1
+        at = case.told_at(told)
+        grace = case.terms.drain_grace + SOCKET_MS + case.ledger.paused(attempt.gateway, at, attempt.first_at)
+        worst = max(worst, attempt.first_at - at)
+        if attempt.first_at - at <= grace:
+            continue
+        link = f"{attempt.gateway}>{attempt.node}"
+        if case.ledger.disturbed(link, at + case.terms.drain_grace, attempt.first_at):
+            excused += 1  # the link may have held it up
+            continue
+        rule.breach(
+            f"{attempt.id}: {attempt.gateway} began to send to {attempt.node} {attempt.first_at - at:.0f} ms "
+            f"after it was told that it is {told.health}"
+        )
+    rule.figures.update(sent_after_told=judged, latest_ms=worst, excused=excused)
+
+
+# ---- rule 4: cold nodes spared ----
+
+
+def cold(case: Case, rule: Rule) -> None:
+    """Work sent to a cold node within any window stays under multiple x present capacity x window."""
+    by_node: dict[str, list[Attempt]] = defaultdict(list)
+    for attempt in case.ledger.attempts:
+        if attempt.last_at is not None:
+            by_node[attempt.node].append(attempt)
+    works = [a.work for a in case.ledger.attempts if a.work]
+    slack = COLD_SLACK * sum(works) / len(works) if works else 0.0
+    fullest, overdriven, judged = 0.0, 0, 0
+    for node, attempts in by_node.items():
+        attempts.sort(key=came)
+        window: deque[Attempt] = deque()
+        for attempt in attempts:
+            if not attempt.cold:
+                window.clear()
+                continue
+            judged += 1
+            window.append(attempt)
+            while came(window[0]) < came(attempt) - case.terms.fall_ms:
+                window.popleft()
+            length = case.terms.fall_ms
+            length += case.ledger.paused(MACHINE, came(attempt) - length, came(attempt))
+            budget = case.terms.fall_multiple * attempt.capacity * length + slack
+            load = sum(a.work for a in window)
+            fullest = max(fullest, load / budget)
+            if load <= budget:
+                continue
+            overdriven += 1
+            knew = sum(a.work for a in window if knows_of_start(case, a))
+            if knew >= TO_BLAME * load:
+                rule.breach(f"{node}: {load:.0f} ms of work within {length:.0f} ms, {budget:.0f} allowed")
+                window.clear()  # one burst is one breach
+    rule.figures.update(sent_cold=judged, fullest=fullest, overdriven=overdriven)
+
+
+def knows_of_start(case: Case, attempt: Attempt) -> bool:
+    starts = [s.at for s in case.ledger.started if s.node == attempt.node and s.at <= came(attempt)]
+    if not starts or came(attempt) - max(starts) > TOLD_MS:
+        return True
+    told = case.last_told(attempt.gateway, attempt.node, came(attempt))
+    return told is not None and told.born >= max(starts) - 1
+
+
+# ---- rule 5: ceilings hold; and how far quotas did ----
+
+
+def ceilings(case: Case, rule: Rule) -> None:
+    stores: dict[str, Bucket] = {}
+    quotas: dict[str, Bucket] = {}
+    lowest = 1.0
+    inside: dict[str, float] = defaultdict(float)
+    beyond: dict[str, float] = defaultdict(float)
+    firsts = sorted((attempts[0] for attempts in case.by_id.values()), key=came)
+    for first in firsts:
+        plan = case.terms.plans.get(first.plan)
+        if plan is None:
+            continue
+        now, begun = came(first), case.ledger.begun_at
+        if plan.rate:
+            quota = quotas.setdefault(first.customer, Bucket(plan.rate, plan.burst, begun))
+            if quota.fill(now) >= first.units:
+                quota.level -= first.units
+                inside[plan.name] += first.units
+            else:
+                beyond[plan.name] += first.units
+        if plan.ceiling_rate:
+            store = stores.setdefault(first.customer, Bucket(plan.ceiling_rate, plan.ceiling_burst, begun))
+            store.fill(now)
+            store.level -= first.units
+            lowest = min(lowest, store.level / plan.ceiling_burst)
+            still = CEILING_MS + case.ledger.paused(MACHINE, now - 2 * LATE_MS, now)
+            if store.level < -(case.terms.ceiling_slack[plan.name] + plan.ceiling_rate * still / 1000):
+                rule.breach(f"{first.customer} ({plan.name}): its store stood at {store.level:.1f} units")
+    rule.figures["lowest_store"] = lowest
+    for name in case.terms.plans:
+        total = inside[name] + beyond[name]
+        rule.figures[f"beyond_quota_{name}"] = round(beyond[name] / total, 4) if total else 0.0
+
+
+# ---- the sixth: the protocol kept ----
+
+
+def protocol(case: Case, rule: Rule) -> None:
+    seen = 0
+    for odd in case.ledger.oddities:
+        if odd.link.startswith("clients>"):
+            continue  # the first rule's
+        seen += 1
+        if not case.ledger.disturbed(odd.link, odd.at, odd.at):
+            rule.breach(f"{odd.link}: {odd.what}")
+    for end in case.ledger.ended:
+        if end.how == "crashed":
+            rule.breach(f"{end.gateway}: its process ended uncalled")
+    rule.figures.update(oddities=seen)
+
+
+RULES: dict[str, Callable[[Case, Rule], None]] = {
+    "answered": answered,
+    "effects": effects,
+    "drains": drains,
+    "cold": cold,
+    "ceilings": ceilings,
+    "protocol": protocol,
+}
+
+
+def judge(ledger: Ledger, terms: Terms) -> Verdict:
+    """The verdict on one run. `terms` must be those that its gateways ran under."""
+    case, rules = Case(ledger, terms), {name: Rule(name) for name in RULES}
+    for name, rule in rules.items():
+        RULES[name](case, rule)
+    late = ledger.paused(MACHINE, ledger.begun_at, min(ledger.closed_at, 1e18))
+    return Verdict(rules, late)
--- /dev/null
+++ b/roadpulley/testbed/ledger.py
@@ -0,0 +1,180 @@
+"""What the stand-ins saw, as plain records: the evidence that the auditor judges by.
+
+All times are milliseconds of the one clock of the testbed (Unix time); None means that it has not happened.
+"""
+
+from __future__ import annotations
+
+import fnmatch
+from dataclasses import asdict, dataclass, field, fields
+from typing import Any, TypeVar
+
+MACHINE = "machine"  # in a pause: everything stood still, not one gateway
+
+
+@dataclass(slots=True)
+class Ask:
+    """One try of a client: one request id at one gateway."""
+
+    id: str
+    gateway: str
+    customer: str
+    plan: str
+    kind: str  # the class
+    units: float
+    wait: float  # how long the client waits
+    sent_at: float  # when its last byte was written
+    root: str = ""  # the id of the client's first try
+    # open, served, refused, failed, lost (the connection ended), left (the client did), unreachable, spoilt
+    how: str = "open"
+    answered_at: float | None = None  # the last byte of the answer, or the end
+    node: str = ""  # that made the value served
+    serial: int = 0  # of the value at that node
+    crossed_at: float | None = None  # the connection was closed as it was written, and it went again
+    note: str = ""
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One command at one node."""
+
+    node: str
+    gateway: str
+    id: str
+    customer: str
+    plan: str
+    kind: str
+    key: str
+    units: float
+    first_at: float  # first byte
+    last_at: float | None = None  # last byte
+    begun_at: float | None = None
+    ended_at: float | None = None  # its answer was written
+    gone_at: float | None = None  # its connection ended
+    how: str = "open"  # open, served, failed, busy (never ran), gone
+    ran: bool = False  # the effect happened: begun, and no repeat of one that had
+    serial: int = 0  # of the value made
+    work: float = 0.0  # core milliseconds
+    capacity: float = 0.0  # of the node when the last byte came, in cores
+    cold: bool = False
+
+
+@dataclass(slots=True)
+class Told:
+    """A gateway was told of a node's state."""
+
+    gateway: str
+    node: str
+    at: float
+    health: str
+    born: float = 0.0
+
+
+@dataclass(slots=True)
+class Started:
+    """A node's process began, cold."""
+
+    node: str
+    at: float
+    zone: str = ""
+    cell: int = 0
+
+
+@dataclass(slots=True)
+class Pause:
+    """A gateway's process, or the machine, stood still."""
+
+    who: str
+    since: float
+    until: float | None = None
+
+
+@dataclass(slots=True)
+class Ended:
+    """A gateway's process ended: `killed` by a fault, `finished` after SIGTERM, or `crashed`."""
+
+    gateway: str
+    at: float
+    how: str
+
+
+@dataclass(slots=True)
+class LinkFault:
+    """A link was disturbed by the timeline."""
+
+    link: str  # "clients>n0", "n0>t3", "n0>counter", "n0>discovery"; may hold *
+    kind: str
+    since: float
+    until: float | None = None
+
+    def touches(self, link: str, since: float, until: float) -> bool:
+        over = self.until is not None and self.until < since
+        return not over and self.since <= until and fnmatch.fnmatchcase(link, self.link)
+
+
+@dataclass(slots=True)
+class Oddity:
+    """Bytes that the protocol doesn't allow: a second answer, a malformed command, ..."""
+
+    link: str
+    at: float
+    what: str
+
+
+@dataclass
+class Ledger:
+    asks: list[Ask] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    told: list[Told] = field(default_factory=list)
+    started: list[Started] = field(default_factory=list)
+    pauses: list[Pause] = field(default_factory=list)
+    ended: list[Ended] = field(default_factory=list)
+    link_faults: list[LinkFault] = field(default_factory=list)
+    oddities: list[Oddity] = field(default_factory=list)
+    begun_at: float = 0.0
+    closed_at: float = float("inf")  # later the clients did not look
+
+    def paused(self, gateway: str, since: float, until: float) -> float:
+        """For how long of a stretch this gateway, or the whole machine, stood still."""
+        spans = sorted(
+            (max(since, p.since), min(until, until if p.until is None else p.until))
+            for p in self.pauses
+            if p.who in (gateway, MACHINE)
+        )
+        total, reached = 0.0, since
+        for start, end in spans:
+            start = max(start, reached)
+            if end > start:
+                total += end - start
+                reached = end
+        return total
+
+    def disturbed(self, link: str, since: float, until: float) -> bool:
+        return any(fault.touches(link, since, until) for fault in self.link_faults)
+
+    def killed(self, gateway: str, since: float, until: float) -> bool:
+        return any(e.gateway == gateway and e.how == "killed" and since <= e.at <= until for e in self.ended)
+
+    # ---- files ----
+
+    def to_json(self) -> dict[str, Any]:
+        lists = {f.name: [asdict(r) for r in getattr(self, f.name)] for f in fields(self) if f.name in KINDS}
+        return {**lists, "begun_at": self.begun_at, "closed_at": self.closed_at}
+
+    @classmethod
+    def from_json(cls, raw: dict[str, Any]) -> Ledger:
+        lists = {name: [kind(**each) for each in raw[name]] for name, kind in KINDS.items()}
+        return cls(**lists, begun_at=raw["begun_at"], closed_at=raw["closed_at"])
+
+
+KINDS: dict[str, Any] = {
+    "asks": Ask,
+    "attempts": Attempt,
+    "told": Told,
+    "started": Started,
+    "pauses": Pause,
+    "ended": Ended,
+    "link_faults": LinkFault,
+    "oddities": Oddity,
+}
+R = TypeVar("R")
--- /dev/null
+++ b/roadpulley/testbed/scenario.py
@@ -0,0 +1,349 @@
+"""A scenario: an installation, its load and a timeline of faults. Read from TOML or made in Python.
+
+Both ways go through the same checks; everything is checked before anything starts.
+"""
+
+from __future__ import annotations
+
+import fnmatch
+import tomllib
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+from . import terms
+from .checks import Bad, Table
+
+FOLDER = Path(__file__).parent / "scenarios"
+PLANS = tuple(p["name"] for p in terms.PLANS)
+
+# What each kind of fault names, and whether it ends by itself after `for`.
+LINK_FAULTS = {"delay", "cut", "half-open", "reset", "drip", "garbage", "blackhole"}
+GATEWAY_FAULTS = {"kill", "hang", "restart"}
+NODE_FAULTS = {"node-hang", "node-slow", "node-kill", "node-start", "node-drain", "node-replace"}
+COUNTER_FAULTS = {"counter-lost", "counter-slow", "counter-full"}
+KINDS = {
+    **{kind: "link" for kind in LINK_FAULTS},
+    **{kind: "gateway" for kind in GATEWAY_FAULTS},
+    **{kind: "node" for kind in NODE_FAULTS},
+    **{kind: "counter" for kind in COUNTER_FAULTS},
+    "discovery-silent": "discovery",
+    "rush": "plan",
+    "stall": "machine",
+}
+LASTING = {"delay", "cut", "half-open", "drip", "blackhole", "hang", "node-hang", "node-slow", "rush"} | (
+    COUNTER_FAULTS | {"discovery-silent", "stall"}
+)
+
+
+@dataclass(frozen=True)
+class Fault:
+    """One entry of the timeline. Times are seconds; `at` counts from the first request."""
+
+    at: float
+    kind: str
+    target: str = ""  # a link, gateway, node or plan; may hold * for links, gateways and nodes
+    seconds: float = 0.0  # how long it lasts; 0: to the end
+    ms: float = 0.0  # delay: one way; counter-slow: each call
+    factor: float = 1.0  # rush: times the usual load; node-slow: times the usual work
+    after: int = 0  # reset, garbage: bytes of a connection that pass first
+    direction: str = "both"  # of a link: there (away from the client's side), back, both
+    rate: float = 0.0  # drip: bytes a second
+    by: str = ""  # node-replace: the new node's name
+
+    def words(self) -> str:
+        parts = [self.kind, self.target]
+        for name, value in (("x", self.factor), ("", f"{self.ms:g} ms" if self.ms else "")):
+            if value not in (1.0, ""):
+                parts.append(f"{name}{value:g}" if isinstance(value, float) else f"{name}{value}")
+        if self.direction != "both":
+            parts.append(self.direction)
+        if self.by:
+            parts.append(f"by {self.by}")
+        if self.seconds:
+            parts.append(f"for {self.seconds:g} s")
+        return " ".join(part for part in parts if part)
+
+
+@dataclass(frozen=True)
+class NodeKind:
+    """How a tile node behaves. Work is core milliseconds at speed 1."""
+
+    cores: float = 2.0
+    slots: int = 8
+    queue: int = 40
+    speed: float = 1.0
+    work_ms: float = 100.0  # mean
+    work_cv: float = 0.8
+    handshake_ms: float = 1.0  # work that a new connection costs
+    cold_from: float = 0.25  # share of the capacity right after a start
+    warm_s: float = 6.0
+    thrash: float = 0.15  # of the speed, lost when twice as many as `thrash_at` are held
+    thrash_at: float = 24.0
+    connections: int = 400
+    streams: int = 32  # commands of one connection that are begun at once
+    idle_s: float = 15.0
+    error_rate: float = 0.001
+    cancel: str = "queued"  # what stops when its connection ends: none, queued, all
+    drops_expired: bool = True
+    value_bytes: int = 600
+
+
+@dataclass(frozen=True)
+class CounterKind:
+    parts: int = 2
+    per_s: float = 500.0  # calls that a part serves
+    ms: float = 1.0  # a call's own time
+    queue_ms: float = 120.0  # a call that would wait longer is turned away
+
+
+@dataclass(frozen=True)
+class Load:
+    rate: float = 60.0  # requests a second, all plans together
+    heavy: float = 0.1  # share of the customers that ask far more than their quota
+    heavy_x: float = 3.0  # times the quota
+    spread: int = 2  # gateways of a customer's set
+    retries: int = 1
+    backoff_ms: float = 150.0
+    honour: float = 0.8  # share of the clients that heed the time to come back
+    notice_s: float = 2.0  # until the front notices that a gateway died
+    writes: float = 0.35  # share of search-order
+    filings: float = 0.05  # share of deed-filing
+
+
+@dataclass(frozen=True)
+class DiscoveryKind:
+    notice_ms: float = 300.0  # from a change until a gateway is told, at most
+    beat_s: float = 2.0  # an empty line while nothing changes
+
+
+@dataclass(frozen=True)
+class Scenario:
+    name: str = "unnamed"
+    about: str = ""
+    seconds: float = 20.0
+    seed: int = 1
+    gateways: int = 3
+    nodes: int = 8
+    node: NodeKind = field(default_factory=NodeKind)
+    counter: CounterKind = field(default_factory=CounterKind)
+    discovery: DiscoveryKind = field(default_factory=DiscoveryKind)
+    load: Load = field(default_factory=Load)
+    faults: tuple[Fault, ...] = ()
+
+    def __post_init__(self) -> None:
+        check(self)
+
+    def with_(self, **changes: object) -> Scenario:
+        """A changed copy, checked again; None leaves a field as it is."""
+        return replace(self, **{k: v for k, v in changes.items() if v is not None})  # type: ignore[arg-type]
+
+    def scaled(self, seconds: float) -> Scenario:
+        """The same in another time: faults keep their order and their share of the whole."""
+        part = seconds / self.seconds
+        faults = tuple(
+            replace(f, at=f.at * part, seconds=f.seconds if f.kind == "stall" else f.seconds * part)
+            for f in self.faults
+        )
+        return replace(self, seconds=seconds, faults=faults)
+
+
+def gateway_names(count: int) -> list[str]:
+    return [f"n{number}" for number in range(count)]
+
+
+def node_names(count: int) -> list[str]:
+    return [f"t{number}" for number in range(count)]
+
+
+def links(scenario: Scenario) -> list[str]:
+    nodes = node_names(scenario.nodes) + [f.by for f in scenario.faults if f.by]
+    gateways = gateway_names(scenario.gateways)
+    return [
+        *(f"clients>{g}" for g in gateways),
+        *(f"{g}>{other}" for g in gateways for other in ("counter", "discovery", *nodes)),
+    ]
+
+
+def check(scenario: Scenario) -> None:
+    """Raises Bad for a timeline that names what is not there or lies past the end."""
+    reach = {
+        "link": links(scenario),
+        "gateway": gateway_names(scenario.gateways),
+        "node": node_names(scenario.nodes) + [f.by for f in scenario.faults if f.by],
+        "plan": list(PLANS),
+    }
+    for number, fault in enumerate(scenario.faults):
+        path = f"fault[{number}]"
+        what = KINDS.get(fault.kind)
+        if what is None:
+            raise Bad(f"{path}.kind", f"is {fault.kind!r}", f"give one of {', '.join(sorted(KINDS))}")
+        if not 0 <= fault.at < scenario.seconds:
+            right = f"give a time from 0 to under {scenario.seconds:g}, the length in seconds"
+            raise Bad(f"{path}.at", f"is {fault.at:g}", right)
+        if what in reach:
+            if not fault.target:
+                raise Bad(f"{path}.target", "is missing", f"name a {what}, such as {reach[what][0]}")
+            if not fnmatch.filter(reach[what], fault.target):
+                some = ", ".join(reach[what][:6])
+                raise Bad(f"{path}.target", f"is {fault.target!r}, no {what} here", f"there are {some}, ...")
+        elif fault.target:
+            raise Bad(f"{path}.target", f"is {fault.target!r}", f"leave it out: {fault.kind} takes none")
+        check_values(path, fault)
+    if not 0 <= scenario.load.writes + scenario.load.filings <= 1:
+        raise Bad("load.writes", "and load.filings are over 1 together", "give shares of all requests")
+
+
+def check_values(path: str, fault: Fault) -> None:
+    needs = {"delay": "ms", "counter-slow": "ms", "rush": "factor", "node-slow": "factor", "drip": "rate"}
+    name = needs.get(fault.kind)
+    if name and getattr(fault, name) in (0.0, 1.0):
+        raise Bad(f"{path}.{name}", "is missing", f"{fault.kind} needs it")
+    if fault.kind == "node-replace" and not fault.by:
+        raise Bad(f"{path}.by", "is missing", "name the node that takes the address over")
+    if fault.kind == "stall" and not 0 < fault.seconds <= 2:
+        raise Bad(f"{path}.for", f"is {fault.seconds:g}", "give seconds, over 0 and up to 2")
+    if fault.seconds and fault.kind not in LASTING | {"restart", "node-drain"}:
+        raise Bad(f"{path}.for", f"is {fault.seconds:g}", f"leave it out: {fault.kind} does not last")
+    if fault.direction not in ("there", "back", "both"):
+        raise Bad(f"{path}.direction", f"is {fault.direction!r}", "give one of back, both, there")
+    if fault.kind == "half-open" and fault.direction == "both":
+        raise Bad(f"{path}.direction", "is missing", "give the direction that is lost, there or back")
+
+
+# ---- TOML ----
+
+
+def read(raw: object, name: str = "unnamed") -> Scenario:
+    """A scenario from a parsed file. Raises Bad."""
+    top = Table(raw)
+    values = dict(
+        name=top.text("name", name),
+        about=top.text("about", ""),
+        seconds=top.number("seconds", 20.0, 1, 86_400),
+        seed=top.whole("seed", 1, 0, 2**63),
+        gateways=top.whole("gateways", 3, 1, 64),
+        nodes=top.whole("nodes", 8, 1, 500),
+        node=read_node(top.table("node")),
+        counter=read_counter(top.table("counter")),
+        discovery=read_discovery(top.table("discovery")),
+        load=read_load(top.table("load")),
+        faults=tuple(sorted((read_fault(t) for t in top.tables("fault")), key=lambda f: f.at)),
+    )
+    top.done()
+    return Scenario(**values)  # type: ignore[arg-type]
+
+
+def read_fault(t: Table) -> Fault:
+    fault = Fault(
+        at=t.number("at", ..., 0, 86_400),
+        kind=t.text("kind", ..., KINDS),
+        target=t.text("target", ""),
+        seconds=t.number("for", 0.0, 0, 86_400),
+        ms=t.number("ms", 0.0, 0, 60_000),
+        factor=t.number("factor", 1.0, 0.01, 100),
+        after=t.whole("after", 0, 0, 2**31),
+        direction=t.text("direction", "both", ("there", "back", "both")),
+        rate=t.number("rate", 0.0, 0, 1e9),
+        by=t.text("by", ""),
+    )
+    t.done()
+    return fault
+
+
+def read_node(t: Table) -> NodeKind:
+    d = NodeKind()
+    kind = NodeKind(
+        cores=t.number("cores", d.cores, 0.1, 128),
+        slots=t.whole("slots", d.slots, 1, 10_000),
+        queue=t.whole("queue", d.queue, 0, 100_000),
+        speed=t.number("speed", d.speed, 0.01, 100),
+        work_ms=t.number("work_ms", d.work_ms, 0.01, 60_000),
+        work_cv=t.number("work_cv", d.work_cv, 0, 5),
+        handshake_ms=t.number("handshake_ms", d.handshake_ms, 0, 1_000),
+        cold_from=t.number("cold_from", d.cold_from, 0.01, 1),
+        warm_s=t.number("warm_s", d.warm_s, 0, 600),
+        thrash=t.number("thrash", d.thrash, 0, 0.9),
+        thrash_at=t.number("thrash_at", d.thrash_at, 1, 100_000),
+        connections=t.whole("connections", d.connections, 1, 100_000),
+        streams=t.whole("streams", d.streams, 1, 10_000),
+        idle_s=t.number("idle_s", d.idle_s, 0.05, 3_600),
+        error_rate=t.number("error_rate", d.error_rate, 0, 1),
+        cancel=t.text("cancel", d.cancel, ("none", "queued", "all")),
+        drops_expired=t.whole("drops_expired", int(d.drops_expired), 0, 1) == 1,
+        value_bytes=t.whole("value_bytes", d.value_bytes, 64, 65_536),
+    )
+    t.done()
+    return kind
+
+
+def read_counter(t: Table) -> CounterKind:
+    d = CounterKind()
+    kind = CounterKind(
+        parts=t.whole("parts", d.parts, 1, 64),
+        per_s=t.number("per_s", d.per_s, 1, 1e6),
+        ms=t.number("ms", d.ms, 0, 10_000),
+        queue_ms=t.number("queue_ms", d.queue_ms, 0, 60_000),
+    )
+    t.done()
+    return kind
+
+
+def read_discovery(t: Table) -> DiscoveryKind:
+    d = DiscoveryKind()
+    kind = DiscoveryKind(
+        notice_ms=t.number("notice_ms", d.notice_ms, 0, 60_000), beat_s=t.number("beat_s", d.beat_s, 0.05, 60)
+    )
+    t.done()
+    return kind
+
+
+def read_load(t: Table) -> Load:
+    d = Load()
+    load = Load(
+        rate=t.number("rate", d.rate, 0.1, 100_000),
+        heavy=t.number("heavy", d.heavy, 0, 1),
+        heavy_x=t.number("heavy_x", d.heavy_x, 1, 100),
+        spread=t.whole("spread", d.spread, 1, 64),
+        retries=t.whole("retries", d.retries, 0, 20),
+        backoff_ms=t.number("backoff_ms", d.backoff_ms, 0, 60_000),
+        honour=t.number("honour", d.honour, 0, 1),
+        notice_s=t.number("notice_s", d.notice_s, 0, 600),
+        writes=t.number("writes", d.writes, 0, 1),
+        filings=t.number("filings", d.filings, 0, 1),
+    )
+    t.done()
+    return load
+
+
+def load(path: Path) -> Scenario:
+    """Raises Bad for a file that can't be read or is not right."""
+    try:
+        raw = tomllib.loads(path.read_text())
+    except OSError as error:
+        raise Bad(str(path), f"can't be read ({error.strerror})", "name a file that is there") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise Bad(str(path), f"is no TOML ({error})", "mend that place") from error
+    try:
+        return read(raw, path.stem)
+    except Bad as error:
+        raise Bad(f"{path}: {error.path}", *str(error).partition(": ")[2].split("; ", 1)) from error
+
+
+def shipped() -> dict[str, Path]:
+    """The scenarios that come with the package, by name."""
+    return {path.stem: path for path in sorted(FOLDER.glob("*.toml"))}
+
+
+def find(name: str) -> Scenario:
+    """A shipped scenario by its name, or a file by its path. Raises Bad."""
+    known = shipped()
+    if name in known:
+        return load(known[name])
+    if name.endswith(".toml") or "/" in name:
+        return load(Path(name))
+    raise Bad("--scenario", f"is {name!r}", f"give a file or one of {', '.join(known)}")
+
+
+def rushes(faults: Iterable[Fault]) -> list[Fault]:
+    return [fault for fault in faults if fault.kind == "rush"]
