--- a/roadpulley/testbed/auditor.py
+++ b/roadpulley/testbed/auditor.py
@@ -166,8 +166,8 @@
 def fault_of(case: Case, ask: Ask, limit: float, made: dict[tuple[str, int], str]) -> str:
     """What is wrong with the end of a request, in words; empty if nothing is."""
     if ask.crossed_at is not None:
-        before = [a for a in case.by_id[ask.id] if a.gateway == ask.gateway and came(a) < ask.crossed_at]
-        if before:
+        by = [a for a in case.by_id.get(ask.id, ()) if a.gateway == ask.crossed_by]
+        if any(came(a) < ask.crossed_at for a in by):
             return "its connection was closed though the request had been read and sent on"
     if ask.how == "open":
         return "never answered"
@@ -205,7 +205,7 @@
         kind = case.terms.classes.get(ask.kind)
         if ask.how != "refused" or kind is None or ask.answered_at is None or harmless(kind):
             continue
-        if any(may_have_run(a) and came(a) <= ask.answered_at for a in case.by_id[ask.id]):
+        if any(may_have_run(a) and came(a) <= ask.answered_at for a in case.by_id.get(ask.id, ())):
             refusals += 1
             rule.breach(f"{ask.id} ({kind.name}): refused though it may have run")
     rule.figures.update(repeats=repeats, overlaps=overlaps, refusals=refusals, ran_twice=twice)
--- a/roadpulley/testbed/checks.py
+++ b/roadpulley/testbed/checks.py
@@ -45,9 +45,7 @@
             raise Bad(self.at(key), "is missing", right)
         return default
 
-    def number(
-        self, key: str, default: Any = ..., least: float = -math.inf, most: float = math.inf
-    ) -> float:
+    def number(self, key: str, default: Any = ..., least: float = -math.inf, most: float = math.inf) -> float:
         right = f"give a number{limits(least, most)}"
         value = self.take(key, default, right)
         if isinstance(value, bool) or not isinstance(value, int | float) or not math.isfinite(value):
--- /dev/null
+++ b/roadpulley/testbed/front.py
@@ -0,0 +1,346 @@
+"""Clients behind a front: they ask, wait, check each answer, and try again as their class allows."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import cast
+
+from roadpulley.core.clock import now_ms
+
+from .answers import Answer, AnswerReader, Spoilt
+from .arrivals import Arrival
+from .ledger import Ask, Ledger, Oddity
+from .relay import Relay
+from .scenario import Load
+from .server import LOCAL
+from .terms import CLASSES
+
+PING_MS = 40.0  # between looks at a gateway that is not taken in yet
+PATIENCE_MS = 600.0  # that a client looks on after its time, so that a late answer shows as late
+CONNECT_S = 0.5
+LEAVING_MS = 300.0  # new connections go on coming for this long after a planned restart began
+LEAST_WAIT_MS = 150.0  # with less time left nobody tries again
+EFFECT = {c["name"]: c["effect"] for c in CLASSES}
+GROUP = {c["name"]: c.get("group", "all") for c in CLASSES}
+WINDOW = {c["name"]: float(c.get("repeatWindow", 0)) for c in CLASSES}
+
+
+def encode(*args: bytes) -> bytes:
+    return b"*%d\r\n" % len(args) + b"".join(b"$%d\r\n%b\r\n" % (len(a), a) for a in args)
+
+
+def command(arrival: Arrival, id: str, wait: int) -> bytes:
+    who = arrival.customer
+    listed = f"c={arrival.kind},t={who.plan},d={wait},"
+    if arrival.key:
+        listed += f"k={arrival.key},"
+    listed += f"units=1,spread={who.spread},first={who.first}"
+    verb = b"API.READ" if EFFECT[arrival.kind] == "pure" else b"API.WRITE"
+    return encode(verb, who.id.encode(), id.encode(), listed.encode())
+
+
+@dataclass(eq=False)
+class Try:
+    """An ask with the future of its answer; None: the connection ended."""
+
+    ask: Ask
+    answer: asyncio.Future[Answer | None]
+    sent: bool = False
+
+
+class ClientLink(asyncio.Protocol):
+    """One connection to a gateway; answers are taken in the order of the commands."""
+
+    def __init__(self, gate: Gate) -> None:
+        self.gate, self.reader = gate, AnswerReader()
+        self.waiting: deque[Try] = deque()
+        self.closed = False
+        self.answers = 0
+        self.unusable = False  # a client gave up on it: what comes next here may be the old answer
+        self.pinged: asyncio.Future[bool] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def send(self, one: Try, data: bytes) -> None:
+        self.waiting.append(one)
+        self.transport.write(data)
+        one.ask.sent_at, one.sent = now_ms(), True
+
+    def data_received(self, data: bytes) -> None:
+        self.reader.feed(data)
+        try:
+            while (answer := self.reader.next()) is not None:
+                self.take(answer)
+        except Spoilt as error:
+            if self.waiting:
+                self.waiting[0].ask.note = str(error)
+                self.waiting[0].ask.how = "spoilt"
+            else:
+                self.odd(str(error))
+            self.transport.abort()
+
+    def take(self, answer: Answer) -> None:
+        if self.pinged is not None and answer.how == "said":
+            if not self.pinged.done():
+                self.pinged.set_result(answer.value == b"PONG")
+            self.pinged = None
+        elif not self.waiting:
+            self.odd(f"an answer to nothing: {answer.how}")
+        else:
+            self.answers += 1
+            one = self.waiting.popleft()
+            if not one.answer.done():
+                one.ask.answered_at = now_ms()
+                one.answer.set_result(answer)
+
+    def odd(self, what: str) -> None:
+        self.gate.front.ledger.oddities.append(Oddity(f"clients>{self.gate.name}", now_ms(), what))
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.closed = True
+        self.gate.links.discard(self)
+        waiting, self.waiting = self.waiting, deque()
+        if self.pinged is not None and not self.pinged.done():
+            self.pinged.set_result(False)
+        for place, one in enumerate(waiting):
+            if not one.answer.done():
+                # Only the first can have been answered in part: the rest may just have crossed the close.
+                partly = place == 0 and bool(self.reader.buffer)
+                one.ask.note = one.ask.note or ("an answer that is not whole" if partly else "")
+                one.ask.answered_at = now_ms()
+                one.answer.set_result(None)
+
+
+class Gate:
+    """One gateway as the front knows it."""
+
+    def __init__(self, front: Front, name: str, relay: Relay, running: Callable[[], bool]) -> None:
+        self.front, self.name, self.relay, self.running = front, name, relay, running
+        self.taken_in = self.leaving = False
+        self.links: set[ClientLink] = set()
+        self.idle: list[ClientLink] = []
+
+    async def connect(self) -> ClientLink:
+        """Raises OSError, TimeoutError among them."""
+        async with asyncio.timeout(CONNECT_S):
+            if not self.relay.troubles:
+                await self.relay.prepare()
+            loop = asyncio.get_running_loop()
+            _, link = await loop.create_connection(lambda: ClientLink(self), LOCAL, self.relay.port.number)
+        self.links.add(link)
+        return link
+
+    def spare(self, depth: int) -> ClientLink | None:
+        """A connection that can take one more request."""
+        while self.idle:
+            link = self.idle.pop()
+            if not link.closed and not link.unusable:
+                return link
+        if depth > 1:
+            open_ = [c for c in self.links if not c.closed and not c.unusable and 0 < len(c.waiting) < depth]
+            return min(open_, key=lambda c: len(c.waiting), default=None)
+        return None
+
+    def release(self, link: ClientLink) -> None:
+        if not link.closed and not link.unusable and not link.waiting:
+            self.idle.append(link)
+
+    async def answers_ping(self) -> bool:
+        try:
+            link = await self.connect()
+        except OSError:
+            return False
+        link.pinged = asyncio.get_running_loop().create_future()
+        link.transport.write(encode(b"PING"))
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                good = await link.pinged
+        except TimeoutError:
+            link.transport.abort()
+            return False
+        self.release(link)
+        return good
+
+    def close(self) -> None:
+        for link in list(self.links):
+            link.transport.abort()
+
+
+@dataclass
+class Result:
+    """How a request ended for its client, all tries together."""
+
+    arrival: Arrival
+    how: str  # served, refused, failed, unanswered
+    ms: float
+    tries: int
+
+
+Done = Callable[[Result], None]
+
+
+@dataclass(eq=False)
+class Front:
+    load: Load
+    ledger: Ledger
+    seed: int
+    done: Done
+    gates: list[Gate] = field(default_factory=list)
+    open: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def add(self, name: str, relay: Relay, running: Callable[[], bool]) -> None:
+        self.gates.append(Gate(self, name, relay, running))
+
+    # ---- which gateways clients are dealt to ----
+
+    async def watch(self, gate: Gate) -> None:
+        """Take a gateway in once it answers PING, and notice some seconds late that it has died."""
+        gone_since: float | None = None
+        while True:
+            await asyncio.sleep(PING_MS / 1000)
+            if not gate.taken_in:
+                if not gate.leaving and gate.running() and await gate.answers_ping():
+                    gate.taken_in = True
+                gone_since = None
+                continue
+            if gate.running():
+                gone_since = None
+                continue
+            gone_since = now_ms() if gone_since is None else gone_since
+            if now_ms() - gone_since > self.load.notice_s * 1000:
+                gate.taken_in = False
+
+    async def leave(self, gate: Gate) -> None:
+        """A planned restart: told to the front, which sends no new connections after a moment."""
+        await asyncio.sleep(LEAVING_MS / 1000)
+        gate.leaving = True
+
+    def back(self, gate: Gate) -> None:
+        gate.leaving = gate.taken_in = False
+
+    def choose(self, arrival: Arrival, place: int) -> Gate:
+        """The gateway at a place of the customer's set, or the next that is taken in."""
+        who = arrival.customer
+        for step in range(who.spread):
+            gate = self.gates[(who.first + (place + step) % who.spread) % len(self.gates)]
+            if gate.taken_in and not (gate.leaving and not any(not c.closed for c in gate.links)):
+                return gate
+        return self.gates[(who.first + place) % len(self.gates)]
+
+    # ---- asking ----
+
+    def start(self, arrival: Arrival) -> None:
+        task = asyncio.get_running_loop().create_task(self.serve(arrival))
+        self.open.add(task)
+        task.add_done_callback(self.open.discard)
+
+    async def serve(self, arrival: Arrival) -> None:
+        """One request of a client, with its further tries."""
+        rng = random.Random(f"{self.seed}:{arrival.root}")
+        began, place, how, tries, again = now_ms(), arrival.place, "failed", 0, 0
+        while True:
+            left = began + arrival.patience - now_ms()
+            if left < LEAST_WAIT_MS and tries:
+                break
+            id = arrival.root if not tries else f"{rng.getrandbits(64):016x}"
+            tries += 1
+            how, retry_after, gone = await self.ask(arrival, id, place, left)
+            if how == "served":
+                break
+            place += 1
+            if how == "unreachable" and gone < 2 * arrival.customer.spread:
+                await asyncio.sleep(0.05)
+                continue
+            again += 1
+            if again > self.load.retries or not may_retry(arrival.kind, how, now_ms() - began):
+                break
+            wait = self.load.backoff_ms * rng.uniform(0.5, 1.5)
+            if retry_after is not None and rng.random() < self.load.honour:
+                wait = max(wait, retry_after)
+            await asyncio.sleep(wait / 1000)
+        final = {"served": "served", "refused": "refused", "failed": "failed"}.get(how, "unanswered")
+        self.done(Result(arrival, final, now_ms() - began, tries))
+
+    async def ask(self, arrival: Arrival, id: str, place: int, left: float) -> tuple[str, float | None, int]:
+        """One try; gives how it ended, the time to come back, and how often nobody was reached."""
+        who, wait, gone = arrival.customer, max(1, int(left)), 0
+        ask = Ask(id, "", who.id, who.plan, arrival.kind, 1.0, float(wait), now_ms(), arrival.root)
+        ledgered = False
+        while True:
+            gate = self.choose(arrival, place + gone)
+            ask.gateway = gate.name
+            link = gate.spare(self.load.pipeline)
+            reused = link is not None
+            try:
+                link = link or await gate.connect()
+            except OSError:  # time-outs are among these
+                gone += 1
+                if gone > who.spread:
+                    ask.how = "unreachable"
+                    return "unreachable", None, gone
+                await asyncio.sleep(0.01)
+                continue
+            one = Try(ask, asyncio.get_running_loop().create_future())
+            link.send(one, command(arrival, id, wait))
+            if not ledgered:
+                self.ledger.asks.append(ask)
+                ledgered = True
+            answer = await self.wait(link, one, wait)
+            if answer is not None:
+                gate.release(link)
+                return self.note(ask, answer, gone)
+            if ask.answered_at is None:  # its time is up
+                return "open", None, gone
+            if reused and not ask.note and ask.crossed_at is None:
+                # The gateway closed a connection between requests: this one may have crossed that.
+                ask.crossed_at, ask.crossed_by, ask.answered_at = ask.answered_at, gate.name, None
+                continue
+            if ask.how == "open":
+                ask.how = "lost"
+            return "lost", None, gone
+
+    async def wait(self, link: ClientLink, one: Try, wait: float) -> Answer | None:
+        try:
+            async with asyncio.timeout((wait + PATIENCE_MS) / 1000):
+                return await one.answer
+        except TimeoutError:
+            link.unusable = True
+            if link.waiting and all(o.answer.done() or o is one for o in link.waiting):
+                link.transport.abort()
+            return None
+
+    def note(self, ask: Ask, answer: Answer, gone: int) -> tuple[str, float | None, int]:
+        ask.how = answer.how if answer.how in ("served", "refused", "failed") else "spoilt"
+        if answer.how == "served":
+            made = answer.made_by()
+            if made is not None and made[0] == ask.id:
+                ask.node, ask.serial = made[1], made[2]
+            else:
+                ask.node, ask.note = "nobody", f"value {answer.value[:40]!r}"
+        return ask.how, answer.retry_after, gone
+
+    async def finish(self) -> None:
+        """Wait until every request has ended."""
+        while self.open:
+            await asyncio.wait(list(self.open))
+
+    def close(self) -> None:
+        for task in list(self.open):
+            task.cancel()
+        for gate in self.gates:
+            gate.close()
+
+
+def may_retry(kind: str, how: str, since_first: float) -> bool:
+    """Whether a client tries again: a pure one always, a keyed one in its window, others if harmless."""
+    if how in ("refused", "unreachable") or EFFECT[kind] == "pure":
+        return True
+    keyed = EFFECT[kind] == "token" and GROUP[kind] == "all"
+    return keyed and since_first < WINDOW[kind] - 500.0
--- /dev/null
+++ b/roadpulley/testbed/installation.py
@@ -0,0 +1,291 @@
+"""Puts an installation together, runs a scenario on it and has it judged."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import tempfile
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+
+from roadpulley.core.clock import now_ms
+
+from . import terms
+from .arrivals import Arrival, arrivals
+from .auditor import Verdict, judge
+from .catalogue import Host
+from .counter import Counter
+from .discovery import Discovery
+from .front import Front, Result
+from .ledger import MACHINE, Ledger, Pause, Told
+from .node import Node
+from .node_machine import Seen
+from .processes import ChildFailed, GatewayProcess
+from .relay import Relay
+from .scenario import Scenario, gateway_names, node_names
+from .server import LOCAL, Origins, Port, Server
+from .stats import Stats
+
+READY_S = 15.0
+LAG_STEP_MS, LAG_MS = 10.0, 40.0  # how often the loop is looked at; the lag that counts as standing still
+SEED_BASE = 0x8C1F30D27A5BE964
+
+
+class SetupFailed(Exception):
+    """The installation could not be started. The text is one line."""
+
+
+@dataclass
+class Outcome:
+    scenario: Scenario
+    ledger: Ledger
+    stats: Stats
+    verdict: Verdict
+
+    def to_json(self) -> dict[str, object]:
+        return {
+            "scenario": self.scenario.name,
+            "seed": self.scenario.seed,
+            "seconds": self.scenario.seconds,
+            **self.stats.to_json(),
+            "ok": self.verdict.ok,
+            "late": self.verdict.late,
+            "late_ms": round(self.verdict.late_ms, 1),
+            "rules": {name: rule.to_json() for name, rule in self.verdict.rules.items()},
+        }
+
+
+Say = Callable[[str], None]
+
+
+class Installation:
+    """All parts of one scenario, on loopback. `say` is told of events in words."""
+
+    def __init__(self, scenario: Scenario, say: Say | None = None, folder: Path | None = None) -> None:
+        self.scenario, self.say = scenario, say or (lambda words: None)
+        self.ledger, self.origins, self.stats = Ledger(), Origins(), Stats()
+        self.terms = terms.Terms.read(terms.settings(0, scenario.gateways))
+        self.kept = None if folder else tempfile.TemporaryDirectory(prefix="roadpulley-")
+        self.folder = folder or Path(self.kept.name if self.kept else ".")
+        self.counter = Counter(kind=scenario.counter, ledger=self.ledger, origins=self.origins)
+        self.discovery = Discovery(
+            scenario.discovery,
+            self.ledger,
+            self.origins,
+            self.dial,
+            random.Random(f"{scenario.seed}:discovery"),
+        )
+        self.front = Front(scenario.load, self.ledger, scenario.seed, self.on_done)
+        self.nodes: dict[str, Node] = {}
+        self.at: dict[str, str] = {}  # the node whose address another's relays lead to, by its name
+        self.seen = Seen(max(c.repeat_window for c in self.terms.classes.values()))
+        self.gateways: dict[str, GatewayProcess] = {}
+        self.relays: dict[str, Relay] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.failed: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self.started_at = 0.0  # of the load
+
+    # ---- parts ----
+
+    def dial(self, gateway: str, host: str) -> str:
+        relay = self.relays.get(f"{gateway}>{self.at.get(host, host)}")
+        return relay.port.address if relay else ""
+
+    def new_node(self, name: str, place: int) -> Node:
+        node = Node(
+            name,
+            self.scenario.node,
+            self.ledger,
+            self.origins,
+            self.seen,
+            str(self.scenario.seed),
+            terms.ZONES[place % len(terms.ZONES)],
+            place // terms.CELL,
+        )
+        self.nodes[name] = node
+        return node
+
+    def relay(self, name: str, origin: str, target: Callable[[], int]) -> Relay:
+        made = self.relays[name] = Relay(name, origin, self.origins, target)
+        return made
+
+    def relays_to(self, other: str) -> list[Relay]:
+        return [r for name, r in self.relays.items() if name.endswith(f">{other}")]
+
+    def host(self, node: Node, **values: object) -> Host:
+        return Host(node.name, node.zone, "m2", node.cell, **values)  # type: ignore[arg-type]
+
+    # ---- start ----
+
+    async def __aenter__(self) -> Installation:
+        try:
+            await self.start()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.stop()
+
+    async def start(self) -> None:
+        """Start all parts and wait until every gateway serves. Raises SetupFailed."""
+        for place, name in enumerate(node_names(self.scenario.nodes)):
+            node = self.new_node(name, place)
+            await node.start(warm=True)
+        await self.counter.start()
+        await self.discovery.start()
+        for name in gateway_names(self.scenario.gateways):
+            self.wire(name)
+        for node in self.nodes.values():
+            self.discovery.put(self.host(node))
+        for relay in self.relays.values():
+            await relay.listen()
+        for index, name in enumerate(gateway_names(self.scenario.gateways)):
+            await self.add_gateway(index, name)
+        self.spawn(self.watch_lag())
+        await self.until_ready()
+
+    def wire(self, gateway: str) -> None:
+        """The links of one gateway, each through a relay of its own."""
+        for name, node in self.nodes.items():
+            self.relay(f"{gateway}>{name}", gateway, lambda node=node: node.port)  # type: ignore[misc]
+        self.relay(f"{gateway}>counter", gateway, lambda: self.counter.port)
+        self.relay(f"{gateway}>discovery", gateway, lambda: self.discovery.port)
+
+    async def add_gateway(self, index: int, name: str) -> None:
+        port = Port()
+        config = {
+            "name": name,
+            "listen": port.address,
+            "discovery": self.relays[f"{name}>discovery"].port.address,
+            "counter": self.relays[f"{name}>counter"].port.address,
+            "seed": f"{(SEED_BASE + self.scenario.seed * 7919 + index) % 2**64:016x}",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": self.discovery.catalogue.whole(lambda host: self.dial(name, host)),
+            "settings": terms.settings(index, self.scenario.gateways),
+        }
+        process = GatewayProcess(name, self.folder, config, port, self.ledger)
+        self.gateways[name] = process
+        relay = self.relay(f"clients>{name}", "", lambda: port.number)
+        await relay.listen()
+        self.front.add(name, relay, lambda: process.running)
+        self.note_known(name)
+        try:
+            await process.start()
+        except OSError as error:
+            raise SetupFailed(f"gateway {name} could not be started: {error.strerror}") from error
+        process.crashed.add_done_callback(self.on_crash)
+        self.spawn(self.front.watch(self.front.gates[index]))
+
+    def note_known(self, name: str) -> None:
+        """A gateway that starts knows the list of its configuration."""
+        for host in self.discovery.catalogue.hosts.values():
+            self.ledger.told.append(Told(name, host.host, now_ms(), host.health, host.born_ms))
+
+    def on_crash(self, crashed: asyncio.Future[str]) -> None:
+        if not crashed.cancelled() and not self.failed.done():
+            self.say(crashed.result())
+            self.failed.set_result(crashed.result())
+
+    async def until_ready(self) -> None:
+        end = now_ms() + READY_S * 1000
+        while not all(gate.taken_in for gate in self.front.gates):
+            if self.failed.done():
+                raise SetupFailed(self.failed.result())
+            if now_ms() > end:
+                missing = [g.name for g in self.front.gates if not g.taken_in]
+                raise SetupFailed(f"not ready after {READY_S:g} s: {', '.join(missing)}")
+            await asyncio.sleep(0.01)
+
+    def spawn(self, work: object) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    async def watch_lag(self) -> None:
+        """Note when this process stood still: then the machine did, or was too busy to judge by."""
+        while True:
+            before = now_ms()
+            await asyncio.sleep(LAG_STEP_MS / 1000)
+            now = now_ms()
+            if now - before - LAG_STEP_MS > LAG_MS:
+                self.ledger.pauses.append(Pause(MACHINE, before, now))
+
+    # ---- the run ----
+
+    async def run(self, stop: asyncio.Event | None = None) -> Outcome:
+        """Play the load and the timeline, wait for the last answers, and judge.
+
+        `stop` ends the load early. Raises ChildFailed where a gateway ended that nobody had ended.
+        """
+        from .timeline import Timeline
+
+        stop = stop or asyncio.Event()
+        self.ledger.begun_at = self.started_at = now_ms()
+        timeline = Timeline(self)
+        playing = self.spawn(timeline.play())
+        load = self.spawn(self.offer(stop))
+        ends: set[asyncio.Future[object]] = {load, self.failed}  # type: ignore[arg-type]
+        await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
+        if self.failed.done():
+            raise ChildFailed(self.failed.result())
+        load.result()
+        if not stop.is_set():
+            await self.front.finish()
+            await playing
+        await timeline.end()
+        self.ledger.closed_at = now_ms()
+        return Outcome(self.scenario, self.ledger, self.stats, judge(self.ledger, self.terms))
+
+    async def offer(self, stop: asyncio.Event) -> None:
+        """Start each request at its time; late is better than never, and shows as lag."""
+        for arrival in arrivals(self.scenario):
+            if not await self.wait_until(arrival, stop):
+                return
+            self.front.start(arrival)
+        rest = self.started_at + self.scenario.seconds * 1000 - now_ms()
+        if rest > 0:
+            await asyncio.wait({asyncio.ensure_future(stop.wait())}, timeout=rest / 1000)
+
+    async def wait_until(self, arrival: Arrival, stop: asyncio.Event) -> bool:
+        while (wait := self.started_at + arrival.at - now_ms()) > 0:
+            await asyncio.sleep(min(wait, 200.0) / 1000)
+            if stop.is_set():
+                return False
+        return not stop.is_set()
+
+    def on_done(self, result: Result) -> None:
+        arrival = result.arrival
+        self.stats.add(arrival.kind, arrival.customer.plan, result.how, result.ms)
+
+    # ---- the end ----
+
+    async def stop(self) -> None:
+        """End everything at once; what is still open is not waited for."""
+        self.front.close()
+        for task in list(self.tasks):
+            task.cancel()
+        await asyncio.gather(*(g.stop() for g in self.gateways.values()))
+        for relay in self.relays.values():
+            await relay.stop()
+        for node in self.nodes.values():
+            await node.stop()
+        servers: list[Server] = [self.counter, self.discovery]
+        for server in servers:
+            await server.stop()
+        for gateway in self.gateways.values():
+            gateway.port.free()
+        if self.kept is not None:
+            self.kept.cleanup()
+
+
+def stand_still(seconds: float) -> None:
+    """Hold this whole process up, as a machine that stalls does."""
+    time.sleep(seconds)
+
+
+__all__ = ["LOCAL", "Installation", "Outcome", "SetupFailed"]
--- a/roadpulley/testbed/ledger.py
+++ b/roadpulley/testbed/ledger.py
@@ -31,6 +31,7 @@
     node: str = ""  # that made the value served
     serial: int = 0  # of the value at that node
     crossed_at: float | None = None  # the connection was closed as it was written, and it went again
+    crossed_by: str = ""  # the gateway that closed it
     note: str = ""
 
 
--- /dev/null
+++ b/roadpulley/testbed/processes.py
@@ -0,0 +1,152 @@
+"""Gateways as processes: the very program that the platform's `run` starts.
+
+Danger: if the command that started them is killed outright, its gateways must end too. On Linux the kernel
+sees to that; elsewhere a gateway notices nothing, and `Gateways` end only with an orderly stop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ctypes
+import json
+import os
+import signal
+import sys
+from collections import deque
+from pathlib import Path
+from typing import Any
+
+from roadpulley.core.clock import now_ms
+
+from .ledger import Ended, Ledger, Pause
+from .server import Port
+
+LOG_LINES = 40
+PR_SET_PDEATHSIG = 1
+END_S = 2.0
+
+
+def _libc() -> Any:
+    if not sys.platform.startswith("linux"):
+        return None
+    return ctypes.CDLL(None, use_errno=True)
+
+
+LIBC = _libc()  # loaded before any fork: a child must not load anything
+
+
+def end_with_parent(parent: int) -> None:
+    """In a new child, before its program: ask the kernel to kill it when its parent dies."""
+    if LIBC is not None:
+        LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+        if os.getppid() != parent:  # it died between the fork and this
+            os.kill(os.getpid(), signal.SIGKILL)
+
+
+class ChildFailed(Exception):
+    """A gateway ended that nobody had ended. The text is one line."""
+
+
+class GatewayProcess:
+    def __init__(self, name: str, folder: Path, config: dict[str, Any], port: Port, ledger: Ledger) -> None:
+        self.name, self.folder, self.config, self.port, self.ledger = name, folder, config, port, ledger
+        self.process: asyncio.subprocess.Process | None = None
+        self.lines: deque[str] = deque(maxlen=LOG_LINES)
+        self.reader: asyncio.Task[None] | None = None
+        self.called = False  # its end was asked for
+        self.killed = False
+        self.pause: Pause | None = None
+        self.starts = 0
+        self.crashed: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+
+    @property
+    def running(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    @property
+    def pid(self) -> int:
+        assert self.process is not None
+        return self.process.pid
+
+    async def start(self) -> None:
+        self.called = self.killed = False
+        self.starts += 1
+        path = self.folder / f"{self.name}.json"
+        path.write_text(json.dumps({**self.config, "seed": f"{self.seed():016x}"}))
+        parent = os.getpid()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "roadpulley",
+            env={**os.environ, "LB_CONFIG": str(path), "LB_NAME": self.name},
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+            preexec_fn=lambda: end_with_parent(parent),
+            start_new_session=True,  # Ctrl-C is for the command, which ends them in order
+        )
+        self.reader = asyncio.create_task(self._read(self.process))
+
+    def seed(self) -> int:
+        """New with each start, and the same in each run."""
+        return (int(self.config["seed"], 16) + self.starts * 0x9E3779B97F4A7C15) % 2**64
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr is not None
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            async for line in process.stderr:
+                log.write(line)
+                log.flush()
+                self.lines.append(line.decode(errors="replace").rstrip())
+        code = await process.wait()
+        how = "killed" if self.killed else "finished" if self.called else "crashed"
+        self.ledger.ended.append(Ended(self.name, now_ms(), how))
+        if how == "crashed" and not self.crashed.done():
+            last = next((line for line in reversed(self.lines) if line.strip()), "it said nothing")
+            self.crashed.set_result(f"gateway {self.name} ended uncalled with {code}: {last}")
+
+    # ---- faults ----
+
+    def kill(self) -> None:
+        if self.running:
+            self.called = self.killed = True
+            self.signal(signal.SIGKILL)
+            self.resume()
+
+    def terminate(self) -> None:
+        self.called = True
+        self.signal(signal.SIGTERM)
+
+    def hang(self) -> None:
+        if self.running and self.pause is None:
+            self.pause = Pause(self.name, now_ms())
+            self.ledger.pauses.append(self.pause)
+            self.signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        if self.pause is not None:
+            if self.running and not self.killed:
+                self.signal(signal.SIGCONT)
+            self.pause.until, self.pause = now_ms(), None
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.running:
+            assert self.process is not None
+            try:
+                self.process.send_signal(number)
+            except ProcessLookupError:
+                pass
+
+    async def ended(self, within: float) -> bool:
+        """Wait for its end; whether it came."""
+        if self.reader is None:
+            return True
+        done, _ = await asyncio.wait({self.reader}, timeout=within)
+        return bool(done)
+
+    async def stop(self) -> None:
+        """End it whatever state it is in."""
+        self.called = True
+        self.resume()
+        self.signal(signal.SIGKILL)
+        await self.ended(END_S)
--- /dev/null
+++ b/roadpulley/testbed/relay.py
@@ -0,0 +1,313 @@
+"""A loopback relay that stands for one link, and disturbs it on demand.
+
+Bytes that a cut holds up arrive when it heals, as TCP would bring them; what has been reset is lost. Where
+the far side refuses connections the near side is refused too: the relay listens only while it should.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+from roadpulley.core.clock import now_ms
+
+from .server import LOCAL, Origins, Port
+
+GARBAGE = b"\x00\xff?!garbage\r\n$-7\r\n"
+DRIP_MS = 20.0  # between the pieces of a drip
+THERE, BACK = "there", "back"
+
+
+@dataclass(eq=False)
+class Trouble:
+    """What is wrong with a link just now; several may be."""
+
+    kind: str  # delay, cut, half-open, reset, drip, garbage, blackhole
+    direction: str = "both"
+    ms: float = 0.0
+    after: int = 0
+    rate: float = 0.0
+
+    def on(self, direction: str) -> bool:
+        return self.direction in (direction, "both")
+
+
+class Flow:
+    """One direction of one connection: bytes wait here for their time, in order."""
+
+    def __init__(self, pipe: Pipe, direction: str) -> None:
+        self.pipe, self.direction = pipe, direction
+        self.sink: asyncio.Transport | None = None
+        self.queue: deque[tuple[float, bytes | None]] = deque()  # None: the end of sending
+        self.passed = 0
+        self.spoilt = False
+        self.timer: asyncio.TimerHandle | None = None
+
+    def feed(self, data: bytes | None) -> None:
+        delay = max((t.ms for t in self.troubles("delay")), default=0.0)
+        due = now_ms() + delay
+        if self.queue:
+            due = max(due, self.queue[-1][0])
+        self.queue.append((due, data))
+        self.pump()
+
+    def troubles(self, *kinds: str) -> list[Trouble]:
+        return [t for t in self.pipe.relay.troubles if t.kind in kinds and t.on(self.direction)]
+
+    def pump(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        while self.queue and self.sink is not None and not self.pipe.over:
+            if self.troubles("cut", "half-open", "blackhole"):
+                return  # until it heals
+            due, data = self.queue[0]
+            if (wait := due - now_ms()) > 0:
+                return self._later(wait)
+            if data is None:
+                self.queue.popleft()
+                if self.sink.can_write_eof():
+                    self.sink.write_eof()
+                continue
+            drip = next(iter(self.troubles("drip")), None)
+            if drip is not None:
+                size = max(1, int(drip.rate * DRIP_MS / 1000))
+                if len(data) > size:
+                    self.queue[0] = (now_ms() + DRIP_MS, data[size:])
+                    self._pass(data[:size])
+                    continue
+            self.queue.popleft()
+            self._pass(data)
+
+    def _later(self, ms: float) -> None:
+        # Rounded up: an early call would find nothing due and ask again at once.
+        self.timer = asyncio.get_running_loop().call_later((ms + 1) / 1000, self.pump)
+
+    def _pass(self, data: bytes) -> None:
+        assert self.sink is not None
+        for trouble in self.troubles("garbage"):
+            at = trouble.after - self.passed
+            if not self.spoilt and 0 <= at <= len(data):
+                self.spoilt = True
+                data = data[:at] + GARBAGE + data[at:]
+        for trouble in self.troubles("reset"):
+            # With nothing to pass first, the byte that comes is the one that is cut off.
+            if self.passed + len(data) > trouble.after:
+                self.sink.write(data[: max(0, trouble.after - self.passed)])
+                return self.pipe.reset()
+        self.passed += len(data)
+        self.sink.write(data)
+
+
+class Side(asyncio.Protocol):
+    """One end of a pipe: what it hears goes into the flow away from it."""
+
+    def __init__(self, pipe: Pipe, flow: Flow, near: bool) -> None:
+        self.pipe, self.flow, self.near = pipe, flow, near
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.pipe.came_up(self)
+
+    def data_received(self, data: bytes) -> None:
+        self.flow.feed(data)
+
+    def eof_received(self) -> bool:
+        if self.near:
+            self.pipe.near_ended()
+        self.flow.feed(None)
+        return True
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if self.near:
+            self.pipe.near_ended()
+        self.pipe.side_lost()
+
+
+class Pipe:
+    """One connection through the relay: a near side that connected and a far side."""
+
+    def __init__(self, relay: Relay) -> None:
+        self.relay, self.over = relay, False
+        self.there, self.back = Flow(self, THERE), Flow(self, BACK)
+        self.near, self.far = Side(self, self.there, True), Side(self, self.back, False)
+        self.far_port = 0
+        self.ended_at: float | None = None
+
+    def came_up(self, side: Side) -> None:
+        if side.near:
+            self.back.sink = side.transport
+            self.back.pump()
+            return
+        self.there.sink = side.transport
+        assert side.transport is not None
+        self.far_port = side.transport.get_extra_info("sockname")[1]
+        self.relay.origins.names[self.far_port] = self.relay.origin
+        self.relay.origins.ended.pop(self.far_port, None)  # the port may have been another's
+        if self.ended_at is not None:
+            self.relay.origins.ended[self.far_port] = self.ended_at
+        self.there.pump()
+
+    def near_ended(self) -> None:
+        if self.ended_at is None:
+            self.ended_at = now_ms()
+            if self.far_port:
+                self.relay.origins.ended[self.far_port] = self.ended_at
+
+    def side_lost(self) -> None:
+        """One side is gone for good; what it had said still arrives, if the link lets it."""
+        held = self.there.queue or self.back.queue
+        if self.relay.silent and held and not self.over:
+            return self.relay.closing.append(self)
+        self.close()
+
+    def close(self) -> None:
+        self.over = True
+        self.relay.pipes.discard(self)
+        for side in (self.near, self.far):
+            if side.transport is not None and not side.transport.is_closing():
+                side.transport.close()
+
+    def reset(self) -> None:
+        self.over = True
+        self.relay.pipes.discard(self)
+        for side in (self.near, self.far):
+            if side.transport is not None:
+                hard_close(side.transport)
+
+
+def hard_close(transport: asyncio.Transport) -> None:
+    """Close with a reset instead of an end of sending."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None and not transport.is_closing():
+        # SO_LINGER with no time: the kernel throws away what is unsent and answers with RST.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+    transport.abort()
+
+
+class Relay:
+    """One link. `origin` is whose connections these are; `target` gives where they lead just now."""
+
+    def __init__(self, name: str, origin: str, origins: Origins, target: Callable[[], int]) -> None:
+        self.name, self.origin, self.origins, self.target = name, origin, origins, target
+        self.port = Port()
+        self.troubles: list[Trouble] = []
+        self.pipes: set[Pipe] = set()
+        self.closing: list[Pipe] = []  # one side is gone, and the link is silent: the other hears it later
+        self.ready: deque[Pipe] = deque()  # whose far side is up already
+        self.server: asyncio.Server | None = None
+        self.plug: list[socket.socket] = []  # fills the queue of a listener that nobody accepts from
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.wanted = False
+        self.lock = asyncio.Lock()
+        self.rng = random.Random(name)
+
+    @property
+    def silent(self) -> bool:
+        return any(t.kind in ("cut", "half-open", "blackhole") for t in self.troubles)
+
+    @property
+    def cut(self) -> bool:
+        return any(t.kind == "cut" for t in self.troubles)
+
+    # ---- listening ----
+
+    async def listen(self) -> None:
+        self.wanted = True
+        await self._settle()
+
+    async def refuse(self) -> None:
+        """Take no more connections: the far side does not listen either."""
+        self.wanted = False
+        await self._settle()
+
+    async def _settle(self) -> None:
+        async with self.lock:
+            if self.server is not None and (self.cut or not self.wanted):
+                self.server.close()
+                self.server = None
+            if self.plug and not (self.cut and self.wanted):
+                for each in self.plug:
+                    each.close()
+                self.plug = []
+            if not self.wanted:
+                return
+            if self.cut and not self.plug:
+                self._plug()
+            elif not self.cut and self.server is None:
+                loop = asyncio.get_running_loop()
+                self.server = await loop.create_server(self._accept, sock=self.port.listener())
+
+    def _plug(self) -> None:
+        """New connections never come up: the queue of those that wait is full, and the kernel drops more."""
+        stopped = self.port.listener(backlog=0)
+        self.plug = [stopped]
+        for _ in range(2):
+            filler = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            filler.setblocking(False)
+            filler.connect_ex((LOCAL, self.port.number))
+            self.plug.append(filler)
+
+    def _accept(self) -> Side:
+        pipe = self.ready.popleft() if self.ready else Pipe(self)
+        self.pipes.add(pipe)
+        if pipe.far.transport is None:
+            task = asyncio.get_running_loop().create_task(self._reach(pipe))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        return pipe.near
+
+    async def _reach(self, pipe: Pipe) -> None:
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: pipe.far, LOCAL, self.target())
+        except OSError:
+            pipe.reset()
+        if pipe.over and pipe.far.transport is not None:
+            hard_close(pipe.far.transport)
+
+    async def prepare(self) -> None:
+        """Reach the far side before the near side connects. Raises OSError where it refuses.
+
+        Danger: a client would else be taken in here though its gateway refuses it, and its request be lost.
+        """
+        pipe = Pipe(self)
+        await asyncio.get_running_loop().create_connection(lambda: pipe.far, LOCAL, self.target())
+        self.ready.append(pipe)
+
+    # ---- troubles ----
+
+    async def disturb(self, trouble: Trouble) -> None:
+        self.troubles.append(trouble)
+        await self._settle()
+
+    async def heal(self, trouble: Trouble) -> None:
+        if trouble in self.troubles:
+            self.troubles.remove(trouble)
+        await self._settle()
+        if trouble.kind == "blackhole":
+            for pipe in list(self.pipes):  # what it swallowed is gone for good
+                pipe.reset()
+        for pipe in list(self.pipes):
+            pipe.there.pump()
+            pipe.back.pump()
+        if not self.silent:
+            closing, self.closing = self.closing, []
+            for pipe in closing:
+                pipe.close()
+
+    async def stop(self) -> None:
+        await self.refuse()
+        for task in list(self.tasks):
+            task.cancel()
+        for pipe in [*self.pipes, *self.ready, *self.closing]:
+            pipe.reset()
+        self.port.free()
--- a/roadpulley/testbed/scenario.py
+++ b/roadpulley/testbed/scenario.py
@@ -31,8 +31,17 @@
     "rush": "plan",
     "stall": "machine",
 }
-LASTING = {"delay", "cut", "half-open", "drip", "blackhole", "hang", "node-hang", "node-slow", "rush"} | (
-    COUNTER_FAULTS | {"discovery-silent", "stall"}
+LASTING = (
+    LINK_FAULTS
+    | COUNTER_FAULTS
+    | {
+        "hang",
+        "node-hang",
+        "node-slow",
+        "rush",
+        "discovery-silent",
+        "stall",
+    }
 )
 
 
@@ -106,6 +115,7 @@
     retries: int = 1
     backoff_ms: float = 150.0
     honour: float = 0.8  # share of the clients that heed the time to come back
+    pipeline: int = 1  # requests that a client may have open on one connection
     notice_s: float = 2.0  # until the front notices that a gateway died
     writes: float = 0.35  # share of search-order
     filings: float = 0.05  # share of deed-filing
@@ -308,6 +318,7 @@
         retries=t.whole("retries", d.retries, 0, 20),
         backoff_ms=t.number("backoff_ms", d.backoff_ms, 0, 60_000),
         honour=t.number("honour", d.honour, 0, 1),
+        pipeline=t.whole("pipeline", d.pipeline, 1, 32),
         notice_s=t.number("notice_s", d.notice_s, 0, 600),
         writes=t.number("writes", d.writes, 0, 1),
         filings=t.number("filings", d.filings, 0, 1),
--- /dev/null
+++ b/roadpulley/testbed/server.py
@@ -0,0 +1,122 @@
+"""Ports that stay one's own, and what all stand-ins that listen have in common."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+LOCAL = "127.0.0.1"
+
+
+class Port:
+    """A loopback port kept for one owner, whether or not it listens just now.
+
+    Danger: a port that is closed for a restart may be handed to any outgoing connection meanwhile. A bound
+    socket that never listens holds it; connects to it are refused, and the owner may listen beside it.
+    """
+
+    def __init__(self, number: int = 0) -> None:
+        """Raises OSError where a given number is taken."""
+        self.holder = self._bound(number)
+        self.number: int = self.holder.getsockname()[1]
+
+    @staticmethod
+    def _bound(number: int) -> socket.socket:
+        made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            made.bind((LOCAL, number))
+        except OSError:
+            made.close()
+            raise
+        return made
+
+    def listener(self, backlog: int = 1024) -> socket.socket:
+        made = self._bound(self.number)
+        made.listen(backlog)
+        made.setblocking(False)
+        return made
+
+    def free(self) -> None:
+        self.holder.close()
+
+    @property
+    def address(self) -> str:
+        return f"{LOCAL}:{self.number}"
+
+
+class Origins:
+    """Who is behind a connection that came through a relay: the relay's own port tells.
+
+    All come from one address here, so a stand-in can't tell the gateways apart by it.
+    """
+
+    def __init__(self) -> None:
+        self.names: dict[int, str] = {}
+        self.ended: dict[int, float] = {}  # when the gateway's own end of it was closed
+
+    def name(self, transport: Any) -> str:
+        """The gateway behind a connection; "" for one that came directly."""
+        peer = transport.get_extra_info("peername")
+        return self.names.get(peer[1], "") if peer else ""
+
+
+class Server:
+    """Listens on a port of its own and hands every connection to `talk`."""
+
+    def __init__(self) -> None:
+        self.open: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.accepted = 0
+        self.port = 0
+        self.server: asyncio.Server | None = None
+        self.kept: Port | None = None
+
+    async def start(self) -> None:
+        if self.kept is None:
+            self.kept = Port()
+        self.server = await asyncio.start_server(self._accept, sock=self.kept.listener())
+        self.port = self.kept.number
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        self.open.add(writer)
+        self.accepted += 1
+        try:
+            await self.talk(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
+            pass  # time-outs are among these
+        finally:
+            self.open.discard(writer)
+            self.tasks.discard(task)
+            writer.close()
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    def hang_up(self) -> None:
+        for writer in list(self.open):
+            writer.close()
+
+    def shut(self) -> None:
+        """Listen no more and reset what is open, as a process that dies does; `start` opens again."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    async def stop(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            await asyncio.wait(tasks)
+        if self.kept is not None:
+            self.kept.free()
+            self.kept = None
--- /dev/null
+++ b/roadpulley/testbed/timeline.py
@@ -0,0 +1,241 @@
+"""Makes the faults of a scenario happen, and heals those that have an end."""
+
+from __future__ import annotations
+
+import asyncio
+import fnmatch
+import signal
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import TYPE_CHECKING
+
+from roadpulley.core.clock import now_ms
+
+from .ledger import LinkFault
+from .node import Node
+from .processes import GatewayProcess
+from .relay import Relay, Trouble
+from .scenario import KINDS, Fault
+
+if TYPE_CHECKING:
+    from .installation import Installation
+
+ONCE_S = 1.0  # how long a reset or garbage goes on where the timeline does not say
+DOWN_S = 0.5  # of a restart, between the end and the new start
+LAST_S = 3.7  # after SIGTERM: the longest deadline that is waited for, and 0.7 s
+DRAIN_S = 2.0  # that a node goes on for after it was told to drain
+
+Heal = Callable[[], Awaitable[None]]
+
+
+class Timeline:
+    def __init__(self, world: Installation) -> None:
+        self.world = world
+        self.healing: dict[asyncio.Task[None], Heal] = {}
+        self.restarting: set[asyncio.Task[None]] = set()
+
+    async def play(self) -> None:
+        for fault in self.world.scenario.faults:
+            wait = self.world.started_at + fault.at * 1000 - now_ms()
+            if wait > 0:
+                await asyncio.sleep(wait / 1000)
+            self.world.say(fault.words())
+            heal = await self.act(fault)
+            if heal is not None:
+                seconds = fault.seconds or self.world.scenario.seconds
+                if fault.kind in ("reset", "garbage"):
+                    seconds = fault.seconds or ONCE_S
+                task = self.world.spawn(self.heal_later(fault, seconds, heal))
+                self.healing[task] = heal
+
+    async def heal_later(self, fault: Fault, seconds: float, heal: Heal) -> None:
+        await asyncio.sleep(seconds)
+        await heal()
+        task = asyncio.current_task()
+        if task is not None:
+            self.healing.pop(task, None)
+        self.world.say(f"over: {fault.kind} {fault.target}".rstrip())
+
+    async def end(self) -> None:
+        """Heal what still lasts, and wait for gateways that are on their way back."""
+        for task, heal in list(self.healing.items()):
+            task.cancel()
+            await heal()
+        self.healing.clear()
+        if self.restarting:
+            await asyncio.wait(self.restarting)
+
+    # ---- what each kind does ----
+
+    async def act(self, fault: Fault) -> Heal | None:
+        what = KINDS[fault.kind]
+        if what == "link":
+            return await self.link(fault)
+        if what == "gateway":
+            names = fnmatch.filter(self.world.gateways, fault.target)
+            heals = [await self.gateway(fault, self.world.gateways[name]) for name in names]
+            return together(heals)
+        if what == "node":
+            names = fnmatch.filter(self.world.nodes, fault.target)
+            heals = [await self.node(fault, self.world.nodes[name]) for name in names]
+            return together(heals)
+        if what == "counter":
+            return await self.counter(fault)
+        if what == "discovery":
+            self.world.discovery.hush(True)
+            return partial(self.unhush)
+        if what == "machine":
+            await self.stall(fault.seconds)
+        return None  # a rush is the arrivals'
+
+    async def link(self, fault: Fault) -> Heal:
+        relays = [r for name, r in self.world.relays.items() if fnmatch.fnmatchcase(name, fault.target)]
+        trouble = Trouble(fault.kind, fault.direction, fault.ms, fault.after, fault.rate)
+        record = LinkFault(fault.target, fault.kind, now_ms())
+        self.world.ledger.link_faults.append(record)
+        for relay in relays:
+            await relay.disturb(trouble)
+        return partial(self.heal_link, relays, trouble, record)
+
+    async def heal_link(self, relays: list[Relay], trouble: Trouble, record: LinkFault) -> None:
+        for relay in relays:
+            await relay.heal(trouble)
+        record.until = now_ms()
+
+    async def gateway(self, fault: Fault, process: GatewayProcess) -> Heal | None:
+        if fault.kind == "hang":
+            process.hang()
+
+            async def resume() -> None:
+                process.resume()
+
+            return resume
+        task = self.world.spawn(self.restart(process, fault))
+        self.restarting.add(task)
+        task.add_done_callback(self.restarting.discard)
+        return None
+
+    async def restart(self, process: GatewayProcess, fault: Fault) -> None:
+        """Planned (SIGTERM, and SIGKILL for what does not end in time) or by force; under the same name."""
+        gate = next(g for g in self.world.front.gates if g.name == process.name)
+        if fault.kind == "kill":
+            process.kill()
+        else:
+            process.terminate()
+            leaving = self.world.spawn(self.world.front.leave(gate))
+            if not await process.ended(LAST_S):
+                process.signal(signal.SIGKILL)  # its requests are lost, and that is its own doing
+            await leaving
+        await process.ended(LAST_S)
+        await asyncio.sleep(fault.seconds or DOWN_S)
+        process.config["known"] = self.world.discovery.catalogue.whole(
+            lambda host: self.world.dial(process.name, host)
+        )
+        self.world.note_known(process.name)
+        await process.start()
+        self.world.front.back(gate)
+        self.world.say(f"started again: {process.name}")
+
+    async def node(self, fault: Fault, node: Node) -> Heal | None:
+        kind, discovery = fault.kind, self.world.discovery
+        if kind == "node-hang":
+            node.hang(True)
+            return partial(self.later, partial(node.hang, False))
+        if kind == "node-slow":
+            node.slow(fault.factor)
+            return partial(self.later, partial(node.slow, 1.0))
+        if kind == "node-kill":
+            await self.down(node)
+            discovery.update(node.name, health="removed")
+        elif kind == "node-drain":
+            discovery.update(node.name, health="draining")
+            self.world.spawn(self.drain(node, fault.seconds or DRAIN_S))
+        elif kind == "node-start":
+            await self.up(node)
+        elif kind == "node-replace":
+            await self.replace(node, fault.by)
+        return None
+
+    async def later(self, call: Callable[[], None]) -> None:
+        call()
+
+    async def down(self, node: Node) -> None:
+        node.kill()
+        for relay in self.world.relays_to(self.world.at.get(node.name, node.name)):
+            await relay.refuse()
+
+    async def up(self, node: Node) -> None:
+        """Start a node's process, cold, and list it."""
+        if node.up:
+            await self.down(node)
+        await node.start(warm=False)
+        for relay in self.world.relays_to(self.world.at.get(node.name, node.name)):
+            await relay.listen()
+        self.world.discovery.put(self.world.host(node, born_ms=node.machine.started))
+
+    async def drain(self, node: Node, seconds: float) -> None:
+        await asyncio.sleep(seconds)
+        node.drain()
+        await asyncio.sleep(seconds)
+        await self.down(node)
+        self.world.discovery.update(node.name, health="removed")
+
+    async def replace(self, node: Node, by: str) -> None:
+        """Another node, with a name of its own, takes over the address."""
+        await self.down(node)
+        port, node.kept = node.kept, None
+        other = self.world.new_node(by, list(self.world.nodes).index(node.name))
+        self.world.at[by] = self.world.at.get(node.name, node.name)
+        await other.start(warm=False, port=port)
+        for relay in self.world.relays_to(self.world.at[by]):
+            relay.target = lambda: other.port
+            await relay.listen()
+        self.world.discovery.update(node.name, health="removed")
+        self.world.discovery.put(self.world.host(other, born_ms=other.machine.started))
+
+    async def counter(self, fault: Fault) -> Heal:
+        counter = self.world.counter
+        if fault.kind == "counter-slow":
+            counter.slower_ms = fault.ms
+            return self.counter_back
+        if fault.kind == "counter-full":
+            counter.machine.full = True
+            return self.counter_back
+        counter.lose()
+        for relay in self.world.relays_to("counter"):
+            await relay.refuse()
+        return self.counter_back
+
+    async def counter_back(self) -> None:
+        counter = self.world.counter
+        counter.slower_ms, counter.machine.full = 0.0, False
+        if counter.server is None:
+            await counter.start()
+            for relay in self.world.relays_to("counter"):
+                await relay.listen()
+
+    async def unhush(self) -> None:
+        self.world.discovery.hush(False)
+
+    async def stall(self, seconds: float) -> None:
+        """Everything on the machine stands still, this process too."""
+        from .installation import stand_still
+
+        running = [p for p in self.world.gateways.values() if p.running and p.pause is None]
+        for process in running:
+            process.signal(signal.SIGSTOP)
+        stand_still(seconds)
+        for process in running:
+            process.signal(signal.SIGCONT)
+
+
+def together(heals: list[Heal | None]) -> Heal | None:
+    wanted = [heal for heal in heals if heal is not None]
+    if not wanted:
+        return None
+
+    async def all_of_them() -> None:
+        for heal in wanted:
+            await heal()
+
+    return all_of_them
