--- /dev/null
+++ b/roadpulley/cli/__init__.py
@@ -0,0 +1,26 @@
+"""`roadpulley COMMAND`: one file a command, each thin."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Sequence
+
+from . import check, dev
+
+COMMANDS = (dev, check)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """0: well; 1: a rule broke or a check failed; 2: it could not be done as asked; 130: interrupted."""
+    parser = argparse.ArgumentParser(prog="roadpulley", description=__doc__)
+    commands = parser.add_subparsers(title="commands", metavar="COMMAND", required=True)
+    for command in COMMANDS:
+        command.add(commands)
+    args = parser.parse_args(argv)
+    run = args.run
+    return int(run(args))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/roadpulley/cli/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from . import main
+
+sys.exit(main())
--- /dev/null
+++ b/roadpulley/cli/dev.py
@@ -0,0 +1,121 @@
+"""`roadpulley dev`: a whole installation on this machine, with load, faults on demand and a verdict."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import signal
+import sys
+from dataclasses import replace
+from typing import Any
+
+import uvloop
+
+from roadpulley.checks import Bad
+from roadpulley.testbed.installation import Installation, Outcome, SetupFailed
+from roadpulley.testbed.processes import ChildFailed
+from roadpulley.testbed.scenario import Scenario, find, load, shipped
+
+from .live import View, make_view
+
+INTERRUPTED = 130
+SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
+
+
+def add(commands: Any) -> None:
+    parser: argparse.ArgumentParser = commands.add_parser(
+        "dev", help="run an installation on this machine and judge it", description=__doc__
+    )
+    known = ", ".join(shipped())
+    parser.add_argument("--scenario", default="calm", metavar="FILE", help=f"a file, or one of: {known}")
+    parser.add_argument("--list", action="store_true", help="say what the scenarios that ship are, and end")
+    parser.add_argument("--gateways", type=int, metavar="N")
+    parser.add_argument("--nodes", type=int, metavar="N")
+    parser.add_argument("--rate", type=float, metavar="R", help="requests a second, all plans together")
+    parser.add_argument("--for", type=float, metavar="SECONDS", dest="seconds", help="faults scale with it")
+    parser.add_argument("--seed", type=int, metavar="N")
+    parser.add_argument(
+        "--listen", type=int, metavar="PORT", help="let clients of yours reach gateway n0 here"
+    )
+    parser.add_argument("--json", action="store_true", help="one JSON object on standard output, at the end")
+    parser.add_argument("--plain", action="store_true", help="lines, also on a terminal")
+    parser.add_argument("--ledger", metavar="FILE", help="write what the stand-ins saw, as JSON")
+    parser.set_defaults(run=run)
+
+
+def run(args: argparse.Namespace) -> int:
+    try:
+        if args.list:
+            for path in shipped().values():
+                scenario = load(path)
+                print(f"{scenario.name:<20} {scenario.seconds:>4.0f} s  {scenario.about}")
+            return 0
+        scenario = chosen(args)
+        if args.listen is not None and not 1 <= args.listen <= 65535:
+            raise Bad("--listen", f"is {args.listen}", "give a port from 1 to 65535")
+        return uvloop.run(play(scenario, args))
+    except (Bad, SetupFailed, ChildFailed) as error:
+        print(f"roadpulley dev: {error}", file=sys.stderr)
+        return 2
+
+
+def chosen(args: argparse.Namespace) -> Scenario:
+    """The scenario that the flags name, checked whole before anything starts."""
+    scenario = find(args.scenario)
+    for flag, least, most in (
+        ("gateways", 1, 64),
+        ("nodes", 1, 500),
+        ("rate", 0.1, 1e5),
+        ("seconds", 1, 86400),
+    ):
+        value = getattr(args, flag)
+        if value is not None and not least <= value <= most:
+            name = "for" if flag == "seconds" else flag
+            raise Bad(f"--{name}", f"is {value:g}", f"give a number from {least:g} to {most:g}")
+    if args.seconds is not None:
+        scenario = scenario.scaled(args.seconds)
+    if args.rate is not None:
+        scenario = scenario.with_(load=replace(scenario.load, rate=args.rate))
+    return scenario.with_(gateways=args.gateways, nodes=args.nodes, seed=args.seed)
+
+
+async def play(scenario: Scenario, args: argparse.Namespace) -> int:
+    stop, loop = asyncio.Event(), asyncio.get_running_loop()
+    view = make_view(scenario, quiet=args.json, plain=args.plain)
+    for signum in SIGNALS:
+        loop.add_signal_handler(signum, stop.set)
+    work = asyncio.ensure_future(installed(scenario, args, view, stop))
+    stopped = asyncio.ensure_future(stop.wait())
+    await asyncio.wait({work, stopped}, return_when=asyncio.FIRST_COMPLETED)
+    if not work.done() and not view.started:
+        work.cancel()  # nothing has been asked yet: nothing to judge
+    try:
+        outcome = await work
+    except asyncio.CancelledError:
+        return INTERRUPTED
+    finally:
+        stopped.cancel()
+        view.close()
+    if args.ledger:
+        with open(args.ledger, "w") as file:
+            json.dump(outcome.ledger.to_json(), file)
+    if args.json:
+        print(json.dumps(outcome.to_json()))
+    else:
+        view.summary(outcome)
+    if not outcome.verdict.ok:
+        return 1
+    return INTERRUPTED if stop.is_set() else 0
+
+
+async def installed(scenario: Scenario, args: argparse.Namespace, view: View, stop: asyncio.Event) -> Outcome:
+    async with Installation(scenario, view.event) as world:
+        if args.listen is not None:
+            await world.open_door(args.listen)
+        view.begin(world)
+        ticking = asyncio.ensure_future(view.tick())
+        try:
+            return await world.run(stop)
+        finally:
+            ticking.cancel()
--- a/roadpulley/testbed/installation.py
+++ b/roadpulley/testbed/installation.py
@@ -215,6 +215,20 @@
             if now - before - LAG_STEP_MS > LAG_MS:
                 self.ledger.pauses.append(Pause(MACHINE, before, now))
 
+    async def open_door(self, port: int) -> None:
+        """Let outside clients reach the first gateway at a port of their choice. Raises SetupFailed."""
+        first = self.gateways[gateway_names(1)[0]]
+        relay = Relay("clients>door", "", self.origins, lambda: first.port.number)
+        relay.port.free()
+        try:
+            relay.port = Port(port)
+            await relay.listen()
+        except OSError as error:
+            raise SetupFailed(
+                f"port {port} on {LOCAL} can't be had: {error.strerror}; give another"
+            ) from error
+        self.relays[relay.name] = relay
+
     # ---- the run ----
 
     async def run(self, stop: asyncio.Event | None = None) -> Outcome:
@@ -237,7 +251,7 @@
         if not stop.is_set():
             await self.front.finish()
             await playing
-        await timeline.end()
+        await timeline.end(at_once=stop.is_set())
         self.ledger.closed_at = now_ms()
         return Outcome(self.scenario, self.ledger, self.stats, judge(self.ledger, self.terms))
 
--- a/roadpulley/testbed/scenario.py
+++ b/roadpulley/testbed/scenario.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 
+from roadpulley.checks import Bad, Table
+
 from . import terms
-from .checks import Bad, Table
 
 FOLDER = Path(__file__).parent / "scenarios"
 PLANS = tuple(p["name"] for p in terms.PLANS)
--- a/roadpulley/testbed/terms.py
+++ b/roadpulley/testbed/terms.py
@@ -7,8 +7,7 @@
 
 from mintford import interface as api
 from mintford.wirehost import read_class, read_plan
-
-from .checks import Bad
+from roadpulley.checks import Bad
 
 ZONES = ("hall-a", "hall-b")
 CELL = 4  # nodes that share a block number
--- a/roadpulley/testbed/timeline.py
+++ b/roadpulley/testbed/timeline.py
@@ -56,13 +56,13 @@
             self.healing.pop(task, None)
         self.world.say(f"over: {fault.kind} {fault.target}".rstrip())
 
-    async def end(self) -> None:
-        """Heal what still lasts, and wait for gateways that are on their way back."""
+    async def end(self, at_once: bool = False) -> None:
+        """Heal what still lasts, and wait for gateways that are on their way back unless all ends at once."""
         for task, heal in list(self.healing.items()):
             task.cancel()
             await heal()
         self.healing.clear()
-        if self.restarting:
+        if self.restarting and not at_once:
             await asyncio.wait(self.restarting)
 
     # ---- what each kind does ----
