--- a/roadpulley/testbed/counter.py
+++ b/roadpulley/testbed/counter.py
@@ -79,6 +79,8 @@
         while (due := await answers.get()) is not None:
             if (wait := due[0] - now_ms()) > 0:
                 await asyncio.sleep(wait / 1000)
+            if writer.is_closing():
+                return
             writer.write(due[1])
 
     async def _take(self, line: bytes, gateway: str) -> Due | None:
--- a/roadpulley/testbed/discovery.py
+++ b/roadpulley/testbed/discovery.py
@@ -92,7 +92,7 @@
                 async with asyncio.timeout(self.kind.beat_s):
                     await changed.wait()
             except TimeoutError:
-                if not self.silent:
+                if not self.silent and not writer.is_closing():
                     writer.write(b"1\r\n\n\r\n")
 
     def note(self, gateway: str, said: dict[str, Any]) -> None:
@@ -108,7 +108,8 @@
             known &= set(listed)
 
     def say(self, line: bytes, writer: asyncio.StreamWriter) -> None:
-        writer.write(b"%x\r\n%b\n\r\n" % (len(line) + 1, line))
+        if not writer.is_closing():
+            writer.write(b"%x\r\n%b\n\r\n" % (len(line) + 1, line))
 
     # ---- what happens to the list ----
 
--- a/roadpulley/testbed/front.py
+++ b/roadpulley/testbed/front.py
@@ -50,7 +50,6 @@
 
     ask: Ask
     answer: asyncio.Future[Answer | None]
-    sent: bool = False
 
 
 class ClientLink(asyncio.Protocol):
@@ -71,7 +70,8 @@
     def send(self, one: Try, data: bytes) -> None:
         self.waiting.append(one)
         self.transport.write(data)
-        one.ask.sent_at, one.sent = now_ms(), True
+        if one.ask.crossed_at is None:
+            one.ask.sent_at = now_ms()
 
     def data_received(self, data: bytes) -> None:
         self.reader.feed(data)
@@ -288,17 +288,19 @@
                 await asyncio.sleep(0.01)
                 continue
             one = Try(ask, asyncio.get_running_loop().create_future())
-            link.send(one, command(arrival, id, wait))
+            rest = max(1, int(wait - (now_ms() - ask.sent_at if ask.crossed_at else 0)))
+            link.send(one, command(arrival, id, rest))
             if not ledgered:
                 self.ledger.asks.append(ask)
                 ledgered = True
-            answer = await self.wait(link, one, wait)
+            answer = await self.wait(link, one, rest)
             if answer is not None:
                 gate.release(link)
                 return self.note(ask, answer, gone)
             if ask.answered_at is None:  # its time is up
                 return "open", None, gone
-            if reused and not ask.note and ask.crossed_at is None:
+            orderly = gate.running() and not gate.relay.troubles
+            if reused and orderly and not ask.note and ask.crossed_at is None:
                 # The gateway closed a connection between requests: this one may have crossed that.
                 ask.crossed_at, ask.crossed_by, ask.answered_at = ask.answered_at, gate.name, None
                 continue
--- a/roadpulley/testbed/processes.py
+++ b/roadpulley/testbed/processes.py
@@ -61,7 +61,8 @@
 
     @property
     def running(self) -> bool:
-        return self.process is not None and self.process.returncode is None
+        """Whether it lives and was not killed; one that was killed may not be reaped yet."""
+        return self.process is not None and self.process.returncode is None and not self.killed
 
     @property
     def pid(self) -> int:
@@ -109,7 +110,7 @@
 
     def kill(self) -> None:
         if self.running:
-            self.called = self.killed = True
+            self.called = self.killed = True  # first: who sees a connection end must know why
             self.signal(signal.SIGKILL)
             self.resume()
 
@@ -125,13 +126,12 @@
 
     def resume(self) -> None:
         if self.pause is not None:
-            if self.running and not self.killed:
+            if self.running:
                 self.signal(signal.SIGCONT)
             self.pause.until, self.pause = now_ms(), None
 
     def signal(self, number: signal.Signals) -> None:
-        if self.running:
-            assert self.process is not None
+        if self.process is not None and self.process.returncode is None:
             try:
                 self.process.send_signal(number)
             except ProcessLookupError:
--- a/roadpulley/testbed/scenario.py
+++ b/roadpulley/testbed/scenario.py
@@ -214,7 +214,7 @@
         raise Bad(f"{path}.by", "is missing", "name the node that takes the address over")
     if fault.kind == "stall" and not 0 < fault.seconds <= 2:
         raise Bad(f"{path}.for", f"is {fault.seconds:g}", "give seconds, over 0 and up to 2")
-    if fault.seconds and fault.kind not in LASTING | {"restart", "node-drain"}:
+    if fault.seconds and fault.kind not in LASTING | {"restart", "kill", "node-drain"}:
         raise Bad(f"{path}.for", f"is {fault.seconds:g}", f"leave it out: {fault.kind} does not last")
     if fault.direction not in ("there", "back", "both"):
         raise Bad(f"{path}.direction", f"is {fault.direction!r}", "give one of back, both, there")
