--- a/roadpulley/testbed/node.py
+++ b/roadpulley/testbed/node.py
@@ -210,9 +210,7 @@
 
     def hang(self, hung: bool) -> None:
         """Say nothing and do nothing, with all connections open."""
-        self._did(self.machine.advance(now_ms()))
-        self.machine.hung = hung
-        self._arm()
+        self._did(self.machine.hang(now_ms(), hung))
 
     async def stop(self) -> None:
         self.kill()
--- a/roadpulley/testbed/node_machine.py
+++ b/roadpulley/testbed/node_machine.py
@@ -138,7 +138,8 @@
             self.state = State.FALLEN
             change.fell = True
             return change
-        if self.state is State.DRAINING or len(self.waiting) >= self.kind.queue:
+        room = self.kind.queue + max(0, self.kind.slots - self.live)
+        if self.state is State.DRAINING or len(self.waiting) >= room:
             job.over = True
             change.turned_away.append(job)
             return change
@@ -161,6 +162,13 @@
             self._settle(change)
         return change
 
+    def hang(self, now: float, hung: bool) -> Change:
+        """Stand still with all that is in, or go on with it."""
+        change = self.advance(now)
+        self.hung = hung
+        self._settle(change)
+        return change
+
     def next_at(self) -> float | None:
         """When something may end next, at the earliest; None if only an event can change anything."""
         self._drop_over()
