--- a/roadpulley/testbed/installation.py
+++ b/roadpulley/testbed/installation.py
@@ -39,7 +39,10 @@
 
 @dataclass
 class Outcome:
+    """What a run brought."""
+
     scenario: Scenario
+    terms: terms.Terms
     ledger: Ledger
     stats: Stats
     verdict: Verdict
@@ -253,7 +256,8 @@
             await playing
         await timeline.end(at_once=stop.is_set())
         self.ledger.closed_at = now_ms()
-        return Outcome(self.scenario, self.ledger, self.stats, judge(self.ledger, self.terms))
+        verdict = judge(self.ledger, self.terms)
+        return Outcome(self.scenario, self.terms, self.ledger, self.stats, verdict)
 
     async def offer(self, stop: asyncio.Event) -> None:
         """Start each request at its time; late is better than never, and shows as lag."""
--- a/roadpulley/testbed/processes.py
+++ b/roadpulley/testbed/processes.py
@@ -55,6 +55,7 @@
         self.reader: asyncio.Task[None] | None = None
         self.called = False  # its end was asked for
         self.killed = False
+        self.stopped = False  # the whole installation ends
         self.pause: Pause | None = None
         self.starts = 0
         self.crashed: asyncio.Future[str] = asyncio.get_running_loop().create_future()
@@ -101,7 +102,8 @@
                 self.lines.append(line.decode(errors="replace").rstrip())
         code = await process.wait()
         how = "killed" if self.killed else "finished" if self.called else "crashed"
-        self.ledger.ended.append(Ended(self.name, now_ms(), how))
+        if not self.stopped:
+            self.ledger.ended.append(Ended(self.name, now_ms(), how))
         if how == "crashed" and not self.crashed.done():
             last = next((line for line in reversed(self.lines) if line.strip()), "it said nothing")
             self.crashed.set_result(f"gateway {self.name} ended uncalled with {code}: {last}")
@@ -146,7 +148,7 @@
 
     async def stop(self) -> None:
         """End it whatever state it is in."""
-        self.called = True
+        self.called = self.stopped = True
         self.resume()
         self.signal(signal.SIGKILL)
         await self.ended(END_S)
--- a/roadpulley/testbed/scenario.py
+++ b/roadpulley/testbed/scenario.py
@@ -133,6 +133,7 @@
     name: str = "unnamed"
     about: str = ""
     seconds: float = 20.0
+    short: float = 6.0  # seconds of its short form: long enough for what it is about to show
     seed: int = 1
     gateways: int = 3
     nodes: int = 8
@@ -232,6 +233,7 @@
         name=top.text("name", name),
         about=top.text("about", ""),
         seconds=top.number("seconds", 20.0, 1, 86_400),
+        short=top.number("short", 6.0, 1, 600),
         seed=top.whole("seed", 1, 0, 2**63),
         gateways=top.whole("gateways", 3, 1, 64),
         nodes=top.whole("nodes", 8, 1, 500),
--- /dev/null
+++ b/tests/testbed/test_front.py
@@ -0,0 +1,264 @@
+"""Clients against a gateway that misbehaves on purpose: what they note, and what the auditor makes of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import hiredis
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from loopback import in_loop, until
+
+from roadpulley.core.clock import now_ms
+from roadpulley.testbed import front as module
+from roadpulley.testbed import terms
+from roadpulley.testbed.answers import AnswerReader, Spoilt
+from roadpulley.testbed.arrivals import Arrival, Customer
+from roadpulley.testbed.auditor import Verdict, judge
+from roadpulley.testbed.front import Front, Result, may_retry
+from roadpulley.testbed.ledger import Attempt, Ledger
+from roadpulley.testbed.relay import Relay
+from roadpulley.testbed.scenario import Load
+from roadpulley.testbed.server import Origins, Server
+
+TERMS = terms.Terms.read(terms.settings(0, 1))
+WHO = Customer("00000000b4d65521", "basic", 1.0, 0, 1, (1.0,))
+Script = Callable[["Gateway", bytes, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Gateway(Server):
+    """Answers PING, and each request as its script says; it notes an attempt as the node would have."""
+
+    def __init__(self, ledger: Ledger, script: Script) -> None:
+        super().__init__()
+        self.ledger, self.script, self.asked = ledger, script, 0
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        resp = hiredis.Reader(notEnoughData=Ellipsis)
+        while True:
+            while (args := resp.gets()) is Ellipsis:
+                if not (data := await reader.read(65536)):
+                    return
+                resp.feed(data)
+            if args == [b"PING"]:
+                writer.write(b"+PONG\r\n")
+                continue
+            self.asked += 1
+            await self.script(self, args[2], writer)
+
+    def value(self, id: bytes) -> bytes:
+        """A value that a node has made for this request."""
+        now, serial = now_ms(), len(self.ledger.attempts) + 1
+        self.ledger.attempts.append(
+            Attempt("t0", "n0", id.decode(), WHO.id, "basic", "parcel-view", "", 1.0, now, now, now, now,
+                    how="served", ran=True, serial=serial)
+        )  # fmt: skip
+        said = b"tile %b t0 %d ..." % (id, serial)
+        return b"$%d\r\n%b\r\n" % (len(said), said)
+
+
+class Scene:
+    def __init__(self, script: Script, load: Load) -> None:
+        self.ledger, self.results = Ledger(begun_at=now_ms()), list[Result]()
+        self.gateway = Gateway(self.ledger, script)
+        self.front = Front(load, self.ledger, 1, self.results.append)
+        self.relay = Relay("clients>n0", "", Origins(), lambda: self.gateway.port)
+        self.alive = True
+
+    async def ask(self, number: int = 0, kind: str = "parcel-view", patience: float = 2_000.0) -> Result:
+        count = len(self.results)
+        key = "k" if kind == "search-order" else ""
+        self.front.start(Arrival(0.0, f"{number:016x}", WHO, kind, key, 0, patience))
+        await until(lambda: len(self.results) > count)
+        return self.results[-1]
+
+    def verdict(self) -> Verdict:
+        self.ledger.closed_at = now_ms() + 1e6
+        return judge(self.ledger, TERMS)
+
+
+@asynccontextmanager
+async def scene(script: Script, **load: object) -> AsyncIterator[Scene]:
+    made = Scene(script, Load(**{"retries": 0, **load}))  # type: ignore[arg-type]
+    await made.gateway.start()
+    await made.relay.listen()
+    made.front.add("n0", made.relay, lambda: made.alive)
+    watching = asyncio.create_task(made.front.watch(made.front.gates[0]))
+    await until(lambda: made.front.gates[0].taken_in)
+    try:
+        yield made
+    finally:
+        watching.cancel()
+        made.front.close()
+        await made.relay.stop()
+        await made.gateway.stop()
+
+
+async def well(gateway: Gateway, id: bytes, writer: asyncio.StreamWriter) -> None:
+    writer.write(gateway.value(id))
+
+
+def test_a_right_answer_is_served_and_every_rule_holds() -> None:
+    async def scenario() -> None:
+        async with scene(well) as s:
+            assert [(await s.ask(n)).how for n in range(3)] == ["served"] * 3
+            assert s.verdict().ok and s.gateway.accepted == 1  # the connection is kept
+
+    in_loop(scenario)
+
+
+async def twice(gateway: Gateway, id: bytes, writer: asyncio.StreamWriter) -> None:
+    writer.write(gateway.value(id) + b"-BUSY\r\n")
+
+
+async def of_another(gateway: Gateway, id: bytes, writer: asyncio.StreamWriter) -> None:
+    writer.write(gateway.value(b"somebody-else-s"))
+
+
+async def half(gateway: Gateway, id: bytes, writer: asyncio.StreamWriter) -> None:
+    writer.write(gateway.value(id)[:-9])
+    writer.close()
+
+
+async def nonsense(gateway: Gateway, id: bytes, writer: asyncio.StreamWriter) -> None:
+    writer.write(b"what?\r\n")
+
+
+async def hang_up(gateway: Gateway, id: bytes, writer: asyncio.StreamWriter) -> None:
+    gateway.value(id)
+    writer.close()
+
+
+async def never(gateway: Gateway, id: bytes, writer: asyncio.StreamWriter) -> None:
+    return
+
+
+@pytest.mark.parametrize("script", [twice, of_another, half, nonsense, hang_up, never])
+def test_what_a_gateway_must_not_say_breaks_the_first_rule_and_no_other(
+    script: Script, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "PATIENCE_MS", 100.0)
+
+    async def scenario() -> None:
+        async with scene(script) as s:
+            await s.ask(patience=200.0)
+            await until(lambda: not s.verdict().rules["answered"].ok)
+            assert [name for name, rule in s.verdict().rules.items() if not rule.ok] == ["answered"]
+
+    in_loop(scenario)
+
+
+def test_a_close_between_requests_is_crossed_once_without_loss() -> None:
+    """The gateway had not read the request: it goes once more, under its own id."""
+
+    async def scenario() -> None:
+        async with scene(well) as s:
+            await s.ask(0)
+            for link in s.front.gates[0].links:
+                link.transport.pause_reading()  # it learns of the close only as it sends
+            s.gateway.hang_up()
+            for link in s.front.gates[0].links:
+                asyncio.get_running_loop().call_later(0.05, link.transport.resume_reading)
+            assert (await s.ask(1)).how == "served"
+            (crossed,) = [a for a in s.ledger.asks if a.crossed_at is not None]
+            assert crossed.id == f"{1:016x}" and crossed.how == "served"
+            assert s.verdict().ok
+
+    in_loop(scenario)
+
+
+def test_a_refusal_is_tried_again_after_the_time_it_names() -> None:
+    times: list[float] = []
+
+    async def once(gateway: Gateway, id: bytes, writer: asyncio.StreamWriter) -> None:
+        times.append(now_ms())
+        writer.write(b"-BUSY 300\r\n" if gateway.asked == 1 else gateway.value(id))
+
+    async def scenario() -> None:
+        async with scene(once, retries=1, honour=1.0, backoff_ms=1.0) as s:
+            result = await s.ask()
+            assert (result.how, result.tries) == ("served", 2) and times[1] - times[0] >= 299
+            first, second = s.ledger.asks
+            assert first.how == "refused" and first.id != second.id and first.root == second.root
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize(
+    ("kind", "how", "since", "again"),
+    [
+        ("parcel-view", "failed", 0, True),
+        ("parcel-view", "lost", 0, True),
+        ("deed-filing", "failed", 0, False),
+        ("deed-filing", "lost", 0, False),
+        ("deed-filing", "refused", 0, True),
+        ("deed-filing", "unreachable", 0, True),
+        ("search-order", "failed", 0, True),
+        ("search-order", "failed", 3_600, False),
+    ],
+)
+def test_a_client_tries_again_only_where_it_may(kind: str, how: str, since: float, again: bool) -> None:
+    assert may_retry(kind, how, since) == again
+
+
+def test_the_front_notices_late_that_a_gateway_died_and_takes_it_in_once_it_answers() -> None:
+    async def scenario() -> None:
+        async with scene(well, notice_s=0.2) as s:
+            gate = s.front.gates[0]
+            s.alive = False
+            s.gateway.shut()
+            assert gate.taken_in
+            await until(lambda: not gate.taken_in)
+            s.alive = True
+            await asyncio.sleep(0.1)
+            assert not gate.taken_in  # it lives, and does not answer yet
+            await s.gateway.start()
+            await until(lambda: gate.taken_in)
+
+    in_loop(scenario)
+
+
+def test_with_pipelining_answers_go_to_their_requests_in_order() -> None:
+    async def scenario() -> None:
+        async with scene(well, pipeline=8) as s:
+            for number in range(20):
+                s.front.start(Arrival(0.0, f"{number:016x}", WHO, "parcel-view", "", 0, 2_000.0))
+            await until(lambda: len(s.results) == 20)
+            assert {r.how for r in s.results} == {"served"} and s.verdict().ok
+
+    in_loop(scenario)
+
+
+# ---- the reader ----
+
+
+@given(
+    st.lists(st.sampled_from([b"+PONG\r\n", b"-BUSY 20\r\n", b"-ERR failed\r\n", b"$3\r\nabc\r\n"])),
+    st.data(),
+)
+def test_answers_are_cut_the_same_wherever_the_bytes_are_split(
+    parts: list[bytes], data: st.DataObject
+) -> None:
+    whole, reader, got = b"".join(parts), AnswerReader(), []
+    cut = data.draw(st.integers(0, len(whole)))
+    for piece in (whole[:cut], whole[cut:]):
+        reader.feed(piece)
+        while (answer := reader.next()) is not None:
+            got.append(answer.how)
+    kinds = {b"+": "said", b"$": "served"}
+    assert got == [kinds.get(p[:1], "refused" if p.startswith(b"-BUSY") else "failed") for p in parts]
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_are_an_answer_wait_for_more_or_are_spoilt(data: bytes) -> None:
+    reader = AnswerReader()
+    reader.feed(data)
+    try:
+        while reader.next() is not None:
+            pass
+    except Spoilt:
+        return
+    assert len(reader.buffer) <= len(data)
--- /dev/null
+++ b/tests/testbed/test_scenarios.py
@@ -0,0 +1,300 @@
+"""The scenarios that ship, in their short forms, and the hard cases: real gateways on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import uvloop
+from loopback import LOCAL, until
+
+from roadpulley.testbed import timeline
+from roadpulley.testbed.answers import AnswerReader
+from roadpulley.testbed.auditor import judge
+from roadpulley.testbed.front import encode
+from roadpulley.testbed.installation import Installation, Outcome, SetupFailed
+from roadpulley.testbed.processes import ChildFailed
+from roadpulley.testbed.scenario import Fault, Load, NodeKind, Scenario, load, shipped
+
+pytestmark = pytest.mark.timeout(90)
+
+
+def in_time(work: Callable[[], Awaitable[None]]) -> None:
+    async def limited() -> None:
+        async with asyncio.timeout(60):
+            await work()
+
+    uvloop.run(limited())
+
+
+def play(scenario: Scenario, events: list[str] | None = None) -> Outcome:
+    async def work() -> Outcome:
+        async with asyncio.timeout(60):
+            async with Installation(scenario, (events if events is not None else []).append) as world:
+                return await world.run()
+
+    return uvloop.run(work())
+
+
+def held(outcome: Outcome) -> None:
+    print(f"seed {outcome.scenario.seed}")
+    assert outcome.verdict.ok, "\n".join(outcome.verdict.lines())
+
+
+def calm(o: Outcome) -> None:
+    assert o.stats.all.ends["failed"] + o.stats.all.ends["unanswered"] <= 1
+    assert not o.ledger.ended and not o.ledger.link_faults
+
+
+def rolling_restart(o: Outcome) -> None:
+    assert sorted(e.gateway for e in o.ledger.ended) == ["n0", "n1", "n2"]
+    assert {e.how for e in o.ledger.ended} == {"finished"}
+    assert o.stats.all.ends["unanswered"] == 0  # no client try is lost by a planned restart
+
+
+def node_hangs(o: Outcome) -> None:
+    given_up = [a for a in o.ledger.attempts if a.node == "t2" and a.how == "gone"]
+    assert given_up and all(a.ended_at is None for a in given_up)
+
+
+def node_restarts(o: Outcome) -> None:
+    assert {s.node for s in o.ledger.started if s.at > 0} == {"t1", "t4"}
+    assert {t.health for t in o.ledger.told if t.node == "t1"} == {"up", "draining", "removed"}
+    assert o.verdict.rules["cold"].figures["sent_cold"] > 0
+
+
+def counter_lost(o: Outcome) -> None:
+    assert o.verdict.rules["ceilings"].figures["lowest_store"] < 0.95
+
+
+def partition(o: Outcome) -> None:
+    (fault,) = o.ledger.link_faults
+    assert fault.until is not None
+    during = [a for a in o.ledger.attempts if a.gateway == "n1" and fault.since < a.first_at < fault.until]
+    after = [a for a in o.ledger.attempts if a.gateway == "n1" and a.first_at > fault.until]
+    assert not during and after
+
+
+def plan_rush(o: Outcome) -> None:
+    shares = {plan: [0, 0] for plan in ("basic", "enterprise")}
+    for (_, plan), row in o.stats.rows.items():
+        if plan in shares:
+            shares[plan][0] += row.ends["refused"]
+            shares[plan][1] += row.asked
+    basic, enterprise = (refused / asked for refused, asked in shares.values())
+    assert basic > 2 * enterprise and basic > 0.2
+
+
+def gateway_killed(o: Outcome) -> None:
+    assert [(e.gateway, e.how) for e in o.ledger.ended] == [("n1", "killed")]
+
+
+SHOWS: dict[str, Callable[[Outcome], None]] = {
+    "calm": calm,
+    "rolling-restart": rolling_restart,
+    "node-hangs": node_hangs,
+    "node-restarts": node_restarts,
+    "counter-lost": counter_lost,
+    "partition": partition,
+    "plan-rush": plan_rush,
+    "gateway-killed": gateway_killed,
+}
+
+
+def play_all(scenarios: list[Scenario], at_once: int) -> list[Outcome]:
+    """Several installations side by side, each with ports, processes and ledgers of its own."""
+
+    async def work() -> list[Outcome]:
+        room = asyncio.Semaphore(at_once)
+
+        async def one(scenario: Scenario) -> Outcome:
+            async with room, asyncio.timeout(60), Installation(scenario) as world:
+                return await world.run()
+
+        return list(await asyncio.gather(*map(one, scenarios)))
+
+    return uvloop.run(work())
+
+
+@pytest.fixture(scope="module")
+def short_forms() -> dict[str, Outcome]:
+    wholes = [load(path) for path in shipped().values()]
+    outcomes = play_all([whole.scaled(whole.short) for whole in wholes], at_once=4)
+    return {outcome.scenario.name: outcome for outcome in outcomes}
+
+
+@pytest.mark.parametrize("name", sorted(shipped()))
+def test_a_scenario_that_ships_holds_every_rule_and_shows_what_it_is_about(
+    short_forms: dict[str, Outcome], name: str
+) -> None:
+    outcome = short_forms[name]
+    held(outcome)
+    assert outcome.stats.all.asked > 100
+    SHOWS[name](outcome)
+
+
+# ---- hard cases ----
+
+
+def test_a_machine_that_stalls_makes_the_run_late_and_blames_no_gateway() -> None:
+    outcome = play(Scenario(seconds=3, faults=(Fault(1, "stall", seconds=0.3),)))
+    held(outcome)
+    assert outcome.verdict.late and 250 < outcome.verdict.late_ms < 3_000
+    assert outcome.to_json()["late"] is True
+
+
+def test_a_gateway_that_hangs_and_goes_on_is_excused_for_that_time() -> None:
+    outcome = play(Scenario(seconds=5, faults=(Fault(1, "hang", "n0", seconds=1.5),)))
+    held(outcome)
+    (pause,) = [p for p in outcome.ledger.pauses if p.who == "n0"]
+    assert pause.until is not None and pause.until - pause.since > 1_400
+    assert outcome.stats.all.ends["unanswered"] == 0
+
+
+def listed(id: int) -> tuple[bytes, ...]:
+    values = b"c=parcel-view,t=basic,d=3000,units=1,spread=1,first=0"
+    return (b"API.READ", b"%016x" % (id + 77), b"%016x" % id, values)
+
+
+def test_a_gateway_stopped_with_answers_half_written_finishes_them_when_it_goes_on() -> None:
+    """Nothing of the half that is out may be sent again, and nothing of the rest be lost."""
+    asked = 12  # megabytes: more than the kernel takes for one connection
+
+    async def work() -> None:
+        kind = NodeKind(value_bytes=1_000_000, work_ms=5, error_rate=0.0)
+        async with Installation(Scenario(gateways=1, nodes=4, node=kind, load=Load(rate=0.1))) as world:
+            client = socket.socket()
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            client.setblocking(False)
+            loop = asyncio.get_running_loop()
+            process = world.gateways["n0"]
+            await loop.sock_connect(client, (LOCAL, process.port.number))
+            await loop.sock_sendall(client, b"".join(encode(*listed(id)) for id in range(asked)))
+            reader, ids = AnswerReader(), list[str]()
+
+            async def take(size: int) -> int:
+                data = await loop.sock_recv(client, size)
+                reader.feed(data)
+                while (answer := reader.next()) is not None:
+                    made = answer.made_by()
+                    ids.append(made[0] if made else answer.how)
+                return len(data)
+
+            attempts = world.ledger.attempts
+            await until(lambda: len(attempts) == asked and all(a.ended_at for a in attempts))
+            await take(1_000)
+            process.hang()
+            try:
+                while True:  # what the kernel holds
+                    async with asyncio.timeout(0.3):
+                        await take(65_536)
+            except TimeoutError:
+                pass
+            assert len(ids) < asked and reader.buffer  # it stands still in the middle of a value
+            process.resume()
+            while len(ids) < asked:
+                assert await take(65_536)
+            assert ids == [f"{id:016x}" for id in range(asked)]
+            client.close()
+
+    in_time(work)
+
+
+def test_a_request_cut_off_after_its_last_byte_is_never_refused_nor_run_again() -> None:
+    """The relay resets each connection as the first byte of an answer comes: what was asked has run."""
+    load = Load(rate=40, filings=0.5, writes=0.25, retries=1)
+    fault = Fault(1, "reset", "*>t*", seconds=1, direction="back")
+    outcome = play(Scenario(seconds=4, load=load, faults=(fault,)))
+    held(outcome)
+    failed = [a.id for a in outcome.ledger.asks if a.kind == "deed-filing" and a.how == "failed"]
+    ran = {a.id for a in outcome.ledger.attempts if a.ran}
+    assert failed and ran.issuperset(failed)
+
+
+def test_two_nodes_take_turns_at_one_address_and_no_answer_is_mixed_up() -> None:
+    outcome = play(Scenario(seconds=5, faults=(Fault(1.5, "node-replace", "t1", by="t9"),)))
+    held(outcome)
+    last = max(a.first_at for a in outcome.ledger.attempts if a.node == "t1")
+    first = min(a.first_at for a in outcome.ledger.attempts if a.node == "t9")
+    assert last < first
+    assert all(a.cold for a in outcome.ledger.attempts if a.node == "t9")
+
+
+TROUBLES = [
+    Fault(1, "delay", "n0>t*", seconds=1.5, ms=30),
+    Fault(1, "half-open", "n0>t1", seconds=1.5, direction="back"),
+    Fault(1, "drip", "n1>t*", seconds=1.5, rate=20_000),
+    Fault(1, "garbage", "n0>t2", seconds=1.5, direction="back", after=10),
+    Fault(1, "blackhole", "n0>counter", seconds=1.5),
+    Fault(1, "cut", "clients>n1", seconds=1),
+    Fault(1, "counter-slow", seconds=1.5, ms=200),
+    Fault(1, "counter-full", seconds=1.5),
+    Fault(1, "discovery-silent", seconds=1.5),
+    Fault(1, "node-slow", "t0", seconds=1.5, factor=8),
+]
+
+
+@pytest.fixture(scope="module")
+def troubled() -> dict[str, Outcome]:
+    small = Scenario(seconds=3.5, seed=3, gateways=2, nodes=4, load=Load(rate=30))
+    outcomes = play_all([small.with_(name=f.kind, faults=(f,)) for f in TROUBLES], at_once=5)
+    return {outcome.scenario.name: outcome for outcome in outcomes}
+
+
+@pytest.mark.parametrize("kind", [fault.kind for fault in TROUBLES])
+def test_each_kind_of_trouble_leaves_every_rule_standing(troubled: dict[str, Outcome], kind: str) -> None:
+    outcome = troubled[kind]
+    held(outcome)
+    assert outcome.stats.all.ends["served"] > 0.5 * outcome.stats.all.asked
+
+
+def test_a_gateway_that_is_not_ended_by_the_timeline_ends_the_run_in_one_line() -> None:
+    async def work() -> None:
+        async with Installation(Scenario(seconds=20)) as world:
+            running = asyncio.create_task(world.run())
+            process = world.gateways["n1"].process
+            assert process is not None
+            process.kill()
+            with pytest.raises(ChildFailed, match=r"^gateway n1 ended uncalled with -9: .*serves at"):
+                await running
+
+    in_time(work)
+
+
+def test_a_setup_that_fails_leaves_nothing_behind(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A gateway that can't start: one line says which and why, and the others are ended."""
+    made: list[Installation] = []
+    taken = socket.create_server((LOCAL, 0))
+
+    async def work() -> None:
+        world = Installation(Scenario(), folder=tmp_path)
+        made.append(world)
+        whole = world.discovery.catalogue.whole
+        monkeypatch.setattr(world.discovery.catalogue, "whole", lambda dial: {**whole(dial), "hosts": [{}]})
+        with pytest.raises(SetupFailed, match=r"^gateway n\d ended uncalled with 2: .*bad configuration"):
+            async with world:
+                raise AssertionError
+
+    in_time(work)
+    assert not any(g.running for g in made[0].gateways.values())
+    taken.close()
+
+
+def test_the_same_timeline_is_played_in_the_same_order(monkeypatch: pytest.MonkeyPatch) -> None:
+    faults = (
+        Fault(0.5, "node-hang", "t1", seconds=0.5),
+        Fault(0.7, "counter-full", seconds=1.0),
+        Fault(1.3, "rush", "basic", seconds=0.5, factor=2.0),
+    )
+    monkeypatch.setattr(timeline, "DOWN_S", 0.1)
+    runs: list[list[str]] = []
+    for _ in range(2):
+        events: list[str] = []
+        outcome = play(Scenario(seconds=2, gateways=1, nodes=3, load=Load(rate=20), faults=faults), events)
+        held(outcome)
+        runs.append(events)
+    assert runs[0] == runs[1] and len(runs[0]) == 5
+    assert judge(outcome.ledger, outcome.terms).ok  # and the judge is the same each time
