--- /dev/null
+++ b/tests/cli/test_check.py
@@ -0,0 +1,151 @@
+from __future__ import annotations
+
+import copy
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from roadpulley.checks import Bad
+from roadpulley.cli import main
+from roadpulley.cli.check import deploy, gateway, judge
+from roadpulley.testbed import terms
+from roadpulley.testbed.scenario import shipped
+
+ROOT = Path(__file__).parents[2]
+GOOD: dict[str, Any] = {
+    "name": "n0",
+    "listen": "127.0.0.1:6379",
+    "discovery": "127.0.0.1:8500",
+    "counter": "127.0.0.1:6400",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+    "known": {"seq": 1, "whole": True, "hosts": [{"host": "t0", "dial": "127.0.0.1:1", "health": "up"}]},
+    "settings": terms.settings(0, 2),
+}
+
+
+def changed(path: str, value: Any) -> dict[str, Any]:
+    """The good configuration with the value at a path changed, or without it where the value is `...`."""
+    raw = copy.deepcopy(GOOD)
+    at: Any = raw
+    *way, last = path.replace("[", ".").replace("]", "").split(".")
+    for step in way:
+        at = at[int(step) if step.isdigit() else step]
+    key = int(last) if last.isdigit() else last
+    if value is ...:
+        del at[key]
+    else:
+        at[key] = value
+    return raw
+
+
+def test_what_the_project_ships_is_good(capsys: pytest.CaptureFixture[str]) -> None:
+    files = [ROOT / "deploy/balancer.toml", *shipped().values()]
+    assert main(["check", *map(str, files)]) == 0
+    lines = capsys.readouterr().out.splitlines()
+    assert len(lines) == len(files) and "good deploy file" in lines[0] and "good scenario" in lines[1]
+
+
+def test_a_good_gateway_s_configuration_is_found_so(tmp_path: Path) -> None:
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(GOOD))
+    assert judge(file) == "configuration of a gateway"
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "words"),
+    [
+        ("listen", ..., "give a text"),
+        ("listen", "here", "give HOST:PORT"),
+        ("counter", "127.0.0.1:70000", "give HOST:PORT"),
+        ("listn", "x", "did you mean listen?"),
+        ("limits.sockets", 3, "from 64"),
+        ("limits.memory_mb", "much", "give a whole number"),
+        ("known.hosts[0].health", "fine", "give one of draining, removed, up"),
+        ("known.hosts[0].dial", "nowhere", "give HOST:PORT"),
+        ("settings", ..., "give the table of classes"),
+        ("settings.selfIndex", 2, "from 0 to 1"),
+        ("settings.classes", [], "give one at least"),
+        ("settings.classes[0].effect", "safe", "give one of pure, side_effect, token"),
+        ("settings.classes[1].deadline", -1, "give a number from 1"),
+        ("settings.classes[1].aim", 9_000.0, "from 1 to 4000"),
+        ("settings.classes[1].name", "parcel-view", "give each name once"),
+        ("settings.packages[2].rate", "fast", "give a number from 0"),
+        ("settings.packages[2].open", -2, "give a whole number from 0"),
+        ("settings.caps.maxAttempts", 0, "from 1 to 100"),
+        ("settings.rules.drainGrace", None, "give a number from 0"),
+    ],
+)
+def test_a_bad_key_is_named_by_its_path_with_what_would_be_right(path: str, value: Any, words: str) -> None:
+    with pytest.raises(Bad) as caught:
+        gateway(changed(path, value))
+    named = path if not path.endswith("[1].name") else "settings.classes"
+    assert caught.value.path == named and words in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("name", "text", "words"),
+    [
+        ("a.toml", "nodes = 0", "a.toml: nodes: is 0; give a whole number from 1 to 500"),
+        ("a.toml", "= 3", "is no TOML"),
+        ("a.json", "{", "is no JSON"),
+        ("a.json", "[]", "the file: is []; give a table"),
+        ("a.yaml", "a: b", "give a file in .toml or .json"),
+        ("a.toml", None, "can't be read"),
+    ],
+)
+def test_a_bad_file_is_one_line_and_exit_code_1(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], name: str, text: str | None, words: str
+) -> None:
+    if text is not None:
+        (tmp_path / name).write_text(text)
+    assert main(["check", str(tmp_path / name)]) == 1
+    said = capsys.readouterr().err
+    assert words in said and said.count("\n") == 1
+
+
+@pytest.mark.parametrize(
+    ("change", "path"),
+    [
+        ({"run": ""}, "run"),
+        ({"policy": []}, "policy"),
+        ({"policy": ["mintford/none.py"]}, "policy[0]"),
+        ({"node": ["roadpulley", "gone"]}, "node[1]"),
+        ({"packages": "curl"}, "packages"),
+        ({"polcy": []}, "polcy"),
+    ],
+)
+def test_a_bad_deploy_file_is_named_by_its_path(change: dict[str, Any], path: str) -> None:
+    good = {"build": "true", "run": "a", "sim": "b", "policy": ["mintford/rules.py"], "node": ["roadpulley"]}
+    deploy(good, ROOT)
+    with pytest.raises(Bad) as caught:
+        deploy({**good, **change}, ROOT)
+    assert caught.value.path == path
+
+
+def test_a_policy_that_is_too_long_is_said(tmp_path: Path) -> None:
+    (tmp_path / "long.py").write_text("x = 1\n\n" * 1_201)
+    raw = {"build": "true", "run": "a", "sim": "b", "policy": ["long.py"], "node": ["long.py"]}
+    with pytest.raises(Bad, match="policy: holds 1201 lines; keep to 1200"):
+        deploy(raw, tmp_path)
+
+
+JUNK = st.recursive(
+    st.one_of(st.none(), st.booleans(), st.integers(), st.floats(), st.text(max_size=6)),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=6), inner, max_size=3),
+    max_leaves=6,
+)
+PLACES = ["listen", "limits", "known", "known.hosts", "settings", "settings.classes", "settings.packages[0]",
+          "settings.caps", "settings.rules", "settings.familyInfo", "settings.groupSize"]  # fmt: skip
+
+
+@given(st.sampled_from(PLACES), JUNK)
+def test_whatever_stands_in_a_place_it_is_taken_or_named(path: str, junk: Any) -> None:
+    try:
+        gateway(changed(path, junk))
+    except Bad as error:
+        assert "\n" not in str(error)
--- a/tests/testbed/test_scenarios.py
+++ b/tests/testbed/test_scenarios.py
@@ -186,6 +186,7 @@
             attempts = world.ledger.attempts
             await until(lambda: len(attempts) == asked and all(a.ended_at for a in attempts))
             await take(1_000)
+            await asyncio.sleep(0.3)  # it writes until the kernel takes no more; any less is a half as well
             process.hang()
             try:
                 while True:  # what the kernel holds
