--- a/roadpulley/cli/live.py
+++ b/roadpulley/cli/live.py
@@ -90,7 +90,7 @@
         self.live.start()
 
     def event(self, words: str) -> None:
-        self.events = [*self.events, f"{self.passed:6.1f} s  {words}"][-EVENTS:]
+        self.events.append(f"{self.passed:6.1f} s  {words}")
 
     async def tick(self) -> None:
         while True:
@@ -100,6 +100,11 @@
     def close(self) -> None:
         self.live.stop()
 
+    def summary(self, outcome: Outcome) -> None:
+        for line in self.events:
+            print(line)
+        super().summary(outcome)
+
     def draw(self) -> Any:
         from rich.console import Group
         from rich.table import Table
@@ -117,7 +122,7 @@
             table.add_row(kind, plan, *cells(row))
         table.add_section()
         table.add_row("all", "", *cells(self.stats.all))
-        return Group(table, Text("\n".join(self.events)))
+        return Group(table, Text("\n".join(self.events[-EVENTS:])))
 
 
 def cells(row: Row) -> list[str]:
