--- a/roadpulley/testbed/auditor.py
+++ b/roadpulley/testbed/auditor.py
@@ -236,6 +236,8 @@
 
 
 def still_out(case: Case, earlier: Attempt, later: Attempt) -> bool:
+    if later.gone_at is not None and later.gone_at <= came(later):
+        return False  # a link held it up until its gateway had given it up: it was never out
     ends = [at for at in (earlier.ended_at, earlier.gone_at) if at is not None]
     slack = SOCKET_MS + case.ledger.paused(later.gateway, came(earlier), came(later))
     return not ends or min(ends) > came(later) + slack
--- a/roadpulley/testbed/installation.py
+++ b/roadpulley/testbed/installation.py
@@ -266,8 +266,11 @@
                 return
             self.front.start(arrival)
         rest = self.started_at + self.scenario.seconds * 1000 - now_ms()
-        if rest > 0:
-            await asyncio.wait({asyncio.ensure_future(stop.wait())}, timeout=rest / 1000)
+        try:
+            async with asyncio.timeout(max(0.0, rest) / 1000):
+                await stop.wait()
+        except TimeoutError:
+            return
 
     async def wait_until(self, arrival: Arrival, stop: asyncio.Event) -> bool:
         while (wait := self.started_at + arrival.at - now_ms()) > 0:
--- a/tests/testbed/test_auditor.py
+++ b/tests/testbed/test_auditor.py
@@ -318,6 +318,19 @@
     assert broken(judge(ledger, TERMS)) == {"drains"}
 
 
+def test_an_attempt_that_a_link_held_until_it_was_given_up_was_never_out() -> None:
+    """A cut heals, and what was sent into it arrives at once, in any order."""
+    for gone, ok in ((-50.0, True), (300.0, False)):
+        ledger = good()
+        (first,) = tries(ledger, "r0")
+        assert first.last_at is not None
+        first.ended_at, first.gone_at = first.last_at + 400, None
+        held = again(ledger, first, 1, ended_at=None, how="gone")
+        assert held.last_at is not None
+        held.gone_at = held.last_at + gone
+        assert judge(ledger, TERMS).ok == ok
+
+
 def test_a_cold_node_felled_by_gateways_that_did_not_know_is_nobody_s_breach() -> None:
     ledger = good()
     overdriven(ledger)
