Choose among few drawn candidates, keep sums instead of walks, and cut the way through the sockets

A request cost more with everything that was open and with every backend: time_to_answer walked all attempts at each arrival, a choice looked at all backends with several exponentials each, and each request had a timer of its own. What is out is now counted as it changes, a choice looks at 16 drawn candidates at most, marks fade when they are looked at, requests due in the same 4 ms share a timer, events are no longer frozen types, and a finished request leaves no cycle for the collector.

--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -189,15 +189,23 @@
 class Part:
     """A child that says one JSON line when it is ready."""
 
-    def __init__(self, *args: str, env: dict[str, str] | None = None, speaks: bool = True) -> None:
-        parent = os.getpid()
+    def __init__(
+        self, *args: str, env: dict[str, str] | None = None, speaks: bool = True, judged: bool = False
+    ) -> None:
+        parent, cpus = os.getpid(), sorted(os.sched_getaffinity(0))
+        own = {cpus[-1]} if judged else set(cpus[:-1]) or set(cpus)
+
+        def prepare() -> None:
+            end_with_parent(parent)
+            os.sched_setaffinity(0, own)  # what is measured has a core to itself
+
         self.process = subprocess.Popen(
             args,
             stdout=subprocess.PIPE,
             stderr=None if speaks else subprocess.PIPE,
             text=True,
             env={**os.environ, **(env or {})},
-            preexec_fn=lambda: end_with_parent(parent),
+            preexec_fn=prepare,
         )
 
     def line(self) -> Any:
@@ -216,8 +224,8 @@
         self.process.wait()
 
 
-def part(role: str, *args: str) -> Part:
-    return Part(sys.executable, str(Path(__file__).resolve()), "--role", role, *args)
+def part(role: str, *args: str, judged: bool = False) -> Part:
+    return Part(sys.executable, str(Path(__file__).resolve()), "--role", role, *args, judged=judged)
 
 
 def gateway(folder: Path, ports: list[int], counter: int, discovery: int) -> tuple[Part, int]:
@@ -237,7 +245,7 @@
     }
     path = folder / "config.json"
     path.write_text(json.dumps(config))
-    made = Part(sys.executable, "-m", "roadpulley", env={"LB_CONFIG": str(path)}, speaks=False)
+    made = Part(sys.executable, "-m", "roadpulley", env={"LB_CONFIG": str(path)}, speaks=False, judged=True)
     assert made.process.stderr is not None
     while "serves at" not in made.process.stderr.readline():
         if made.process.poll() is not None:
@@ -291,7 +299,7 @@
             ports = [port for each in parts for port in each.line()]
             parts.append(part("surroundings", json.dumps(hosts_of(ports))))
             counter, discovery = parts[-1].line()
-            through = part("pass-through", json.dumps(ports))
+            through = part("pass-through", json.dumps(ports), judged=True)
             parts.append(through)
             subjects = {"pass-through": (through, int(through.line()))}
             subject, port = gateway(Path(folder), ports, counter, discovery)
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -1,6 +1,7 @@
 """Types of the decision module: its settings, the events it takes and the actions it gives.
 
-All times are milliseconds on the caller's clock. Nothing here decides anything.
+All times are milliseconds on the caller's clock. Nothing here decides anything. Events and actions are made
+for every request and not frozen: a frozen one costs four times as much to make. Nobody changes them.
 """
 
 from __future__ import annotations
@@ -113,13 +114,13 @@
     state: BackendState
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class BackendsChanged:
     scope: ListScope
     entries: tuple[BackendEntry, ...]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RequestArrived:
     request: str
     request_class: str
@@ -132,7 +133,7 @@
     repeat: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AttemptEnded:
     request: str
     attempt: int
@@ -142,31 +143,31 @@
     finished: bool
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AnswerBegan:
     request: str
     attempt: int
     backend: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RequestLapsed:
     request: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class CounterReplied:
     name: str
     outcome: Outcome
     reading: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class TimerFired:
     token: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PeerSpoke:
     sender: int
     payload: bytes
@@ -184,7 +185,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Send:
     """Start an attempt; the attempts of a request are numbered 0, 1, 2, ... in the order of their sends."""
 
@@ -193,13 +194,13 @@
     timeout: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Cancel:
     request: str
     attempt: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Refuse:
     """A final answer that promises a new try does no harm."""
 
@@ -207,20 +208,20 @@
     retry_after: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Fail:
     """A final answer that promises nothing."""
 
     request: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SetTimer:
     delay: float
     token: str
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Count:
     """Add to a named number on the counter service (0 reads it); the reply carries the total."""
 
@@ -229,7 +230,7 @@
     expire_in: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class FollowList:
     enable: bool = True
 
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -10,7 +10,7 @@
 import random
 from collections import deque
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from . import interface as api
 
@@ -27,6 +27,10 @@
 ERROR_COST = 8.0  # how much failing always raises a backend's cost: clearly behind any healthy peer
 CHANCE = 0.25  # how far chance spreads the choice: half the cost is chosen sixteen times as often
 SUBSET, COVER = 8, 24  # backends that a gateway of a large fleet uses; gateways that each backend needs
+DRAWN = 16  # candidates of one choice: the work of a choice does not grow with the fleet
+NOISE = [(-math.log(1 - (i + 0.5) / 1024)) ** CHANCE for i in range(1024)]  # quantiles of the chance in it
+FADED_MS = 25.0  # a mark's fading is looked at again after this: under 1% of it
+WHEEL_MS = 4.0  # requests due within this share one timer: small beside any patience
 RETRY_SHARE, RETRY_CALM, RETRY_STORE = 0.15, 0.6, 10.0  # extra attempts earned a request; when calm; the most
 PATIENCE = 0.4  # of the aim: how long to wait before anything is known
 LONGEST, SHORTEST = 9.0, 2.0  # typical latencies: the most a sample counts for; a bad backend's patience
@@ -62,11 +66,13 @@
 
     def __init__(self, entry: api.BackendEntry, rules: api.SafetyRules) -> None:
         self.id, self.out, self.started, self.rules = entry.backend, 0, -1.0, rules
+        self.slow, self.bad, self.faded_at = 0.0, 0.0, -math.inf  # two marks as they stood at that time
         self.update(entry)
 
     def update(self, entry: api.BackendEntry) -> None:
         if entry.started != self.started:  # a new process: what was seen of the old one says nothing
             self.marks: dict[str, tuple[float, float]] = {}  # level and when it was set
+            self.faded_at = -math.inf
         self.zone, self.cell, self.started = entry.zone, entry.cell, entry.started
         self.ready = entry.state is api.BackendState.READY
 
@@ -89,10 +95,12 @@
         self.ran: list[Attempt] = []  # attempts that may have run or are out, the earliest first
 
 
-class Attempt(NamedTuple):  # of a request at a backend
-    request: Request
-    backend: Backend
-    sent_at: float
+class Attempt:  # of a request at a backend
+    __slots__ = ("backend", "lost", "over", "request", "sent_at")
+
+    def __init__(self, request: Request, backend: Backend, sent_at: float) -> None:
+        self.request, self.backend, self.sent_at = request, backend, sent_at
+        self.over = self.lost = False  # lost: out for so long that it waits in no queue any more
 
 
 class Gateway:
@@ -105,8 +113,13 @@
         self.calls: dict[str, deque[tuple[str, int, float, str]]] = {}  # customer, period, added, request
         self.backends: dict[int, Backend] = {}
         self.subset: list[Backend] = []  # the backends that this gateway uses
+        self.warm: list[Backend] = []  # of these, those that are surely warm
+        self.warm_at = math.inf  # when the next of them will be
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, the oldest first
+        self.young: deque[Attempt] = deque()  # likewise, not yet known to be lost; some are over
+        self.lost = 0  # attempts out that are
+        self.wheel: dict[int, list[Request]] = {}  # requests to look at, by the tick of their timer
         self.created = -1.0  # the time of the first event
         self.typical, self.recent, self.recent_at = 0.0, 0.0, 0.0  # mean latency of the answers, and lately
         self.samples, self.rate, self.answered_at = 0.0, 0.0, 0.0  # answers; a second
@@ -263,14 +276,24 @@
         is out is known at once. It covers floods, slow backends and lost capacity; it could refuse too much
         where traffic multiplies in a second. Where one gateway's few tell nothing, recent latency decides.
         """
-        answer, waiting = max(1.0, self.recent * math.exp((self.recent_at - now) / MARK_MS)), 1
+        young, oldest = self.young, now - max(LONGEST * max(self.typical, self.recent), 1.0)
+        while young and (young[0].over or young[0].sent_at <= oldest):
+            attempt = young.popleft()
+            if not attempt.over:  # lost ones don't wait in any queue
+                attempt.lost, self.lost = True, self.lost + 1
+        waiting = 1 + len(self.attempts) - self.lost
+        if self.floor >= LEAST_OUT:
+            if waiting <= self.floor:
+                return 0.0
+            return waiting * 1000 / max(self.rate * math.exp((self.answered_at - now) / RATE_MS), 1e-9)
+        answer = max(1.0, self.recent * math.exp((self.recent_at - now) / MARK_MS))
         for attempt in self.attempts.values():
             age = now - attempt.sent_at
-            if age < max(LONGEST * max(self.typical, self.recent), 1.0):  # lost ones don't wait in any queue
-                answer, waiting = answer * max(1.0, age / answer) ** RECENT, waiting + 1
-        if self.floor < LEAST_OUT or waiting <= self.floor:
-            return answer * max(1.0, waiting / LEAST_OUT) ** 2 if self.floor < LEAST_OUT else 0.0
-        return waiting * 1000 / max(self.rate * math.exp((self.answered_at - now) / RATE_MS), 1e-9)
+            if age <= answer:
+                break  # those sent later raise it no more
+            if not attempt.lost:
+                answer *= (age / answer) ** RECENT
+        return answer * max(1.0, waiting / LEAST_OUT) ** 2
 
     # ---- backend choice and health ----
 
@@ -289,6 +312,12 @@
                 self.backends[entry.backend] = Backend(entry, self.settings.rules)
         self.floor = FLOOR_OUT * len(self.backends) / max(1, self.settings.gateways)
         self.subset = self.choose_subset([b for b in self.backends.values() if b.ready])
+        self.sort_warm(now)
+
+    def sort_warm(self, now: float) -> None:
+        self.warm = [b for b in self.subset if b.warmth(now) >= 1]
+        cold = (b.started + self.settings.rules.warm_within for b in self.subset if b.warmth(now) < 1)
+        self.warm_at = min(cold, default=math.inf)
 
     def choose_subset(self, ready: list[Backend]) -> list[Backend]:
         """Few enough backends to meet each often and judge it; all of them in a small fleet.
@@ -303,21 +332,39 @@
 
     def mark(self, now: float, b: Backend, name: str) -> float:
         """A mark as far as it has not faded; a backend that is met seldom is remembered longer."""
-        level, at = b.marks.get(name, (0.0, now))
+        if name not in b.marks:
+            return 0.0
+        level, at = b.marks[name]
         gap = len(self.subset) * 1000 / max(self.rate, 0.1)
         return level * math.exp((at - now) / max(MARK_MS, min(LEASE_MS, MARK_MEETINGS * gap)))
 
     def failing(self, now: float, b: Backend, request: Request) -> float:
         """How likely it fails this request: one class or plan may fare ill where the others are served."""
-        if (of_all := self.mark(now, b, "all")) < 0.01:
+        if now - b.faded_at > FADED_MS:
+            self.fade(now, b)
+        if (of_all := b.bad) < 0.01:
             return 0.0
         of_class, of_plan = (self.mark(now, b, name) for name in request.marks[1:])
         return min(1.0, of_class * of_plan / of_all)
 
-    def cost(self, now: float, b: Backend, request: Request) -> float:
-        """What an answer from this backend should take, judged by answers, failures and silence alike."""
-        latency = max(1.0, self.typical + self.mark(now, b, "slow"))
-        return latency * (1 + ERROR_COST * self.failing(now, b, request)) * (b.out + 1)
+    def fade(self, now: float, b: Backend) -> None:
+        b.slow, b.bad, b.faded_at = self.mark(now, b, "slow"), self.mark(now, b, "all"), now
+
+    def cheapest(self, now: float, request: Request, among: list[Backend]) -> Backend | None:
+        """By what an answer should take, judged by answers, failures and silence alike, and by chance."""
+        best, least, chance = None, math.inf, self.random.getrandbits(10 * len(among)) if among else 0
+        typical, fresh = self.typical, now - FADED_MS
+        for b in among:
+            if b.faded_at < fresh:
+                self.fade(now, b)
+            cost = (typical + b.slow) * (b.out + 1) if typical + b.slow > 1.0 else b.out + 1.0
+            if b.bad >= 0.01:
+                cost *= 1 + ERROR_COST * self.failing(now, b, request)
+            cost *= NOISE[chance & 1023]
+            chance >>= 10
+            if cost < least:
+                best, least = b, cost
+        return best
 
     def pick(self, now: float, request: Request) -> Backend | None:
         """A backend by chance, cheap ones far more often; a cold one only by the cold rule's own lot.
@@ -326,16 +373,19 @@
         gives it an even part of its own requests times less than the least it can do, so that the sum over
         all gateways stays under that part of a warm one's load; twice, as one long request is much of it.
         """
-        may = [b for b in self.subset if self.may_go(now, request, b)]
-        may = may or [b for b in self.backends.values() if b.ready and self.may_go(now, request, b)]
-        warm = [b for b in may if b.warmth(now) >= 1]
+        if now >= self.warm_at:
+            self.sort_warm(now)
+        may, warm = self.subset, self.warm
+        if request.tried or not may:  # the first attempt may go to any
+            may = [b for b in may if self.may_go(now, request, b)]
+            may = may or [b for b in self.backends.values() if b.ready and self.may_go(now, request, b)]
+            warm = [b for b in may if b.warmth(now) >= 1]
         if len(warm) < len(may):
             b = self.random.choice(may)
             part = b.warmth(now) * min(1.0, b.warmth(now) * self.settings.rules.fall_multiple / 2)
             if b.warmth(now) < 1 and self.random.random() < part and self.failing(now, b, request) < 0.5:
                 return b
-        costs = [self.cost(now, b, request) * self.random.expovariate(1.0) ** CHANCE for b in warm]
-        return warm[costs.index(min(costs))] if warm else None
+        return self.cheapest(now, request, warm if len(warm) <= DRAWN else self.random.choices(warm, k=DRAWN))
 
     # ---- attempts and retries ----
 
@@ -343,6 +393,7 @@
         b.out += 1
         request.customer.out += 1
         attempt = self.attempts[request.id, request.attempts] = Attempt(request, b, now)
+        self.young.append(attempt)
         request.live.add(request.attempts)
         request.ran.append(attempt)
         request.tried.add(b.id)
@@ -358,14 +409,22 @@
 
     def watch(self, now: float, request: Request, at: float, out: api.Actions) -> None:
         request.check_at = min(at, request.expires - END_MS)
-        out.append(api.SetTimer(max(0.0, request.check_at - now), "r" + request.id))
+        tick = int(max(now, request.check_at) // WHEEL_MS) + 1
+        if tick not in self.wheel:
+            self.wheel[tick] = []
+            out.append(api.SetTimer(tick * WHEEL_MS - now, f"w{tick}"))
+        self.wheel[tick].append(request)
 
     def on_timer(self, now: float, event: api.TimerFired, out: api.Actions) -> None:
         if event.token == "follow":
-            out.append(api.FollowList())
-        request = self.requests.get(event.token[1:])
-        if request is None or now < request.check_at - 1:
-            return
+            return out.append(api.FollowList())
+        tick = int(event.token[1:]) if event.token[1:].isdecimal() else -1
+        for request in self.wheel.pop(tick, ()):
+            if self.requests.get(request.id) is request and now >= request.check_at - 1:
+                self.check(now, request, out)
+
+    def check(self, now: float, request: Request, out: api.Actions) -> None:
+        """A request's time is up, or it has waited for longer than usual."""
         if now >= request.expires - END_MS - 1:
             return self.finish(request, out)  # every request held ends here at the latest
         if not request.attempts:
@@ -383,6 +442,7 @@
         if attempt is None:
             return
         request, never_ran = attempt.request, event.outcome in NEVER_RAN
+        attempt.over, self.lost = True, self.lost - attempt.lost
         attempt.backend.out -= 1
         request.customer.out -= 1
         request.live.remove(event.attempt)
@@ -394,6 +454,8 @@
         if event.finished or event.outcome is api.Outcome.OK:
             del self.requests[request.id]
             self.cancel_all(request, out)
+            if not request.live:
+                request.ran.clear()  # else it and its attempts would wait for the collector
         elif not request.live and not self.another(now, request, out, price=0.0 if never_ran else 1.0):
             self.finish(request, out)
 
@@ -403,7 +465,8 @@
         # Danger: one attempt lost on the way would look like a backend slow beyond use.
         capped = min(lag, LONGEST * self.typical) if self.typical else lag
         if ok or (outcome in CALLED_OFF and capped > self.typical + slow):  # it took longer yet
-            b.marks["slow"] = (slow + (capped - (self.typical or lag) - slow) * SLOW, now)
+            slow += (capped - (self.typical or lag) - slow) * SLOW
+            b.marks["slow"] = (slow, now)
         if ok or (outcome in CALLED_OFF and lag > self.recent):
             # Danger: old answers outweigh few new ones, and refusals stay. Of logarithms, as few are long.
             weight = max(RECENT, 1 - math.exp((self.recent_at - now) / MARK_MS))
@@ -414,9 +477,12 @@
             self.rate = self.rate * math.exp((self.answered_at - now) / RATE_MS) + 1000 / RATE_MS
             self.answered_at = now
         if outcome not in CALLED_OFF or overdue:  # a client that left early says nothing of the backend
+            bad = not ok and outcome is not api.Outcome.IGNORED
             for name in attempt.request.marks:
-                level, bad = self.mark(now, b, name), not ok and outcome is not api.Outcome.IGNORED
-                b.marks[name] = (level + (bad - level) * BAD, now)
+                if bad or name in b.marks:
+                    level = self.mark(now, b, name)
+                    b.marks[name] = (level + (bad - level) * BAD, now)
+        b.slow, b.bad, b.faded_at = slow, self.mark(now, b, "all"), now
 
     def another(self, now: float, request: Request, out: api.Actions, price: float) -> bool:
         """Send a further attempt if one can be in time and in the budget; what never ran is not charged."""
--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -31,6 +31,7 @@
 LONGEST_WAIT_S = 3.0  # the longest deadline that SIGKILL waits for, and 0.7 s more
 LAST_ANSWER_S = 0.4  # of these 0.7 s: what is open then is failed, before SIGKILL would lose it
 CLOSING_S = 0.1
+GC_THRESHOLDS = (10_000, 20, 20)  # a request leaves no cycles behind, so there is seldom anything to collect
 
 
 class Reload:
@@ -121,6 +122,7 @@
     port = server.listen(*config.listen)
     gc.collect()
     gc.freeze()  # what was loaded stays: no pause to look at it again
+    gc.set_threshold(*GC_THRESHOLDS)
     log.info("%s serves at %s:%d", config.name, config.listen[0], port)
     if ready is not None:
         ready(port)
--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -33,6 +33,7 @@
 SWEEP_MS = 1_000.0
 CUTOFF_MARGIN_MS = 50.0  # before the end of the grace for new work to a draining backend
 READ_BYTES = 64 * 1024
+HEARD_MS = 100.0  # a connection idle for less than this is taken to stand
 REST_MS = 5.0  # before a connection is used again: what follows its last answer uncalled for shows by then
 
 
@@ -316,12 +317,16 @@
         if host is None or not host.takes_new(now_ms()):
             return attempt.end(Outcome.CONNECT)
         now = now_ms()
-        for connection in host.idle[::-1]:  # the last used first, once it has rested
+        for place in range(len(host.idle) - 1, -1, -1):  # the last used first, once it has rested
+            connection = host.idle[place]
             rested = now - connection.idle_since
             if rested < REST_MS:
                 continue
-            if rested < min(self.idle_ms, self.freshness.limit) and connection.alive():
-                host.idle.remove(connection)
+            # The loop has heard of a close by its last turn; only a longer rest, or a stall of this process,
+            # is worth asking the kernel once more.
+            fresh = rested < min(self.idle_ms, self.freshness.limit)
+            if fresh and (rested < HEARD_MS or connection.alive()):
+                del host.idle[place]
                 return connection.start(attempt)
             connection.close()
         if len(self.connections) >= self.most:
--- a/roadpulley/core/clock.py
+++ b/roadpulley/core/clock.py
@@ -9,11 +9,11 @@
 
 import asyncio
 import heapq
-import itertools
 import math
 import time
 from collections.abc import Callable
 
+TICK_MS = 2.0  # how far timers are put together: small beside any time that is waited for
 _OFFSET_MS = time.time() * 1000 - time.monotonic() * 1000
 
 
@@ -24,49 +24,68 @@
 class Timer:
     """One call to come."""
 
-    __slots__ = ("callback",)
+    __slots__ = ("callback", "due")
 
-    def __init__(self, callback: Callable[[], None]) -> None:
+    def __init__(self, due: float, callback: Callable[[], None]) -> None:
+        self.due = due
         self.callback: Callable[[], None] | None = callback
 
     def cancel(self) -> None:
         self.callback = None
 
 
+def _later(timer: Timer) -> float:
+    return -timer.due
+
+
 class Timers:
-    """Calls back at a time of `now_ms`, never before it; one event-loop timer stands for all of them."""
+    """Calls back at a time of `now_ms`, never before it, and up to one tick after it.
+
+    Timers of one tick lie in one list, and the heap holds ticks: most timers of a busy gateway are cancelled
+    before they are due, and cost no more than the place in a list.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
-        self._heap: list[tuple[float, int, Timer]] = []
-        self._serial = itertools.count()
+        self._slots: dict[int, list[Timer]] = {}  # by tick: those due before its end
+        self._ticks: list[int] = []  # a heap
         self._handle: asyncio.TimerHandle | None = None
-        self._handle_due = math.inf
+        self._armed: float = math.inf  # the tick that the handle is for
+        self._running = 0  # the tick whose timers are being called; nothing is put before it
 
     def at(self, due: float, callback: Callable[[], None]) -> Timer:
-        timer = Timer(callback)
-        heapq.heappush(self._heap, (due, next(self._serial), timer))
-        if due < self._handle_due:
-            self._arm(due)
+        timer, tick = Timer(due, callback), max(int(due // TICK_MS) + 1, self._running)
+        slot = self._slots.get(tick)
+        if slot is not None:
+            slot.append(timer)
+            return timer
+        self._slots[tick] = [timer]
+        heapq.heappush(self._ticks, tick)
+        if tick < self._armed:
+            self._arm(tick)
         return timer
 
-    def _arm(self, due: float) -> None:
+    def _arm(self, tick: int) -> None:
         if self._handle is not None:
             self._handle.cancel()
-        self._handle_due = due
-        self._handle = self._loop.call_later(max(0.0, due - now_ms()) / 1000, self._run)
+        self._armed = tick
+        self._handle = self._loop.call_later(max(0.0, tick * TICK_MS - now_ms()) / 1000, self._run)
 
     def _run(self) -> None:
-        heap, self._handle, self._handle_due = self._heap, None, -math.inf  # nothing to arm meanwhile
+        ticks, slots, self._handle = self._ticks, self._slots, None
+        self._armed = -math.inf  # nothing to arm meanwhile
         try:
             # The event loop rounds to whole milliseconds and may call early; the module ignores a timer
             # that comes before its time, and a request would then never be ended.
-            now = now_ms()
-            while heap and (heap[0][2].callback is None or heap[0][0] <= now):
-                if callback := heapq.heappop(heap)[2].callback:
-                    callback()
-                    now = now_ms()
+            while ticks and ticks[0] * TICK_MS <= now_ms():
+                self._running = ticks[0]
+                slot = slots[self._running]
+                slot.sort(key=_later)
+                while slot:  # left where it is until it is empty: a fault in one call must not lose the rest
+                    if callback := slot.pop().callback:
+                        callback()
+                del slots[heapq.heappop(ticks)]
         finally:
-            self._handle_due = math.inf
-            if heap:
-                self._arm(heap[0][0])
+            self._armed, self._running = math.inf, 0
+            if ticks:
+                self._arm(ticks[0])
--- a/roadpulley/core/command.py
+++ b/roadpulley/core/command.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from .resp import bulk
-
 
 class Slot(Protocol):
     """Where the final answer of one command goes; an edge has one for each."""
@@ -38,5 +36,14 @@
 
     def encode(self, wait: int) -> bytes:
         """The command with the time left that a backend is told."""
-        attributes = b"%b%d%b" % (self.before, wait, self.after)
-        return b"*%d\r\n%b%b%b" % (self.length, self.head, bulk(attributes), self.body)
+        left = b"%d" % wait
+        size = len(self.before) + len(left) + len(self.after)
+        return b"*%d\r\n%b$%d\r\n%b%b%b\r\n%b" % (
+            self.length,
+            self.head,
+            size,
+            self.before,
+            left,
+            self.after,
+            self.body,
+        )
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -5,7 +5,9 @@
 import logging
 import math
 from collections import deque
+from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 from mintford import Gateway
 from mintford import interface as api
@@ -56,20 +58,29 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
         self.events: deque[api.Event] = deque()
         self.busy = False
+        self.acts: dict[type, Callable[[Any], object]] = {
+            api.Send: self.send,
+            api.Cancel: self.cancel,
+            api.Refuse: self.refuse,
+            api.Fail: lambda action: self.finish(action.request, FAILED),
+            api.SetTimer: self.set_timer,
+            api.Count: self.count,
+            api.FollowList: lambda _: None,  # the list is always followed
+        }
 
     # ---- events ----
 
     def give(self, event: api.Event) -> None:
-        self.events.append(event)
         if self.busy:
-            return
+            return self.events.append(event)
         self.busy = True
+        self.events.append(event)
         try:
             while self.events:
                 event = self.events.popleft()
                 try:
                     for action in self.gateway.handle(now_ms(), event):
-                        self.act(action)
+                        self.acts[type(action)](action)
                 except Exception:
                     # One event's fault must not take the others with it.
                     log.exception("%s could not be handled", type(event).__name__)
@@ -155,29 +166,25 @@
 
     # ---- actions ----
 
-    def act(self, action: api.Action) -> None:
-        match action:
-            case api.Send(request, backend, timeout):
-                self.send(request, backend, timeout)
-            case api.Cancel(request, number):
-                if attempt := self.attempts.get((request, number)):
-                    self.backends.give_up(attempt, api.Outcome.CANCELLED)
-            case api.Refuse(request, retry_after):
-                wait = math.ceil(retry_after)
-                self.finish(request, b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n")
-            case api.Fail(request):
-                self.finish(request, FAILED)
-            case api.SetTimer(delay, token):
-                self.timers.at(now_ms() + delay, partial(self.give, api.TimerFired(token)))
-            case api.Count(name, amount, expire_in):
-                if self.counter is None:
-                    self.give(api.CounterReplied(name, api.Outcome.CONNECT, 0.0))
-                else:
-                    self.counter.add(name, amount, expire_in, self.on_counted)
-            case api.FollowList():
-                pass  # the list is always followed
-
-    def send(self, request: str, backend: int, timeout: float) -> None:
+    def cancel(self, action: api.Cancel) -> None:
+        if attempt := self.attempts.get((action.request, action.attempt)):
+            self.backends.give_up(attempt, api.Outcome.CANCELLED)
+
+    def refuse(self, action: api.Refuse) -> None:
+        wait = math.ceil(action.retry_after)
+        self.finish(action.request, b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n")
+
+    def set_timer(self, action: api.SetTimer) -> None:
+        self.timers.at(now_ms() + action.delay, partial(self.give, api.TimerFired(action.token)))
+
+    def count(self, action: api.Count) -> None:
+        if self.counter is None:
+            self.give(api.CounterReplied(action.name, api.Outcome.CONNECT, 0.0))
+        else:
+            self.counter.add(action.name, action.amount, action.expire_in, self.on_counted)
+
+    def send(self, action: api.Send) -> None:
+        request, backend, timeout = action.request, action.backend, action.timeout
         now, owner = now_ms(), self.requests.get(request)
         if owner is None or owner.made >= self.settings.max_attempts:
             number = owner.made if owner else 0
--- a/roadpulley/core/resp.py
+++ b/roadpulley/core/resp.py
@@ -18,6 +18,8 @@
 LONGEST_ERROR = 1024
 LARGEST_EXTRA = 4 * 1024  # figures on use and load report, as they are on the wire
 
+FAST_COMMAND = 2 * 1024  # bytes read but not taken: up to this, a whole command is cut at once
+HEADERS = [b"$%d" % length for length in range(512)]
 COUNT = re.compile(rb"\*(\d{1,6})\r\n")
 LENGTH = re.compile(rb"\$(\d{1,6})\r\n")
 BEGUN = {COUNT: re.compile(rb"\*(?:\d{0,6}|\d{1,6}\r)"), LENGTH: re.compile(rb"\$(?:\d{0,6}|\d{1,6}\r)")}
@@ -59,6 +61,8 @@
 
     def next(self) -> list[bytes] | None:
         """The next whole command, if there is one."""
+        if not self._left and len(self._buffer) - self._at <= FAST_COMMAND and (args := self._cut()):
+            return args
         while True:
             if self._size < 0:
                 number = self._header(LENGTH if self._left else COUNT)
@@ -85,6 +89,25 @@
                 args, self._args, self._total = self._args, [], 0
                 return args
 
+    def _cut(self) -> list[bytes] | None:
+        """A command of four arguments in its plainest form; None where only the long way can tell."""
+        data = bytes(self._buffer[self._at :]) if self._at else bytes(self._buffer)
+        parts = data.split(b"\r\n", 9)
+        if len(parts) < 10 or parts[0] != b"*4":
+            return None
+        _, h0, verb, h1, customer, h2, request, h3, listed, rest = parts
+        if (
+            len(verb) < 512 > len(customer)
+            and len(request) < 512 > len(listed)
+            and h0 == HEADERS[len(verb)]
+            and h1 == HEADERS[len(customer)]
+            and h2 == HEADERS[len(request)]
+            and h3 == HEADERS[len(listed)]
+        ):
+            self._at += len(data) - len(rest)
+            return [verb, customer, request, listed]
+        return None
+
     def _header(self, form: re.Pattern[bytes]) -> int | None:
         if got := form.match(self._buffer, self._at):
             self._at = got.end()
