--- /dev/null
+++ b/tests/decisions/test_flat.py
@@ -0,0 +1,113 @@
+"""What a decision costs does not grow with what is open or with the fleet, and says what it said before."""
+
+from __future__ import annotations
+
+import gc
+import math
+from collections import Counter
+from typing import Any
+
+from helpers import SAFE, World, backends, entry, sends
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mintford import interface as api
+from mintford.rules import DRAWN, LONGEST, NOISE, Backend, Gateway
+
+
+def walked(gateway: Gateway, now: float) -> float:
+    """What is out over the rate of answers, told by looking at every attempt."""
+    limit = max(LONGEST * max(gateway.typical, gateway.recent), 1.0)
+    waiting = 1 + sum(now - a.sent_at < limit for a in gateway.attempts.values())
+    if waiting <= gateway.floor:
+        return 0.0
+    return waiting * 1000 / max(gateway.rate * math.exp((gateway.answered_at - now) / 800.0), 1e-9)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["ask", "end", "wait"]), st.integers(0, 400)), max_size=60))
+def test_what_is_out_is_counted_as_if_all_were_walked(steps: list[tuple[str, int]]) -> None:
+    world = World([entry(n) for n in range(1, 4)], gateways=1)
+    out: list[api.Send] = []
+    for _ in range(3):  # some answers, so that latencies are known
+        world.end(sends(world.ask("wipe", "none"))[0])
+        world.now += 40
+    for what, amount in steps:
+        if what == "ask":
+            out += sends(world.ask("wipe", "none", customer=f"c{amount}", life=60_000))
+        elif what == "end" and out:
+            world.end(out.pop(amount % len(out)), api.Outcome.FAILED)  # tells nothing of latency
+        else:
+            world.now += amount
+        assert world.gateway.time_to_answer(world.now) == walked(world.gateway, world.now)
+
+
+def test_a_choice_looks_at_a_few_of_a_large_fleet_and_in_time_at_all(monkeypatch: Any) -> None:
+    looked: list[list[Backend]] = []
+    real = Gateway.cheapest
+
+    def cheapest(self: Gateway, now: float, request: Any, among: list[Backend]) -> Backend | None:
+        looked.append(among)
+        return real(self, now, request, among)
+
+    monkeypatch.setattr(Gateway, "cheapest", cheapest)
+    world = World([entry(n) for n in range(200)], gateways=1)
+    chosen = Counter[int]()
+    for number in range(2_000):
+        (send,) = sends(world.ask(plan="none", customer=f"c{number}"))
+        chosen[send.backend] += 1
+        world.end(send)
+        world.now += 1
+    assert max(map(len, looked)) <= DRAWN
+    assert len(chosen) == 200 and max(chosen.values()) < 60
+
+
+def test_in_a_small_fleet_a_choice_still_looks_at_all() -> None:
+    world = World([entry(n) for n in range(12)], gateways=1)
+    (send,) = sends(world.ask(plan="none"))
+    slow = world.gateway.backends[send.backend]
+    for b in world.gateway.backends.values():
+        b.out = 50 if b is not slow else 0
+    chosen = {sends(world.ask(plan="none", customer=f"c{n}"))[0].backend for n in range(4)}
+    assert chosen == {slow.id}
+
+
+def test_the_chance_in_a_choice_is_that_of_its_quantiles() -> None:
+    mean = sum(NOISE) / len(NOISE)
+    assert NOISE == sorted(NOISE) and abs(mean - math.gamma(1.25)) < 0.01
+
+
+def test_requests_due_together_share_a_timer_and_each_is_looked_at() -> None:
+    world = World([entry(n) for n in range(1, 40)], gateways=1)
+    before = len([a for _, a in world.log if isinstance(a, api.SetTimer)])
+    for number in range(30):
+        assert sends(world.ask("wipe", "none", customer=f"c{number}", life=500))
+    timers = [a for _, a in world.log if isinstance(a, api.SetTimer)][before:]
+    assert len(timers) == 1
+    ended = [a for a in world.pass_time(600) if isinstance(a, api.Fail)]
+    assert len(ended) == 30 and not world.gateway.requests and not world.gateway.wheel
+
+
+def test_a_backend_that_warms_up_is_taken_in_at_its_time() -> None:
+    world = World(gateways=1)
+    world.give(backends(entry(1, started=world.now)))
+    assert not world.gateway.warm
+    world.pass_time(9_999)
+    world.ask(plan="none")
+    assert not world.gateway.warm
+    world.pass_time(2)
+    assert sends(world.ask(plan="none")) and [b.id for b in world.gateway.warm] == [1]
+
+
+def test_a_finished_request_leaves_nothing_for_the_collector() -> None:
+    world = World([entry(n) for n in range(1, 9)], gateways=1)
+    gc.collect()
+    gc.disable()
+    try:
+        for number in range(300):
+            (send,) = sends(world.ask(SAFE.name, "none", customer=f"c{number % 7}"))
+            world.end(send)
+            world.pass_time(20)
+        world.log.clear()
+        assert gc.collect() < 300
+    finally:
+        gc.enable()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -239,6 +239,28 @@
     in_loop(scenario)
 
 
+def test_a_fault_in_one_timer_does_not_lose_those_beside_it() -> None:
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: faults.append(context["exception"]))
+        timers, fired, due = clock.Timers(loop), list[int](), clock.now_ms() + 5
+        faults: list[Exception] = []
+
+        def early() -> None:
+            fired.append(0)
+            timers.at(0.0, lambda: fired.append(1))  # before the tick that is being called
+            raise ValueError
+
+        timers.at(due, early)
+        for number in (2, 3, 4):
+            timers.at(due + number / 10, lambda number=number: fired.append(number))  # type: ignore[misc]
+        await until(lambda: len(fired) == 5)
+        assert sorted(fired) == [0, 1, 2, 3, 4] and fired[0] == 0
+        assert [type(fault) for fault in faults] == [ValueError] and not timers._slots
+
+    in_loop(scenario)
+
+
 def test_a_cancelled_timer_is_silent_and_wakes_nobody() -> None:
     async def scenario() -> None:
         timers = clock.Timers(asyncio.get_running_loop())
