Refuse at the door while the gateway's own core is the bottleneck

The lag of the loop is now an event to the module, which turns away the least worth at the door, before a request is read whole, with a time to come back. A counter or a backend is not blamed for the lag.

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -167,6 +167,13 @@
     token: str
 
 
+@dataclass(slots=True)
+class LoopLagged:
+    """How far this gateway's own loop is behind: what has come in waits this long until it is read."""
+
+    lag: float
+
+
 @dataclass(slots=True)
 class PeerSpoke:
     sender: int
@@ -181,6 +188,7 @@
     | RequestLapsed
     | CounterReplied
     | TimerFired
+    | LoopLagged
     | PeerSpoke
 )
 
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -38,6 +38,10 @@
 FLOOR_OUT, LEAST_OUT = 3.0, 2.0  # always allowed out: a backend over all gateways; too few to tell anything
 RATE_MS = 800.0  # memory of the rate of answers: steady, yet quick to follow a shift
 CALM = 0.1  # of the aim: latency under which capacity counts as clearly spare
+LAG_AIM, LAG_WEIGHT = 20.0, 0.5  # of the gateway's own loop: more than this is strain; weight of one look
+LOOK_MS = 20.0  # about how often it is looked at
+LEVEL_SUM, LEVEL_NOW, LEVEL_STEP = 0.02, 0.12, 3.0  # gains on the excess, summed up by look and now; its most
+LEVEL_MOST = 0.95
 NEVER_RAN = {api.Outcome.FULL, api.Outcome.CONNECT, api.Outcome.IGNORED}
 CALLED_OFF = {api.Outcome.TIMED_OUT, api.Outcome.CANCELLED}
 
@@ -124,11 +128,13 @@
         self.typical, self.recent, self.recent_at = 0.0, 0.0, 0.0  # mean latency of the answers, and lately
         self.samples, self.rate, self.answered_at = 0.0, 0.0, 0.0  # answers; a second
         self.counter_room = 1.0  # the part of refreshes that a crowded counter leaves room for
+        self.lag, self.strain = 0.0, 0.0  # own lag of late; its excess, summed up
+        self.level = 0.0  # how much a request must be worth to be let in
         self.retries, self.tidied_at, self.floor = RETRY_STORE, 0.0, 0.0
         self.handlers: dict[type, Callable[[float, Any, api.Actions], object]] = {
             api.RequestArrived: self.on_request, api.AttemptEnded: self.on_ended,
             api.TimerFired: self.on_timer, api.CounterReplied: self.on_counted,
-            api.BackendsChanged: self.on_list,
+            api.BackendsChanged: self.on_list, api.LoopLagged: self.on_lag,
             api.RequestLapsed: lambda _, event, __: self.requests.pop(event.request, None),
         }  # peers' messages and begun answers change no decision
 
@@ -229,6 +235,31 @@
         c.fresh_until = now + max(least, (paid - over) / (SURGE * rate) * 1000)
         return False
 
+    # ---- its own strain ----
+
+    def on_lag(self, now: float, event: api.LoopLagged, out: api.Actions) -> None:
+        """Raise the level while the loop lags, lower it while it does not: by sum and by present excess."""
+        looks = max(1.0, event.lag / LOOK_MS)  # that were missed: a slow loop must not slow this down too
+        self.lag += (event.lag - self.lag) * (1 - (1 - LAG_WEIGHT) ** looks)
+        excess = min(LEVEL_STEP, self.lag / LAG_AIM - 1)
+        self.strain = min(LEVEL_MOST, max(0.0, self.strain + LEVEL_SUM * excess * min(looks, LEVEL_STEP)))
+        self.level = min(LEVEL_MOST, max(0.0, self.strain + LEVEL_NOW * excess)) if self.strain else 0.0
+
+    def turn_away(self, request_class: str) -> float | None:
+        """The time to come back for a request that is refused at the door, None for one that is let in.
+
+        Danger: where the core itself is the bottleneck, queues form in its sockets, unseen by anything that
+        counts what is out, and every request is late. What is refused must cost far less than what is
+        served, so it is judged by its class alone, before it is read whole; the least worth goes first.
+        """
+        kind = self.classes.get(request_class)
+        if not self.level or kind is None:
+            return None
+        worth = kind.importance / self.top_importance if self.top_importance else 1.0
+        if (worth + self.random.random()) / 2 >= self.level:
+            return None
+        return min(kind.aim * PATIENCE, self.settings.max_retry_after)
+
     # ---- admission ----
 
     def on_request(self, now: float, event: api.RequestArrived, out: api.Actions) -> None:
@@ -405,7 +436,8 @@
         """How long an answer may take before the attempt counts as lost."""
         failing = self.failing(now, attempt.backend, attempt.request)
         times = max(SHORTEST, LONGEST / (1 + ERROR_COST * failing))
-        return times * self.typical if self.typical else PATIENCE * attempt.request.kind.aim
+        # Danger: an answer that waits here to be read is not late, and its backend not to blame.
+        return 2 * self.lag + (times * self.typical if self.typical else PATIENCE * attempt.request.kind.aim)
 
     def watch(self, now: float, request: Request, at: float, out: api.Actions) -> None:
         request.check_at = min(at, request.expires - END_MS)
@@ -460,7 +492,8 @@
             self.finish(request, out)
 
     def judge(self, now: float, attempt: Attempt, outcome: api.Outcome) -> None:
-        b, lag, ok = attempt.backend, max(1.0, now - attempt.sent_at), outcome is api.Outcome.OK
+        b, ok = attempt.backend, outcome is api.Outcome.OK
+        lag = max(1.0, now - attempt.sent_at - self.lag)
         slow, overdue = self.mark(now, b, "slow"), lag >= self.patience(now, attempt)
         # Danger: one attempt lost on the way would look like a backend slow beyond use.
         capped = min(lag, LONGEST * self.typical) if self.typical else lag
--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -120,6 +120,7 @@
     if again is not None and load is not None:
         again.ready(partial(reload, load, discovery, counter))
     port = server.listen(*config.listen)
+    driver.watch_lag()
     gc.collect()
     gc.freeze()  # what was loaded stays: no pause to look at it again
     gc.set_threshold(*GC_THRESHOLDS)
--- a/roadpulley/core/counter.py
+++ b/roadpulley/core/counter.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import re
 import zlib
 from collections import Counter as Tally
@@ -23,6 +24,7 @@
 SILENT_MS = 300.0  # a connection that owes an answer and says nothing for this long is taken for lost
 RETIRE_MS = 3_000.0  # unused for this long: closed before the counter does it under a call
 MOST_OWED = 1_000  # calls written and unanswered on one connection
+LATE_MS = 15.0  # a time-out that comes this late: the loop lagged, and the answer may lie unread
 LONGEST_LINE = 64  # a total has seven digits
 SUMMARY_MS = 1_000.0  # between lines of the log about connections that had to be dropped
 TOTAL = re.compile(rb"ok (-?\d{1,18}(?:\.\d{0,18})?(?:[eE][+-]?\d\d?)?)")
@@ -142,7 +144,7 @@
         connection, now = self.connection, now_ms()
         if connection is not None and not connection.closed:
             # The counter's machine may have vanished: such a connection stays open and silent for ever.
-            if connection.owed and now - connection.heard_at > SILENT_MS:
+            if connection.owed and now - connection.heard_at > SILENT_MS + 2 * self.counter.lag:
                 connection.drop("silent")
             elif len(connection.owed) >= MOST_OWED:
                 connection.drop("too far behind")
@@ -197,6 +199,7 @@
         self.left: set[CounterConnection] = set()  # at an earlier address, for the answers still owed
         self.calls: dict[str, deque[Call]] = {}  # by name, the oldest first: those not yet told of
         self.dropped: Tally[str] = Tally()  # connections, by reason, since the last line of the log
+        self.lag = 0.0  # of this gateway's own loop: the counter is not to blame for it
         timers.at(now_ms() + SUMMARY_MS, self.summarize)
 
     def move(self, address: Address) -> None:
@@ -212,7 +215,8 @@
         self.calls.setdefault(name, deque()).append(call)
         lane = self.lanes[zlib.crc32(encoded) % len(self.lanes)]
         lane.add(call)
-        call.timer = self.timers.at(now_ms() + self.wait, partial(self.expire, lane, call))
+        due = now_ms() + self.wait
+        call.timer = self.timers.at(due, partial(self.expire, lane, call, due))
 
     def tell(self, name: str) -> None:
         """Tell the outcomes of a name's calls in the order of the calls.
@@ -233,7 +237,10 @@
             self.dropped.clear()
         self.timers.at(now_ms() + SUMMARY_MS, self.summarize)
 
-    def expire(self, lane: Lane, call: Call) -> None:
+    def expire(self, lane: Lane, call: Call, due: float) -> None:
+        if now_ms() - due > LATE_MS:  # once more after this turn of the loop, which reads what has come
+            call.timer = self.timers.at(now_ms(), partial(self.expire, lane, call, math.inf))
+            return
         written = call not in lane.waiting
         call.end(Outcome.TIMED_OUT if written else Outcome.CONNECT)
 
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -22,6 +22,13 @@
 log = logging.getLogger(__name__)
 
 FAILED = b"-ERR failed\r\n"
+LOOK_MS = 20.0  # between two looks at the lag of the loop
+SEEN_MS = 5.0  # lag that is worth a word: timers come up to a tick and the loop's rounding late anyway
+
+
+def busy(retry_after: float) -> bytes:
+    wait = math.ceil(retry_after)
+    return b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n"
 
 
 class Request:
@@ -58,6 +65,7 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
         self.events: deque[api.Event] = deque()
         self.busy = False
+        self.strained = self.lagging = False  # the module turns some away at the door; it was told of a lag
         self.acts: dict[type, Callable[[Any], object]] = {
             api.Send: self.send,
             api.Cancel: self.cancel,
@@ -93,6 +101,29 @@
         if isinstance(event, api.RequestArrived | api.AttemptEnded):
             self.finish(event.request, FAILED)
 
+    # ---- its own strain ----
+
+    def watch_lag(self) -> None:
+        """Look at the lag of the loop from now on."""
+        due = now_ms() + LOOK_MS
+        self.timers.at(due, partial(self.on_look, due))
+
+    def on_look(self, due: float) -> None:
+        lag = now_ms() - due
+        if lag < SEEN_MS:
+            lag = 0.0
+        if lag or self.lagging or self.strained:
+            self.give(api.LoopLagged(lag))
+            self.lagging, self.strained = lag > 0, self.gateway.level > 0
+            if self.counter is not None:
+                self.counter.lag = lag
+        self.watch_lag()
+
+    def turn_away(self, request_class: str) -> bytes | None:
+        """The refusal of a request that the module turns away at the door; None: let it in."""
+        wait = self.gateway.turn_away(request_class)
+        return None if wait is None else busy(wait)
+
     def members(self, scope: api.ListScope, members: tuple[Member, ...]) -> None:
         if scope is not api.ListScope.CHANGES:
             listed = {m.entry.backend for m in members}
@@ -171,8 +202,7 @@
             self.backends.give_up(attempt, api.Outcome.CANCELLED)
 
     def refuse(self, action: api.Refuse) -> None:
-        wait = math.ceil(action.retry_after)
-        self.finish(action.request, b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n")
+        self.finish(action.request, busy(action.retry_after))
 
     def set_timer(self, action: api.SetTimer) -> None:
         self.timers.at(now_ms() + action.delay, partial(self.give, api.TimerFired(action.token)))
--- a/roadpulley/core/resp.py
+++ b/roadpulley/core/resp.py
@@ -18,7 +18,7 @@
 LONGEST_ERROR = 1024
 LARGEST_EXTRA = 4 * 1024  # figures on use and load report, as they are on the wire
 
-FAST_COMMAND = 2 * 1024  # bytes read but not taken: up to this, a whole command is cut at once
+FAST_COMMAND = 1024  # bytes in which a whole command is looked for, to be cut at once
 HEADERS = [b"$%d" % length for length in range(512)]
 COUNT = re.compile(rb"\*(\d{1,6})\r\n")
 LENGTH = re.compile(rb"\$(\d{1,6})\r\n")
@@ -61,7 +61,7 @@
 
     def next(self) -> list[bytes] | None:
         """The next whole command, if there is one."""
-        if not self._left and len(self._buffer) - self._at <= FAST_COMMAND and (args := self._cut()):
+        if not self._left and self._size < 0 and (args := self._cut()):
             return args
         while True:
             if self._size < 0:
@@ -91,7 +91,7 @@
 
     def _cut(self) -> list[bytes] | None:
         """A command of four arguments in its plainest form; None where only the long way can tell."""
-        data = bytes(self._buffer[self._at :]) if self._at else bytes(self._buffer)
+        data = bytes(self._buffer[self._at : self._at + FAST_COMMAND])
         parts = data.split(b"\r\n", 9)
         if len(parts) < 10 or parts[0] != b"*4":
             return None
--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -170,6 +170,10 @@
 
 
 class Handler(Protocol):
+    strained: bool  # some requests are turned away at the door
+
+    def turn_away(self, request_class: str) -> bytes | None: ...
+
     def on_command(self, command: Command, slot: Slot) -> None: ...
 
     def on_client_gone(self, request: str) -> None: ...
@@ -308,6 +312,8 @@
         self.slots.append(slot)
         verb = args[0].upper()
         if verb in VERBS:
+            if self.server.handler.strained and (reply := self.server.turn_away(args)):
+                return slot.answer(reply)
             try:
                 command = self.server.terms.parse(args)
             except ValueError as error:
@@ -458,6 +464,12 @@
             del self.connections[connection]
             self.connections[connection] = None
 
+    def turn_away(self, args: list[bytes]) -> bytes | None:
+        """The refusal of a request that is not worth reading whole just now, if it is one seen before."""
+        plain = PLAIN.fullmatch(args[3]) if len(args) > 3 else None
+        known = self.terms.right.get((args[0], *plain.group(2, 3, 7, 8, 9))) if plain else None
+        return self.handler.turn_away(known[0].name) if known else None
+
     def forget(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
         self.silent.pop(connection, None)
--- /dev/null
+++ b/tests/decisions/test_strain.py
@@ -0,0 +1,94 @@
+"""The gateway's own lag: who is turned away at the door, and who is not blamed for it."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import KEYED, SAFE, UNSAFE, World, entry, sends
+from hypothesis import given
+from hypothesis import strategies as st
+
+from mintford import interface as api
+from mintford.rules import LAG_AIM, LEVEL_MOST
+
+
+def lagged(world: World, lag: float, looks: int) -> None:
+    for _ in range(looks):
+        world.give(api.LoopLagged(lag))
+        world.now += 20
+
+
+def let_in(world: World, name: str, of: int = 400) -> float:
+    return sum(world.gateway.turn_away(name) is None for _ in range(of)) / of
+
+
+def test_without_lag_nobody_is_turned_away() -> None:
+    world = World()
+    lagged(world, LAG_AIM * 0.8, 500)
+    assert world.gateway.level == 0 and let_in(world, SAFE.name) == 1.0
+
+
+def test_the_least_worth_goes_first_and_each_is_told_when_to_come_back() -> None:
+    world = World()
+    while world.gateway.level < 0.55:
+        lagged(world, LAG_AIM * 2, 1)
+    shares = [let_in(world, kind.name) for kind in (SAFE, UNSAFE, KEYED)]  # worth 1, 2, 4
+    assert shares[0] < 0.6 and shares == sorted(shares) and shares[2] > shares[0] + 0.2
+    lagged(world, 200.0, 60)
+    assert world.gateway.turn_away(SAFE.name) == 400.0  # a part of its aim, within what clients heed
+    assert let_in(world, KEYED.name) > 0  # never all: else nothing would show that the strain is over
+
+
+def test_a_class_that_is_not_known_is_let_in_to_be_judged_in_full() -> None:
+    world = World()
+    lagged(world, 200.0, 100)
+    assert world.gateway.turn_away("nothing") is None
+
+
+def test_when_the_lag_is_over_all_are_let_in_again_step_by_step() -> None:
+    world = World()
+    lagged(world, 200.0, 100)
+    assert world.gateway.level == LEVEL_MOST
+    levels = []
+    for _ in range(200):
+        lagged(world, 0.0, 1)
+        levels.append(world.gateway.level)
+    assert levels[-1] == 0.0 and let_in(world, SAFE.name) == 1.0
+    late = levels[20:]  # once the lag itself has faded
+    assert all(a >= b for a, b in zip(late, late[1:], strict=False)) and late[0] > 0.3
+
+
+@given(st.lists(st.floats(0, 10_000), max_size=200))
+def test_the_level_stays_in_its_bounds_whatever_the_lag(lags: list[float]) -> None:
+    world = World()
+    for lag in lags:
+        lagged(world, lag, 1)
+        assert 0 <= world.gateway.level <= LEVEL_MOST
+
+
+@pytest.mark.parametrize(("lag", "called_off"), [(0.0, True), (400.0, False)])
+def test_an_answer_that_waits_here_to_be_read_is_not_called_off(lag: float, called_off: bool) -> None:
+    world = World([entry(n) for n in range(1, 4)], gateways=1)
+    for number in range(30):
+        (send,) = sends(world.ask(plan="none", customer=f"c{number}"))
+        world.pass_time(20)
+        world.end(send)
+    lagged(world, lag, 30)
+    assert sends(world.ask(plan="none", customer="late"))
+    actions = world.pass_time(500)
+    assert any(isinstance(a, api.Cancel) for a in actions) == called_off
+
+
+def test_a_backend_is_not_marked_slow_by_the_gateway_s_own_lag() -> None:
+    marks = []
+    for lag in (0.0, 300.0):
+        world = World([entry(n) for n in range(1, 4)], gateways=1)
+        for number in range(40):
+            (send,) = sends(world.ask(plan="none", customer=f"c{number}"))
+            world.now += 20
+            world.end(send)
+        lagged(world, lag, 40)
+        (send,) = sends(world.ask(plan="none", customer="late"))
+        world.now += 320
+        world.end(send)
+        marks.append(world.gateway.backends[send.backend].marks["slow"][0])
+    assert marks[1] < 0.2 * marks[0]
