Add workers on one address, kept running by a supervisor

A process uses one core. The supervisor's decisions are a pure machine (whom to start, drain, kill, when, in what order, when to give up), played in virtual time and by random events; hypothesis found a replacement that stood still for ever when the worker in its turn was not wanted any more.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -82,10 +82,11 @@
     ready: Callable[[int], None] | None = None,
     again: Reload | None = None,
     load: Callable[[], Config] | None = None,
+    attach: Callable[[Driver], object] | None = None,
 ) -> None:
     """Serve until `stop` is set, then drain. `ready` is told the port once clients may come.
 
-    A call of `again` brings a new configuration from `load`.
+    A call of `again` brings a new configuration from `load`; `attach` is handed the driver before that.
     """
     loop = asyncio.get_running_loop()
     timers = Timers(loop)
@@ -113,14 +114,16 @@
         loop,
         timers,
         driver,
-        Terms(config.settings),
+        Terms(config.settings, config.workers),
         int(config.sockets * CLIENT_SHARE),
         memory,
     )
     if again is not None and load is not None:
         again.ready(partial(reload, load, discovery, counter))
-    port = server.listen(*config.listen)
+    port = server.listen(*config.listen, shared=config.workers > 1)
     driver.watch_lag()
+    if attach is not None:
+        attach(driver)
     gc.collect()
     gc.freeze()  # what was loaded stays: no pause to look at it again
     gc.set_threshold(*GC_THRESHOLDS)
--- a/roadpulley/cli/__init__.py
+++ b/roadpulley/cli/__init__.py
@@ -6,9 +6,9 @@
 import sys
 from collections.abc import Sequence
 
-from . import check, dev
+from . import check, dev, serve
 
-COMMANDS = (dev, check)
+COMMANDS = (dev, serve, check)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- /dev/null
+++ b/roadpulley/cli/serve.py
@@ -0,0 +1,63 @@
+"""`roadpulley serve`: one gateway as several workers on one address, kept running by a supervisor."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from roadpulley.checks import Bad
+
+from .check import gateway, parsed
+
+MOST_WORKERS = 256
+
+
+def add(commands: Any) -> None:
+    parser: argparse.ArgumentParser = commands.add_parser(
+        "serve", help="run a gateway as several workers on one address", description=__doc__
+    )
+    parser.add_argument("--config", metavar="FILE", help="as LB_CONFIG; the default is what that names")
+    parser.add_argument("--workers", metavar="N or FILE", default="1", help="read again on SIGHUP if a file")
+    parser.set_defaults(run=run)
+
+
+def workers(given: str) -> int:
+    """The number of workers, from a number or from a file that holds one. Raises Bad."""
+    text = given
+    if not given.isdecimal():
+        try:
+            text = Path(given).read_text().strip()
+        except OSError as error:
+            right = "give a number or a file that holds one"
+            raise Bad("--workers", f"is {given!r} ({error.strerror})", right) from error
+    if not text.isdecimal() or not 1 <= int(text) <= MOST_WORKERS:
+        raise Bad("--workers", f"is {text!r}", f"give a number from 1 to {MOST_WORKERS}")
+    return int(text)
+
+
+def run(args: argparse.Namespace) -> int:
+    from roadpulley.workers.service import Service
+
+    path = args.config or os.environ.get("LB_CONFIG")
+    form = "%(asctime)s %(levelname)s %(name)s: %(message)s"
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format=form)
+
+    async def supervise() -> None:
+        await Service(str(path), lambda: workers(args.workers)).run()
+
+    try:
+        if not path:
+            raise Bad("--config", "is missing, and LB_CONFIG is not set", "name the gateway's configuration")
+        gateway(parsed(Path(path)))
+        workers(args.workers)
+        uvloop.run(supervise())
+    except Bad as error:
+        print(f"roadpulley serve: {error}", file=sys.stderr)
+        return 2
+    return 0
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -34,10 +34,11 @@
 class Request:
     """One request that is owed a final answer."""
 
-    __slots__ = ("command", "expires", "live", "made", "slot", "timer")
+    __slots__ = ("came_at", "command", "expires", "live", "made", "slot", "timer")
 
     def __init__(self, command: Command, slot: Slot, expires: float) -> None:
         self.command, self.slot, self.expires = command, slot, expires
+        self.came_at = expires - command.wait
         self.made = 0  # attempts so far
         self.live: dict[int, Attempt] = {}  # attempts out, by number
         self.timer: Timer | None = None  # of its end
@@ -119,6 +120,11 @@
                 self.counter.lag = lag
         self.watch_lag()
 
+    def oldest_ms(self) -> float:
+        """For how long the oldest request has been open; 0 where none is."""
+        oldest = next(iter(self.requests.values()), None)
+        return now_ms() - oldest.came_at if oldest is not None else 0.0
+
     def turn_away(self, request_class: str) -> bytes | None:
         """The refusal of a request that the module turns away at the door; None: let it in."""
         wait = self.gateway.turn_away(request_class)
--- a/roadpulley/core/settings.py
+++ b/roadpulley/core/settings.py
@@ -30,6 +30,7 @@
     connect_timeout: float  # milliseconds, as all times here
     keepalive: float
     max_open: int
+    workers: int  # that share this gateway's address and place; each is a gateway of its own to the module
     known: dict[str, Any]  # the list of backends as this gateway last had it, in discovery's form
 
 
@@ -44,6 +45,11 @@
     try:
         settings = raw["settings"]
         caps = settings.get("caps") or {}
+        workers, worker = int(raw.get("workers") or 1), int(raw.get("worker") or 0)
+        if not 0 <= worker < workers:
+            raise ValueError(f"worker is {worker}; give a number from 0 to {workers - 1}")
+        index, size = int(settings.get("selfIndex") or 0), int(settings.get("groupSize") or 1)
+        settings = {**settings, "selfIndex": index * workers + worker, "groupSize": size * workers}
         return Config(
             name=str(raw.get("name") or ""),
             listen=parse_address(raw["listen"]),
@@ -56,6 +62,7 @@
             connect_timeout=float(caps.get("connectTimeout") or 250),
             keepalive=float(caps.get("keepalive") or 15_000),
             max_open=int(caps.get("maxOpen") or 10_000),
+            workers=workers,
             known=raw.get("known") or {},
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -54,10 +54,12 @@
 class Terms:
     """What the settings let a request name."""
 
-    def __init__(self, settings: api.Settings) -> None:
+    def __init__(self, settings: api.Settings, workers: int = 1) -> None:
+        # Clients name sets of gateways; to the module each worker of these is a gateway.
+        self.workers = workers
         self.classes = {c.name.encode(): c for c in settings.classes}
         self.plans = {p.name.encode(): p.name for p in settings.plans}
-        self.most_units, self.gateways = settings.most_units, settings.gateways
+        self.most_units, self.gateways = settings.most_units, settings.gateways // workers
         self.right: dict[tuple[bytes, ...], tuple[api.RequestClass, str, float, int, int]] = {}
 
     def parse(self, args: list[bytes]) -> Command:
@@ -97,7 +99,7 @@
             raise ValueError("set out of range")
         at = listed.index(b"d=") if listed.startswith(b"d=") else listed.index(b",d=") + 1
         before, after = listed[: at + 2], listed[at + 2 + len(given[b"d"]) :]
-        known = (kind, plan, units, spread, first)
+        known = (kind, plan, units, spread * self.workers, first * self.workers)
         if plain:
             if len(self.right) >= MOST_TERMS:
                 self.right.clear()
@@ -399,9 +401,9 @@
         self.empty = asyncio.Event()
         self.empty.set()
 
-    def listen(self, host: str, port: int) -> int:
-        """Start to accept; gives the port."""
-        self.listener = socket.create_server((host, port), backlog=BACKLOG)
+    def listen(self, host: str, port: int, shared: bool = False) -> int:
+        """Start to accept; gives the port. One that is shared is listened on by other processes too."""
+        self.listener = socket.create_server((host, port), backlog=BACKLOG, reuse_port=shared)
         self.listener.setblocking(False)
         self._accept_more()
         self.sweep()
--- a/roadpulley/testbed/installation.py
+++ b/roadpulley/testbed/installation.py
@@ -170,7 +170,7 @@
             "known": self.discovery.catalogue.whole(lambda host: self.dial(name, host)),
             "settings": terms.settings(index, self.scenario.gateways),
         }
-        process = GatewayProcess(name, self.folder, config, port, self.ledger)
+        process = GatewayProcess(name, self.folder, config, port, self.ledger, self.scenario.workers)
         self.gateways[name] = process
         relay = self.relay(f"clients>{name}", "", lambda: port.number)
         await relay.listen()
--- a/roadpulley/testbed/processes.py
+++ b/roadpulley/testbed/processes.py
@@ -48,8 +48,17 @@
 
 
 class GatewayProcess:
-    def __init__(self, name: str, folder: Path, config: dict[str, Any], port: Port, ledger: Ledger) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        config: dict[str, Any],
+        port: Port,
+        ledger: Ledger,
+        workers: str = "",
+    ) -> None:
         self.name, self.folder, self.config, self.port, self.ledger = name, folder, config, port, ledger
+        self.args = ["roadpulley.cli", "serve", "--workers", workers] if workers else ["roadpulley"]
         self.process: asyncio.subprocess.Process | None = None
         self.lines: deque[str] = deque(maxlen=LOG_LINES)
         self.reader: asyncio.Task[None] | None = None
@@ -79,7 +88,7 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "roadpulley",
+            *self.args,
             env={**os.environ, "LB_CONFIG": str(path), "LB_NAME": self.name},
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.DEVNULL,
@@ -150,5 +159,9 @@
         """End it whatever state it is in."""
         self.called = self.stopped = True
         self.resume()
-        self.signal(signal.SIGKILL)
+        if self.process is not None and not await self.ended(0):
+            try:
+                os.killpg(self.process.pid, signal.SIGKILL)  # its workers with it
+            except ProcessLookupError:
+                pass
         await self.ended(END_S)
--- a/roadpulley/testbed/scenario.py
+++ b/roadpulley/testbed/scenario.py
@@ -136,6 +136,7 @@
     short: float = 6.0  # seconds of its short form: long enough for what it is about to show
     seed: int = 1
     gateways: int = 3
+    workers: str = ""  # of each gateway: a number, or a file that holds one; empty: one process, as `run`
     nodes: int = 8
     node: NodeKind = field(default_factory=NodeKind)
     counter: CounterKind = field(default_factory=CounterKind)
@@ -236,6 +237,7 @@
         short=top.number("short", 6.0, 1, 600),
         seed=top.whole("seed", 1, 0, 2**63),
         gateways=top.whole("gateways", 3, 1, 64),
+        workers=top.text("workers", ""),
         nodes=top.whole("nodes", 8, 1, 500),
         node=read_node(top.table("node")),
         counter=read_counter(top.table("counter")),
--- /dev/null
+++ b/roadpulley/workers/service.py
@@ -0,0 +1,152 @@
+"""The supervisor's shell: processes, pipes, signals and timers; the machine decides."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from .machine import Action, Drain, Finished, Kill, Limits, Say, Start, Supervisor
+
+log = logging.getLogger("roadpulley.workers")
+
+
+@dataclass(eq=False)
+class Running:
+    process: asyncio.subprocess.Process
+    version: int
+    tasks: list[asyncio.Task[None]]
+
+
+class Service:
+    """`count` gives the number of workers wanted, and is asked again at each replacement."""
+
+    def __init__(self, config: str, count: Callable[[], int], limits: Limits | None = None) -> None:
+        self.config, self.count = config, count
+        self.limits = limits or Limits()
+        self.machine = Supervisor(count(), self.limits)
+        self.loop = asyncio.get_running_loop()
+        self.running: dict[int, Running] = {}
+        self.timer: asyncio.TimerHandle | None = None
+        self.finished = asyncio.Event()
+
+    async def run(self) -> None:
+        """Keep the workers running until they are told to end and have ended."""
+        for signum in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(signum, self.stop)
+        self.loop.add_signal_handler(signal.SIGHUP, self.replace)
+        self.do(self.machine.tick(self.loop.time()))
+        try:
+            await self.finished.wait()
+        finally:
+            for each in self.running.values():  # only a fault of this process leaves any
+                each.process.kill()
+            await asyncio.gather(*(each.process.wait() for each in self.running.values()))
+
+    # ---- from outside ----
+
+    def stop(self) -> None:
+        log.info("ending")
+        self.do(self.machine.stop(self.loop.time()))
+
+    def replace(self) -> None:
+        """Bring in what the configuration says now: the number of workers, and each worker anew."""
+        try:
+            count = self.count()
+        except Exception as error:  # whatever is wrong with it, those that run go on
+            return log.error("not replaced, the workers stay as they are: %s", error)
+        now = self.loop.time()
+        if count != self.machine.count:
+            self.do(self.machine.resize(now, count))
+        self.do(self.machine.replace(now))
+
+    # ---- actions ----
+
+    def do(self, actions: list[Action]) -> None:
+        for action in actions:
+            match action:
+                case Start(slot, version):
+                    self.loop.create_task(self.start(slot, version))
+                case Drain(slot):
+                    self.signal(slot, signal.SIGTERM)
+                case Kill(slot, _):
+                    self.signal(slot, signal.SIGKILL)
+                case Say(words):
+                    log.info("%s", words)
+                case Finished():
+                    self.finished.set()
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        due = self.machine.next_at()
+        if due < float("inf") and not self.finished.is_set():
+            self.timer = self.loop.call_at(max(due, self.loop.time()) + 0.001, self.tick)
+
+    def tick(self) -> None:
+        self.do(self.machine.tick(self.loop.time()))
+
+    def signal(self, slot: int, number: signal.Signals) -> None:
+        running = self.running.get(slot)
+        if running is None:  # it was wanted and unwanted before its process was made
+            return
+        try:
+            running.process.send_signal(number)
+        except ProcessLookupError:
+            pass  # its end is on its way here
+
+    async def start(self, slot: int, version: int) -> None:
+        ours, theirs = os.pipe()
+        try:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "roadpulley.workers.worker",
+                env={
+                    **os.environ,
+                    "LB_CONFIG": self.config,
+                    "ROADPULLEY_WORKER": str(slot),
+                    "ROADPULLEY_WORKERS": str(self.machine.count),
+                    "ROADPULLEY_BEAT_FD": str(theirs),
+                    "ROADPULLEY_BEAT_S": str(self.limits.beat_s),
+                },
+                stdin=asyncio.subprocess.DEVNULL,
+                pass_fds=(theirs,),
+            )
+        except OSError as error:
+            os.close(ours)
+            return self.do(
+                self.machine.ended(self.loop.time(), slot, f"could not be started: {error.strerror}")
+            )
+        finally:
+            os.close(theirs)
+        running = self.running[slot] = Running(process, version, [])
+        running.tasks = [
+            self.loop.create_task(self.listen(slot, ours)),
+            self.loop.create_task(self.wait(slot, running)),
+        ]
+
+    async def listen(self, slot: int, fd: int) -> None:
+        reader = asyncio.StreamReader()
+        transport, _ = await self.loop.connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(reader), os.fdopen(fd, "rb")
+        )
+        try:
+            while line := await reader.readline():
+                words = line.split()
+                if words[0] == b"serves":
+                    log.info("worker %d serves at port %s", slot, words[1].decode())
+                    self.do(self.machine.served(self.loop.time(), slot))
+                elif words[0] == b"beat":
+                    self.do(self.machine.beat(self.loop.time(), slot, float(words[1]) / 1000))
+        finally:
+            transport.close()
+
+    async def wait(self, slot: int, running: Running) -> None:
+        code = await running.process.wait()
+        if self.running.get(slot) is running:
+            del self.running[slot]
+        self.do(self.machine.ended(self.loop.time(), slot, f"code {code}"))
--- /dev/null
+++ b/roadpulley/workers/worker.py
@@ -0,0 +1,88 @@
+"""One worker: the gateway's program with a heartbeat. Started by the supervisor alone.
+
+Its beats go down a pipe, one line each: `serves PORT` once, then `beat MILLISECONDS` with the age of the
+oldest request that is open. The loop that answers requests writes them: a loop that stands still does not
+beat, and one that turns without answering shows it by that age.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from roadpulley.__main__ import serve
+from roadpulley.core.driver import Driver
+from roadpulley.core.settings import Config, ConfigError, parse_config
+
+
+def load() -> Config:
+    """The gateway's configuration with this worker's place. Raises ConfigError."""
+    path = os.environ["LB_CONFIG"]
+    try:
+        raw: Any = json.loads(Path(path).read_text())
+        place = {
+            "worker": int(os.environ["ROADPULLEY_WORKER"]),
+            "workers": int(os.environ["ROADPULLEY_WORKERS"]),
+        }
+        return parse_config({**raw, **place})
+    except (OSError, ValueError, TypeError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
+class Heart:
+    def __init__(self, fd: int, beat_s: float) -> None:
+        self.fd, self.beat_s = fd, beat_s
+        self.driver: Driver | None = None
+        os.set_blocking(fd, False)
+
+    def say(self, words: str) -> None:
+        try:
+            os.write(self.fd, f"{words}\n".encode())
+        except BlockingIOError:
+            pass  # nobody reads: the supervisor itself hangs
+        except OSError:
+            os.kill(os.getpid(), signal.SIGTERM)  # it is gone: nobody would start this one again
+
+    async def beat(self) -> None:
+        while True:
+            await asyncio.sleep(self.beat_s)
+            if self.driver is not None:
+                self.say(f"beat {self.driver.oldest_ms():.0f}")
+
+
+async def run() -> None:
+    loop, stop = asyncio.get_running_loop(), asyncio.Event()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)  # the supervisor's
+    heart = Heart(int(os.environ["ROADPULLEY_BEAT_FD"]), float(os.environ["ROADPULLEY_BEAT_S"]))
+    beating = loop.create_task(heart.beat())
+
+    def attach(driver: Driver) -> None:
+        heart.driver = driver
+
+    await serve(load(), stop, ready=lambda port: heart.say(f"serves {port}"), attach=attach)
+    beating.cancel()
+
+
+def main() -> int:
+    form = "%(asctime)s %(levelname)s %(name)s[" + os.environ.get("ROADPULLEY_WORKER", "?") + "]: %(message)s"
+    logging.basicConfig(level=logging.INFO, stream=sys.stderr, format=form)
+    try:
+        uvloop.run(run())
+    except ConfigError as error:
+        print(f"roadpulley: bad configuration: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
