--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -1,6 +1,7 @@
 """What one request costs a gateway in CPU, against a bare RESP pass-through on the same loop library.
 
     .venv/bin/python benchmarks/request_cost.py [--open 4 32 256 1024] [--seconds 4] [--rounds 2] [--out FILE]
+                                                [--customers 64] [--backends 12]
 
 Twelve backends answer each request after 20 ms. A closed loop of clients keeps so many requests open; gateway
 and pass-through are measured in turn, several rounds of each, in one run. CPU is what the operating system
@@ -34,10 +35,11 @@
 from roadpulley.testbed.processes import end_with_parent  # noqa: E402
 from roadpulley.testbed.server import LOCAL, Port  # noqa: E402
 
-BACKENDS, NODE_PROCESSES, LOADERS = 12, 3, 2
+NODE_PROCESSES, LOADERS = 3, 2
+BACKENDS = int(os.environ.get("BENCH_BACKENDS", "12"))  # the children are told so too
 WORK_S = 0.020
 WARM_S = 1.0
-CUSTOMERS = 64
+CUSTOMERS = int(os.environ.get("BENCH_CUSTOMERS", "64"))
 VALUE = b"x" * 600
 COLUMNS = (
     "open", "CPU us a request", "pass-through", "ratio", "requests/s", "pass-through", "p50 ms", "p99 ms",
@@ -295,7 +297,7 @@
     parts: list[Part] = []
     with tempfile.TemporaryDirectory(prefix="roadpulley-") as folder:
         try:
-            parts += [part("backends", str(BACKENDS // NODE_PROCESSES)) for _ in range(NODE_PROCESSES)]
+            parts += [part("backends", str(args.backends // NODE_PROCESSES)) for _ in range(NODE_PROCESSES)]
             ports = [port for each in parts for port in each.line()]
             parts.append(part("surroundings", json.dumps(hosts_of(ports))))
             counter, discovery = parts[-1].line()
@@ -350,6 +352,8 @@
     parser.add_argument("--seconds", type=float, default=4.0)
     parser.add_argument("--rounds", type=int, default=2)
     parser.add_argument("--out", type=Path, default=ROOT / "benchmarks" / "out" / "request_cost.json")
+    parser.add_argument("--customers", type=int, default=CUSTOMERS)
+    parser.add_argument("--backends", type=int, default=BACKENDS, help="a multiple of 3")
     parser.add_argument("--role", help=argparse.SUPPRESS)
     parser.add_argument("rest", nargs="*", help=argparse.SUPPRESS)
     args = parser.parse_args()
@@ -364,6 +368,7 @@
     if args.role:
         uvloop.run(roles[args.role]())
         return 0
+    os.environ.update(BENCH_CUSTOMERS=str(args.customers), BENCH_BACKENDS=str(args.backends))
     rows = run(args)
     print(table(rows))
     args.out.parent.mkdir(parents=True, exist_ok=True)
