Ask the kernel again before a connection is used, as before

To skip that for connections idle under 100 ms saved 4% of a request's CPU, but left what came since the loop last looked, such as a second copy of an answer, to be taken for the next request's answer.

--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -33,7 +33,6 @@
 SWEEP_MS = 1_000.0
 CUTOFF_MARGIN_MS = 50.0  # before the end of the grace for new work to a draining backend
 READ_BYTES = 64 * 1024
-HEARD_MS = 100.0  # a connection idle for less than this is taken to stand
 REST_MS = 5.0  # before a connection is used again: what follows its last answer uncalled for shows by then
 
 
@@ -322,10 +321,9 @@
             rested = now - connection.idle_since
             if rested < REST_MS:
                 continue
-            # The loop has heard of a close by its last turn; only a longer rest, or a stall of this process,
-            # is worth asking the kernel once more.
-            fresh = rested < min(self.idle_ms, self.freshness.limit)
-            if fresh and (rested < HEARD_MS or connection.alive()):
+            # Danger: what has come here since the loop last looked, an end or a second copy of an answer,
+            # would be the next request's. The kernel is asked once more, though it costs a call.
+            if rested < min(self.idle_ms, self.freshness.limit) and connection.alive():
                 del host.idle[place]
                 return connection.start(attempt)
             connection.close()
