--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -33,7 +33,6 @@
 SPARE_MS = 2_000.0  # unused for this long: may be closed when room is short
 IDLE_MS = 30_000.0  # unused for this long: closed
 YOUNG_MS = 100.0  # in which a new connection is let say something, however short room is
-ORDER_MS = 250.0  # how exactly connections are ordered by their last use: small beside SPARE_MS
 RETRY_MS = 20.0  # until there may be room, or a descriptor, again
 HARMLESS = {b"CLIENT", b"SELECT"}  # commands of connection set-up
 VERBS = {b"API.READ": True, b"API.WRITE": False}  # whether it serves the classes that are safe to repeat
@@ -191,7 +190,6 @@
         self.unsent = bytearray()
         self.reading = self.writing = self.closing = self.closed = self.pumping = self.unread = False
         self.used_at = self.moved_at = now_ms()  # moved: answers were last taken by the client
-        self.placed_at = self.used_at  # among the connections, by their last use
         self.due: float | None = self.used_at + WHOLE_MS  # of a command that is owed; None: between commands
         self._throttle()
 
@@ -464,10 +462,7 @@
         self.silent.pop(connection, None)
 
     def used(self, connection: ClientConnection) -> None:
-        now = connection.used_at = now_ms()
-        if now - connection.placed_at < ORDER_MS:
-            return
-        connection.placed_at = now
+        connection.used_at = now_ms()
         if connection in self.connections:
             del self.connections[connection]
             self.connections[connection] = None
