Send a worker the signal that came before its process was made

A stop or a kill decided while a worker's process was still being created was dropped: its slot waited for the kill that ends what is overdue, and a dropped kill would have left it waiting for ever. The benchmarks now share one configuration of the gateway.

--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -230,12 +230,11 @@
     return Part(sys.executable, str(Path(__file__).resolve()), "--role", role, *args, judged=judged)
 
 
-def gateway(folder: Path, ports: list[int], counter: int, discovery: int) -> tuple[Part, int]:
+def configuration(port: Port, ports: list[int], counter: int, discovery: int) -> dict[str, Any]:
+    """Of a gateway whose one plan never runs short, for all benchmarks."""
     plan = {"name": "bench", "rate": 10_000.0, "mostAtOnce": 20_000.0}
-    settings = terms.settings(0, 1)
-    settings = {**settings, "packages": [plan], "caps": {**terms.CAPS, "maxOpen": 20_000}}
-    port = Port()
-    config = {
+    settings = {**terms.settings(0, 1), "packages": [plan], "caps": {**terms.CAPS, "maxOpen": 20_000}}
+    return {
         "name": "n0",
         "listen": port.address,
         "discovery": f"{LOCAL}:{discovery}",
@@ -245,6 +244,11 @@
         "known": {"seq": 1, "whole": True, "hosts": hosts_of(ports)},
         "settings": settings,
     }
+
+
+def gateway(folder: Path, ports: list[int], counter: int, discovery: int) -> tuple[Part, int]:
+    port = Port()
+    config = configuration(port, ports, counter, discovery)
     path = folder / "config.json"
     path.write_text(json.dumps(config))
     made = Part(sys.executable, "-m", "roadpulley", env={"LB_CONFIG": str(path)}, speaks=False, judged=True)
--- a/benchmarks/workers.py
+++ b/benchmarks/workers.py
@@ -22,7 +22,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
 import request_cost as parts_of  # noqa: E402
-from request_cost import BACKENDS, LOCAL, NODE_PROCESSES, ROOT, Part, hosts_of, terms  # noqa: E402
+from request_cost import BACKENDS, NODE_PROCESSES, ROOT, Part, hosts_of  # noqa: E402
 
 from roadpulley.testbed.server import Port  # noqa: E402
 
@@ -42,17 +42,7 @@
 
 def start(folder: Path, workers: int, ports: list[int], counter: int, discovery: int) -> tuple[Part, Port]:
     port = Port()
-    plan = {"name": "bench", "rate": 10_000.0, "mostAtOnce": 20_000.0}
-    config = {
-        "name": "n0",
-        "listen": port.address,
-        "discovery": f"{LOCAL}:{discovery}",
-        "counter": f"{LOCAL}:{counter}",
-        "seed": "1",
-        "limits": {"cores": 1.0, "memory_mb": 512, "sockets": 8192},
-        "known": {"seq": 1, "whole": True, "hosts": hosts_of(ports)},
-        "settings": {**terms.settings(0, 1), "packages": [plan], "caps": {**terms.CAPS, "maxOpen": 20_000}},
-    }
+    config = parts_of.configuration(port, ports, counter, discovery)
     path = folder / f"{workers}.json"
     path.write_text(json.dumps(config))
     command = ("-m", "roadpulley.cli", "serve", "--config", str(path), "--workers", str(workers))
--- a/roadpulley/workers/service.py
+++ b/roadpulley/workers/service.py
@@ -31,6 +31,7 @@
         self.machine = Supervisor(count(), self.limits)
         self.loop = asyncio.get_running_loop()
         self.running: dict[int, Running] = {}
+        self.owed: dict[int, signal.Signals] = {}  # to processes that are still being made
         self.timer: asyncio.TimerHandle | None = None
         self.finished = asyncio.Event()
 
@@ -91,7 +92,10 @@
 
     def signal(self, slot: int, number: signal.Signals) -> None:
         running = self.running.get(slot)
-        if running is None:  # it was wanted and unwanted before its process was made
+        if running is None:
+            # Danger: its process is still being made. A signal that was dropped would leave the slot waiting
+            # for an end that nobody has asked for.
+            self.owed[slot] = number
             return
         try:
             running.process.send_signal(number)
@@ -128,6 +132,8 @@
             self.loop.create_task(self.listen(slot, ours)),
             self.loop.create_task(self.wait(slot, running)),
         ]
+        if owed := self.owed.pop(slot, None):
+            self.signal(slot, owed)
 
     async def listen(self, slot: int, fd: int) -> None:
         reader = asyncio.StreamReader()
