Clients no longer repeat under the same id what a killed worker may have run

The test bench's clients take a close of a used connection for one that crossed their request, and send it again under its own id, as long as the gateway's process runs. With several workers the supervisor runs on while one of them dies, and what that one had read may have run: the repeat was the clients' fault and the gateway was blamed.

They now look whether the gateway was killed or stood still within the last second.

--- a/roadpulley/testbed/front.py
+++ b/roadpulley/testbed/front.py
@@ -24,6 +24,7 @@
 PATIENCE_MS = 600.0  # that a client looks on after its time, so that a late answer shows as late
 CONNECT_S = 0.5
 LEAVING_MS = 300.0  # new connections go on coming for this long after a planned restart began
+AFTERMATH_MS = 1_000.0  # a connection that ends so soon after a death or a pause may have ended by it
 LEAST_WAIT_MS = 150.0  # with less time left nobody tries again
 EFFECT = {c["name"]: c["effect"] for c in CLASSES}
 GROUP = {c["name"]: c.get("group", "all") for c in CLASSES}
@@ -299,8 +300,7 @@
                 return self.note(ask, answer, gone)
             if ask.answered_at is None:  # its time is up
                 return "open", None, gone
-            orderly = gate.running() and not gate.relay.troubles
-            if reused and orderly and not ask.note and ask.crossed_at is None:
+            if reused and self.closed_orderly(gate) and not ask.note and ask.crossed_at is None:
                 # The gateway closed a connection between requests: this one may have crossed that.
                 ask.crossed_at, ask.crossed_by, ask.answered_at = ask.answered_at, gate.name, None
                 continue
@@ -308,6 +308,18 @@
                 ask.how = "lost"
             return "lost", None, gone
 
+    def closed_orderly(self, gate: Gate) -> bool:
+        """Whether a connection that has just ended was closed by its gateway, in between requests.
+
+        Danger: one worker of several may have died while its gateway runs on. What it had read may have run,
+        so a repeat under the same id would be the clients' fault, and the auditor would blame the gateway.
+        """
+        now = now_ms()
+        since = now - AFTERMATH_MS
+        stood = any(p.who == gate.name and (p.until is None or p.until > since) for p in self.ledger.pauses)
+        died = stood or self.ledger.killed(gate.name, since, now)
+        return gate.running() and not gate.relay.troubles and not died
+
     async def wait(self, link: ClientLink, one: Try, wait: float) -> Answer | None:
         try:
             async with asyncio.timeout((wait + PATIENCE_MS) / 1000):
--- a/tests/testbed/test_front.py
+++ b/tests/testbed/test_front.py
@@ -19,7 +19,7 @@
 from roadpulley.testbed.arrivals import Arrival, Customer
 from roadpulley.testbed.auditor import Verdict, judge
 from roadpulley.testbed.front import Front, Result, may_retry
-from roadpulley.testbed.ledger import Attempt, Ledger
+from roadpulley.testbed.ledger import Attempt, Ended, Ledger, Pause
 from roadpulley.testbed.relay import Relay
 from roadpulley.testbed.scenario import Load
 from roadpulley.testbed.server import Origins, Server
@@ -170,6 +170,28 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize("event", [Ended("n0", 0.0, "killed"), Pause("n0", 0.0)])
+def test_a_close_by_a_death_is_not_taken_for_one_between_requests(event: Ended | Pause) -> None:
+    """One worker of several has died, and its gateway runs on: what it had read may have run."""
+
+    async def scenario() -> None:
+        async with scene(well) as s:
+            await s.ask(0)
+            for link in s.front.gates[0].links:
+                link.transport.pause_reading()
+            if isinstance(event, Ended):
+                s.ledger.ended.append(Ended(event.gateway, now_ms(), event.how))
+            else:
+                s.ledger.pauses.append(Pause(event.who, now_ms()))
+            s.gateway.hang_up()
+            for link in s.front.gates[0].links:
+                asyncio.get_running_loop().call_later(0.05, link.transport.resume_reading)
+            await s.ask(1)
+            assert [(a.how, a.crossed_at) for a in s.ledger.asks if a.id == f"{1:016x}"] == [("lost", None)]
+
+    in_loop(scenario)
+
+
 def test_a_refusal_is_tried_again_after_the_time_it_names() -> None:
     times: list[float] = []
 
