--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,12 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 
-.PHONY: demo test lint bench
+# The request path compiled, from the same source; in an environment of its own. It needs a C compiler.
+COMPILED = $(VENV)-compiled
+
+SHARED = test_workers_share_an_address_and_every_rule_holds
+
+.PHONY: demo test lint bench compiled test-compiled bench-compiled
 
 demo: $(VENV)/.ready-dev
 	$(BIN)/roadpulley dev --for 20
@@ -17,6 +22,22 @@
 bench: $(VENV)/.ready-dev
 	$(BIN)/python benchmarks/request_cost.py
 
+compiled: $(COMPILED)/.ready-compile
+
+# -P and PYTHONSAFEPATH: the installed package, not the source in this folder.
+test-compiled: $(COMPILED)/.ready-compile
+	PYTHONSAFEPATH=1 ROADPULLEY_EXPECT=compiled $(COMPILED)/bin/pytest -q -p no:cacheprovider \
+		tests/core tests/edges tests/decisions tests/workers/test_workers.py::$(SHARED)
+
+bench-compiled: $(VENV)/.ready-dev $(COMPILED)/.ready-compile
+	BENCH_PYTHON=$(COMPILED)/bin/python $(BIN)/python benchmarks/request_cost.py
+
+$(COMPILED)/.ready-compile: setup.py pyproject.toml requirements.txt $(wildcard mintford/*.py roadpulley/*/*.py)
+	test -x $(COMPILED)/bin/python || python3 -m venv $(COMPILED)
+	$(COMPILED)/bin/python -m pip -q install -r requirements.txt mypy==2.4.1 'setuptools>=77'
+	ROADPULLEY_COMPILE=1 $(COMPILED)/bin/python -m pip -q install --no-build-isolation --force-reinstall '.[test]'
+	touch $@
+
 $(VENV)/.ready-%: pyproject.toml requirements.txt
 	test -x $(BIN)/python || python3 -m venv $(VENV)
 	$(BIN)/python -m pip -q install -r requirements.txt -e '.[$*]'
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -41,6 +41,7 @@
 WARM_S = 1.0
 CUSTOMERS = int(os.environ.get("BENCH_CUSTOMERS", "64"))
 VALUE = b"x" * 600
+SUBJECT = os.environ.get("BENCH_PYTHON", sys.executable)  # runs the gateway: that of a compiled build, say
 COLUMNS = (
     "open", "CPU us a request", "pass-through", "ratio", "requests/s", "pass-through", "p50 ms", "p99 ms",
     "refused",
@@ -251,7 +252,8 @@
     config = configuration(port, ports, counter, discovery)
     path = folder / "config.json"
     path.write_text(json.dumps(config))
-    made = Part(sys.executable, "-m", "roadpulley", env={"LB_CONFIG": str(path)}, speaks=False, judged=True)
+    env = {"LB_CONFIG": str(path)}
+    made = Part(SUBJECT, "-P", "-m", "roadpulley", env=env, speaks=False, judged=True)
     assert made.process.stderr is not None
     while "serves at" not in made.process.stderr.readline():
         if made.process.poll() is not None:
--- a/roadpulley/core/clock.py
+++ b/roadpulley/core/clock.py
@@ -68,7 +68,7 @@
     def _arm(self, tick: int) -> None:
         if self._handle is not None:
             self._handle.cancel()
-        self._armed = tick
+        self._armed = float(tick)
         self._handle = self._loop.call_later(max(0.0, tick * TICK_MS - now_ms()) / 1000, self._run)
 
     def _run(self) -> None:
--- /dev/null
+++ b/setup.py
@@ -0,0 +1,33 @@
+"""The build's one choice: ROADPULLEY_COMPILE=1 compiles the request path with mypyc, from the same source.
+
+Everything else is in pyproject.toml. See docs/design/scale-up.md, "Compiled".
+"""
+
+import os
+
+from setuptools import setup
+
+# What every request passes through. Danger: a class here can't be patched from outside, so nothing that
+# plugins or tests are meant to replace belongs in this list.
+REQUEST_PATH = (
+    "mintford/interface.py",
+    "mintford/rules.py",
+    "roadpulley/core/backends.py",
+    "roadpulley/core/clock.py",
+    "roadpulley/core/command.py",
+    "roadpulley/core/counter.py",
+    "roadpulley/core/driver.py",
+    "roadpulley/core/resp.py",
+    "roadpulley/edges/clients.py",
+)
+
+
+def extensions() -> list:
+    if os.environ.get("ROADPULLEY_COMPILE") != "1":
+        return []
+    from mypyc.build import mypycify
+
+    return mypycify(["--no-error-summary", *REQUEST_PATH], opt_level="3", debug_level="1")
+
+
+setup(ext_modules=extensions())
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import os
+
 import pytest
 from hypothesis import settings
 
@@ -11,3 +13,17 @@
 def quick_drain(monkeypatch: pytest.MonkeyPatch) -> None:
     """Gateways in tests have no front that still sends them connections."""
     monkeypatch.setattr("roadpulley.__main__.drain_times", lambda settings: (0.01, 3.4))
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Under ROADPULLEY_EXPECT=compiled: make sure that it is, and skip what needs to reach inside."""
+    if os.environ.get("ROADPULLEY_EXPECT") != "compiled":
+        return
+    from mintford import rules
+    from roadpulley.core import driver
+
+    for module in (rules, driver):
+        assert str(module.__file__).endswith(".so"), f"{module.__file__} is not compiled"
+    for item in items:
+        if item.get_closest_marker("patches_inside"):
+            item.add_marker(pytest.mark.skip(reason="replaces parts that are fixed where compiled"))
--- a/tests/core/test_driver.py
+++ b/tests/core/test_driver.py
@@ -15,6 +15,8 @@
 from roadpulley.core.driver import FAILED, Driver
 from roadpulley.edges.clients import ClientConnection, ClientServer, Slot, Terms
 
+pytestmark = pytest.mark.patches_inside  # a module of its own
+
 
 class Module:
     """Stands in for the decision module: keeps the events, and answers each with what a test says."""
--- a/tests/core/test_lag.py
+++ b/tests/core/test_lag.py
@@ -29,6 +29,7 @@
     return made
 
 
+@pytest.mark.patches_inside
 def test_a_loop_that_lags_tells_the_module_and_says_when_it_is_over(monkeypatch: pytest.MonkeyPatch) -> None:
     made = drivers(monkeypatch)
 
--- a/tests/decisions/test_flat.py
+++ b/tests/decisions/test_flat.py
@@ -7,6 +7,7 @@
 from collections import Counter
 from typing import Any
 
+import pytest
 from helpers import SAFE, World, backends, entry, sends
 from hypothesis import given
 from hypothesis import strategies as st
@@ -41,6 +42,7 @@
         assert world.gateway.time_to_answer(world.now) == walked(world.gateway, world.now)
 
 
+@pytest.mark.patches_inside
 def test_a_choice_looks_at_a_few_of_a_large_fleet_and_in_time_at_all(monkeypatch: Any) -> None:
     looked: list[list[Backend]] = []
     real = Gateway.cheapest
