--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -26,7 +26,9 @@
 import request_cost as parts_of  # noqa: E402
 from request_cost import BACKENDS, CUSTOMERS, LOCAL, NODE_PROCESSES, ROOT, VALUE, Part  # noqa: E402
 
-CONNECTIONS = 96  # of all loaders together: many enough that none fills up
+# Of all loaders together: more than are open at once, as answers come in order and a refusal would be timed
+# with the served ones before it on its connection.
+CONNECTIONS = 3_000
 LOADERS = 3
 SATURATING = 256  # open at once: more than the 20 ms of the backends need to keep the core busy
 COLUMNS = (
@@ -46,6 +48,7 @@
 
     def __init__(self, ends: dict[str, list[float]]) -> None:
         self.ends, self.sent, self.held = ends, deque[float](), bytearray()
+        self.free = deque[Client]()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -70,6 +73,8 @@
             how = "served" if served else "refused" if self.held.startswith(b"-BUSY") else "failed"
             self.ends[how].append(time.perf_counter() - self.sent.popleft())
             del self.held[:end]
+            if not self.sent:
+                self.free.append(self)
 
 
 async def offer(port: int, rate: float, seconds: float, first: int) -> None:
@@ -80,6 +85,9 @@
         await loop.create_connection(lambda: Client(ends), LOCAL, port) for _ in range(CONNECTIONS // LOADERS)
     ]
     clients = [cast(Client, client) for _, client in made]
+    free = deque(clients)  # those without an open request, as far as is known
+    for client in clients:
+        client.free = free
     began, serial, settled = time.perf_counter(), 0, False
     while (now := time.perf_counter() - began) < parts_of.WARM_S * 2 + seconds:
         if not settled and now > parts_of.WARM_S * 2:
@@ -87,7 +95,10 @@
             for each in ends.values():
                 each.clear()
         while serial < now * rate:
-            clients[serial % len(clients)].ask(serial, first)
+            while free and free[0].sent:
+                free.popleft()
+            client = free.popleft() if free else clients[serial % len(clients)]
+            client.ask(serial, first)
             serial += 1
         await asyncio.sleep(0.001)
     figures = {how: sorted(round(s * 1000, 2) for s in got) for how, got in ends.items()}
--- a/tests/core/test_backends.py
+++ b/tests/core/test_backends.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Any
@@ -387,6 +389,38 @@
     in_loop(scenario)
 
 
+def test_a_backend_is_not_blamed_for_a_connect_time_out_that_the_loop_s_own_lag_made() -> None:
+    """The loop looks at its sockets before its timers; were it otherwise, all would be blamed at once."""
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server, connect_timeout=50) as made:
+            tried = Try(made)
+            await asyncio.sleep(0)
+            time.sleep(0.2)  # the kernel has accepted meanwhile, and the loop has not looked
+            assert (await tried.result())[0] is Outcome.OK
+
+    in_loop(scenario)
+
+
+def test_a_backend_that_accepts_nobody_is_given_up_on_in_time_whether_or_not_the_loop_lags() -> None:
+    async def scenario() -> None:
+        with socket.create_server((LOCAL, 0), backlog=0) as full:
+            waiting = [socket.socket() for _ in range(4)]
+            for each in waiting:
+                each.setblocking(False)
+                each.connect_ex(full.getsockname())
+            async with pool(connect_timeout=50) as made:
+                made.update(0, full.getsockname(), BackendState.READY)
+                for lag in (0.0, 0.2):
+                    tried = Try(made)
+                    time.sleep(lag)
+                    assert (await tried.result())[0] is Outcome.CONNECT
+            for each in waiting:
+                each.close()
+
+    in_loop(scenario)
+
+
 def test_the_bound_closes_idle_connections_and_then_turns_away() -> None:
     async def silent(command: list[bytes]) -> Reply:
         return None
--- a/tests/workers/test_workers.py
+++ b/tests/workers/test_workers.py
@@ -5,72 +5,19 @@
 import asyncio
 import os
 import signal
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import pytest
 import uvloop
 from loopback import until
+from worker_world import gone, held, log_of, play, workers_of
 
 from roadpulley.core.clock import now_ms
-from roadpulley.testbed.installation import Installation, Outcome
+from roadpulley.testbed.installation import Installation
 from roadpulley.testbed.ledger import Ended, Pause
-from roadpulley.testbed.scenario import DiscoveryKind, Load, Scenario
+from roadpulley.testbed.scenario import Load, Scenario
 
 pytestmark = pytest.mark.timeout(90)
-Act = Callable[[Installation], Awaitable[None]]
-
-
-def children(pid: int) -> list[int]:
-    """Of a supervisor: its workers, the oldest first."""
-    try:
-        return [int(c) for c in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
-    except (FileNotFoundError, ProcessLookupError):
-        return []
-
-
-def gone(pid: int) -> bool:
-    """Whether a process has ended; one that nobody has reaped yet holds nothing any more."""
-    try:
-        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] == "Z"
-    except (FileNotFoundError, ProcessLookupError):
-        return True
-
-
-def play(workers: str, act: Act | None = None, seconds: float = 5.0, rate: float = 60.0) -> Outcome:
-    """A scenario with one gateway of so many workers; `act` plays its part once the load has begun."""
-    scenario = Scenario(
-        name="workers",
-        seconds=seconds,
-        gateways=1,
-        workers=workers,
-        nodes=6,
-        discovery=DiscoveryKind(notice_ms=0.0),
-        load=Load(rate=rate, spread=1, retries=2),
-    )
-
-    async def work() -> Outcome:
-        async with asyncio.timeout(60), Installation(scenario) as world:
-            running = asyncio.create_task(world.run())
-            await until(lambda: world.stats.all.asked > 20)
-            if act is not None:
-                await act(world)
-            return await running
-
-    return uvloop.run(work())
-
-
-def workers_of(world: Installation) -> list[int]:
-    return children(world.gateways["n0"].pid)
-
-
-def log_of(world: Installation) -> str:
-    return (world.folder / "n0.log").read_text()
-
-
-def held(outcome: Outcome) -> None:
-    assert outcome.verdict.ok, "\n".join(outcome.verdict.lines())
-    assert outcome.stats.all.ends["served"] > 0.6 * outcome.stats.all.asked
 
 
 def test_workers_share_an_address_and_every_rule_holds() -> None:
