--- /dev/null
+++ b/roadpulley/store/compaction.py
@@ -0,0 +1,177 @@
+"""Writes what counts of sealed segments anew. Stopped at any moment, it has changed nothing that is read.
+
+New segments are written and synced first, then the manifest names them in place of the old, then the index
+follows, and only then the old files go. A deletion is kept as long as any segment outside may hold an older
+record of its key: without it, what was deleted would come back at the next opening.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from . import format
+from .errors import Damaged, Failed
+from .format import DELETE, PUT, Record, Sealed, hint_name, segment_name
+from .index import locate, located
+from .recovery import scan, sealed_damage
+
+if TYPE_CHECKING:
+    from .store import Segment, Store
+
+FRAME_BYTES = 1024 * 1024  # of records in one frame
+
+
+@dataclass
+class Output:
+    """The segment that is being written."""
+
+    store: Store
+    segment: Segment
+    waiting: list[tuple[Record, int | None]] = field(default_factory=list)  # with where it stood
+    size: int = 0
+    moved: list[tuple[bytes, int, int]] = field(default_factory=list)  # key, where it stood, where it stands
+    versions: list[int] = field(default_factory=list)
+
+    def add(self, record: Record, old: int | None) -> None:
+        self.waiting.append((record, old))
+        self.size += format.RECORD.size + len(record.key) + len(record.value)
+        if self.size >= FRAME_BYTES:
+            self.flush()
+
+    def flush(self) -> None:
+        if not self.waiting:
+            return
+        records = [record for record, _ in self.waiting]
+        highest = max(record.version for record in records)
+        self.versions += [record.version for record in records]
+        data = format.pack_frame(records, highest, highest, self.segment.salt)
+        head = format.read_head(data[: format.FRAME.size], self.segment.salt)
+        at = self.segment.length + format.FRAME.size
+        found = format.places(head, data[format.FRAME.size :], at, self.segment.salt)
+        self.segment.file.write(self.segment.length, data)
+        self.segment.length += len(data)
+        self.store.written += len(data)
+        for place, (record, old) in zip(found, self.waiting, strict=True):
+            self.segment.hint.add(place)
+            if old is not None:
+                new = locate(self.segment.number, place.offset, place.size)
+                self.moved.append((record.key, old, new))
+        self.waiting, self.size = [], 0
+
+
+def choose(store: Store, everything: bool) -> list[Segment]:
+    """The sealed segments that are worth it."""
+    with store.lock:
+        sealed = [store.segments[number] for number in store.sealed]
+        return [s for s in sealed if everything or s.dead_share > store.options.dead_share]
+
+
+def compact(store: Store, everything: bool, stop: Callable[[], bool]) -> bool:
+    """See `Store.compact`, whose caller holds `compacting`."""
+    if everything:
+        with store.committing:
+            store._check_open()
+            if store.active.length > format.HEADER.size and store.failure is None:
+                store._seal(store.active, None)
+    victims = choose(store, everything)
+    if not victims:
+        return False
+    outputs: list[Output] = []
+    try:
+        if not copy(store, victims, outputs, stop):
+            return abandon(store, outputs)
+        for output in outputs:
+            output.flush()
+            output.segment.file.sync()
+    except BaseException:
+        abandon(store, outputs)
+        raise
+    try:
+        install(store, victims, [o for o in outputs if o.versions])
+    except OSError:
+        abandon(store, outputs)
+        raise
+    abandon(store, [o for o in outputs if not o.versions])
+    return True
+
+
+def copy(store: Store, victims: list[Segment], outputs: list[Output], stop: Callable[[], bool]) -> bool:
+    """Write what counts of them; false if it was stopped."""
+    numbers = {segment.number for segment in victims}
+    with store.lock:
+        rest = [s for s in store.segments.values() if s.number not in numbers and not s.retired]
+        oldest_outside = min((s.first for s in rest if s.first), default=None)
+    kept: dict[bytes, int] = {}  # deletions, by key: only the highest matters
+    for segment in victims:
+        sealed = store.sealed[segment.number]
+        data = segment.file.read(0, sealed.length)
+        found = scan(data, segment.number)
+        if problem := sealed_damage(sealed, found, segment.file.size()):
+            raise Damaged([problem])
+        for place in (place for frame in found.frames for place in frame.places):
+            if stop():
+                return False
+            old = locate(segment.number, place.offset, place.size)
+            with store.lock:
+                current = store.index.now.get(place.key)
+            if place.kind == PUT and current == old:
+                raw = data[place.offset : place.offset + place.size]
+                output(store, outputs).add(format.read_record(raw, segment.salt), old)
+            elif place.kind == DELETE and current is None:
+                kept[place.key] = max(kept.get(place.key, 0), place.version)
+    for key, version in kept.items():
+        if oldest_outside is not None and oldest_outside < version:
+            output(store, outputs).add(Record(DELETE, key, b"", version), None)
+    return True
+
+
+def output(store: Store, outputs: list[Output]) -> Output:
+    if not outputs or outputs[-1].segment.length + outputs[-1].size >= store.options.segment_bytes:
+        if outputs:
+            outputs[-1].flush()
+        with store.committing:
+            outputs.append(Output(store, store._new_segment()))
+    return outputs[-1]
+
+
+def install(store: Store, victims: list[Segment], outputs: list[Output]) -> None:
+    """Have the manifest name the new ones, then the index, then remove the old files."""
+    with store.committing:
+        before = dict(store.sealed)
+        for segment in victims:
+            del store.sealed[segment.number]
+        for o in outputs:
+            number, first, last = o.segment.number, min(o.versions), max(o.versions)
+            o.segment.first, o.segment.last = first, last
+            store.sealed[number] = Sealed(number, o.segment.length, first, last)
+            store._write_hint(number, o.segment.length, o.segment.hint)
+            o.segment.hint = format.Hint()
+        try:
+            store._write_manifest()
+        except (OSError, Failed):
+            # Danger: after `Failed` either manifest may stand, so that neither's files may go.
+            store.sealed = before
+            raise
+        with store.lock:
+            for o in outputs:
+                for key, old, new in o.moved:
+                    if store.index.move(key, old, new):
+                        o.segment.live += located(new)[2]
+            for segment in victims:
+                segment.retired, segment.live = True, 0
+                segment.held = bool(store.index.readers)
+                store._let_go(segment)
+    for segment in victims:
+        store._forget(segment_name(segment.number))
+        store._forget(hint_name(segment.number))
+
+
+def abandon(store: Store, outputs: list[Output]) -> bool:
+    for o in outputs:
+        with store.lock:
+            store.segments.pop(o.segment.number, None)
+        o.segment.file.close()
+        store._forget(segment_name(o.segment.number))
+    return False
--- /dev/null
+++ b/roadpulley/store/index.py
@@ -0,0 +1,108 @@
+"""Where each key's record stands, in memory and in order, and what it was for those that read an older state.
+
+A location is one number (segment, offset and size): a million keys in tuples would take twice the memory.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from itertools import islice
+from typing import Any
+
+from sortedcontainers import SortedDict
+
+SIZE_BITS, OFFSET_BITS = 28, 40  # a record of 64 MiB and its key; a segment of a terabyte
+CHUNK = 256  # keys that a scan takes at a time
+
+
+def locate(segment: int, offset: int, size: int) -> int:
+    return (segment << OFFSET_BITS | offset) << SIZE_BITS | size
+
+
+def located(location: int) -> tuple[int, int, int]:
+    """Segment, offset and size."""
+    rest, size = location >> SIZE_BITS, location & ((1 << SIZE_BITS) - 1)
+    return rest >> OFFSET_BITS, rest & ((1 << OFFSET_BITS) - 1), size
+
+
+class Index:
+    """Not safe by itself: the store holds its lock around every call."""
+
+    def __init__(self, keys: Iterable[tuple[bytes, int]] = ()) -> None:
+        self.now: Any = SortedDict(keys)
+        self.before: dict[bytes, list[tuple[int, int | None]]] = {}  # version that replaced it, what it was
+        self.readers: Counter[int] = Counter()  # of older states, by version
+
+    def set(self, key: bytes, location: int | None, version: int) -> int | None:
+        """A key's record from a version on; None: it is deleted. Gives what it was."""
+        old: int | None = self.now.get(key)
+        if self.readers:
+            self.before.setdefault(key, []).append((version, old))
+        if location is not None:
+            self.now[key] = location
+        elif old is not None:
+            del self.now[key]
+        return old
+
+    def move(self, key: bytes, old: int, new: int) -> bool:
+        """A record that was copied elsewhere; false if it is not the key's any more."""
+        if self.now.get(key) != old:
+            return False
+        self.now[key] = new
+        return True
+
+    def get(self, key: bytes, version: int | None = None) -> int | None:
+        """Now, or as of a version that is being read."""
+        if version is not None:
+            for replaced_at, old in self.before.get(key, ()):
+                if replaced_at > version:
+                    return old
+        found: int | None = self.now.get(key)
+        return found
+
+    def chunk(
+        self, start: bytes, end: bytes | None, version: int | None = None
+    ) -> tuple[list[tuple[bytes, int]], bytes | None]:
+        """The next keys from `start` on and before `end`, and where to go on; None at the end."""
+        keys: list[bytes] = list(islice(self._keys(start, end), CHUNK))
+        following = keys[-1] + b"\0" if len(keys) == CHUNK else None
+        if version is None:
+            return [(key, self.now[key]) for key in keys], following
+        gone = [k for k in self.before if start <= k and (end is None or k < end)]
+        if following is not None:
+            gone = [k for k in gone if k < following]
+        found = ((key, self.get(key, version)) for key in sorted({*keys, *gone}))
+        return [(key, location) for key, location in found if location is not None], following
+
+    def _keys(self, start: bytes, end: bytes | None) -> Iterator[bytes]:
+        keys: Iterator[bytes] = self.now.irange(start, end, inclusive=(True, False))
+        return keys
+
+    # ---- readers of an older state ----
+
+    def hold(self, version: int) -> None:
+        self.readers[version] += 1
+
+    def release(self, version: int) -> bool:
+        """Whether nobody reads an older state any more."""
+        self.readers[version] -= 1
+        if not self.readers[version]:
+            del self.readers[version]
+        if not self.readers:
+            self.before.clear()
+            return True
+        oldest = min(self.readers)
+        for key, past in list(self.before.items()):
+            kept = [(at, old) for at, old in past if at > oldest]
+            if kept:
+                self.before[key] = kept
+            else:
+                del self.before[key]
+        return False
+
+
+def end_of(prefix: bytes) -> bytes | None:
+    """The first key after all that begin with a prefix; None if none comes after them."""
+    rest = prefix.rstrip(b"\xff")
+    return rest[:-1] + bytes([rest[-1] + 1]) if rest else None
--- /dev/null
+++ b/roadpulley/store/recovery.py
@@ -0,0 +1,158 @@
+"""What is kept, cut off and refused as a store is opened. Pure: what could be read goes in, a plan comes out.
+ The segments before the last were synced whole before the manifest named them sealed, so anything wrong in
+them is damage. In the last one, a frame that can't be read is either the torn end of what was being written
+as the machine went down, or damage. It is damage if anything that can be read after it, in the segment,
+says that the version was durable already: each frame carries the last version that was synced before it was
+written, and a mark with it follows each sync. Otherwise nobody was told that it was written, nor anything
+after it, and it is cut.
+ Frames that are whole but that nothing proves durable are kept, and written again: a disk that failed to
+sync once may have dropped them while the operating system's memory still shows them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .format import (
+    FRAME,
+    HEADER,
+    Head,
+    Manifest,
+    Place,
+    Sealed,
+    Unreadable,
+    frames,
+    places,
+    read_head,
+    read_header,
+    segment_name,
+)
+
+
+@dataclass(frozen=True)
+class Damage:
+    """What is wrong, where, and what is lost by it."""
+
+    file: str
+    offset: int
+    what: str
+    lost: str
+
+    def __str__(self) -> str:
+        return f"{self.file} at byte {self.offset}: {self.what}; {self.lost}"
+
+
+@dataclass(frozen=True)
+class Frame:
+    offset: int
+    head: Head
+    places: tuple[Place, ...]
+
+    @property
+    def end(self) -> int:
+        return self.offset + FRAME.size + self.head.length
+
+
+@dataclass
+class Scan:
+    """What could be read of one segment."""
+
+    number: int
+    salt: int = 0
+    frames: list[Frame] = field(default_factory=list)
+    end: int = 0  # of the last whole frame, or of the header
+    size: int = 0  # of the file
+    problem: str = ""  # what is wrong at `end`; "" if the file ends there
+    later: list[tuple[int, Head]] = field(default_factory=list)  # whole frames after that
+
+    @property
+    def durable(self) -> int:
+        """The last version that something in it proves synced."""
+        heads = [frame.head for frame in self.frames] + [head for _, head in self.later]
+        return max((head.durable for head in heads), default=0)
+
+    @property
+    def last(self) -> int:
+        return max((frame.head.version for frame in self.frames), default=0)
+
+
+def scan(data: bytes, number: int) -> Scan:
+    """Read a segment from its bytes. Raises FromTheFuture."""
+    found = Scan(number, size=len(data))
+    try:
+        found.salt = read_header(data[: HEADER.size], number)
+    except Unreadable as error:
+        if type(error) is not Unreadable:
+            raise
+        found.problem = str(error)
+        return found
+    at = found.end = HEADER.size
+    while at < len(data):
+        try:
+            head = read_head(data[at : at + FRAME.size], found.salt)
+            body_at = at + FRAME.size
+            body = data[body_at : body_at + head.length]
+            frame = Frame(at, head, tuple(places(head, body, body_at, found.salt)))
+        except Unreadable as error:
+            found.problem = str(error)
+            found.later = list(frames(data, at + 1, found.salt))
+            break
+        found.frames.append(frame)
+        at = found.end = frame.end
+    return found
+
+
+@dataclass
+class Plan:
+    """How to go on after opening."""
+
+    keep: int = 0  # bytes of the last segment that stay as they are
+    rewrite: list[Frame] = field(default_factory=list)  # whole, and not proven durable: written again
+    cut: int = 0  # bytes of its torn end
+    fresh: bool = False  # the last segment must not be written to any more
+    damage: list[Damage] = field(default_factory=list)
+
+    @property
+    def refused(self) -> bool:
+        return bool(self.damage)
+
+
+def sealed_damage(sealed: Sealed, found: Scan | None, size: int) -> Damage | None:
+    """What is wrong with a sealed segment, if anything: as scanned, or by its size alone."""
+    name = segment_name(sealed.number)
+    lost = f"what it holds of versions {sealed.first} to {sealed.last} is lost from there on"
+    if size < sealed.length:
+        return Damage(name, size, f"it has {size} of {sealed.length} bytes", lost)
+    if found is not None and found.problem and found.end < sealed.length:
+        return Damage(name, found.end, found.problem, lost)
+    return None
+
+
+def plan(found: Scan, known: int) -> Plan:
+    """For the last segment. `known` is the last version that the sealed ones hold."""
+    name = segment_name(found.number)
+    if not found.salt and found.problem:
+        # Danger: it was synced with its header before the manifest named it.
+        return Plan(damage=[Damage(name, 0, found.problem, "all that it holds is lost")])
+    durable = found.durable
+    if found.problem and durable > max(known, found.last):
+        first = max(known, found.last) + 1
+        after = ", ".join(str(head.version) for _, head in found.later if not head.is_mark) or "none"
+        lost = f"versions from {first} to {durable} were acknowledged; whole frames after it: {after}"
+        return Plan(damage=[Damage(name, found.end, found.problem, lost)])
+    if not found.problem and durable > max(known, found.last):
+        what = f"it ends here, and proves version {durable} durable"
+        return Plan(damage=[Damage(name, found.end, what, f"versions from {found.last + 1} are lost")])
+    proven = [frame for frame in found.frames if frame.head.version <= durable]
+    keep = max([HEADER.size, *(frame.end for frame in proven)])
+    rewrite = [f for f in found.frames if f.head.version > durable and not f.head.is_mark]
+    cut = found.size - found.end
+    return Plan(keep, rewrite, cut, fresh=bool(rewrite or cut))
+
+
+def unknown(names: Iterable[str], manifest: Manifest) -> list[str]:
+    """Files that the manifest does not name: left by a crash, and holding nothing that counts."""
+    live = {s.number for s in manifest.sealed} | {manifest.active}
+    keep = {f"{number:08d}" for number in live}
+    return [n for n in names if n.endswith((".seg", ".hint", ".tmp")) and n.partition(".")[0] not in keep]
--- /dev/null
+++ b/roadpulley/store/store.py
@@ -0,0 +1,759 @@
+"""The store: a log of batches on disk, an index of it in memory. See docs/design/store.md.
+ A write is acknowledged once its bytes are synced; those that wait meanwhile are written and synced
+together. All calls may come from any thread, and wait for the disk: on an event loop use
+`roadpulley.store.aio`.
+"""
+
+from __future__ import annotations
+
+import secrets
+import threading
+from collections import defaultdict, deque
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from . import format
+from .errors import Closed, Conflict, Damaged, Failed, Locked, WriteFailed, WrongFormat
+from .files import DiskFiles, File, Files
+from .format import DELETE, PUT, Manifest, Place, Record, Sealed, Unreadable, hint_name, segment_name
+from .index import Index, end_of, locate, located
+from .recovery import Damage, Frame, Plan, Scan, plan, scan, sealed_damage, unknown
+
+SEGMENT_BYTES = 64 * 1024 * 1024
+DEAD_SHARE = 0.5  # of a sealed segment's bytes, from which on it is worth writing the rest again
+GROUP_BYTES = 8 * 1024 * 1024  # of one write and sync: those that wait longer go with the next
+MANIFEST = "MANIFEST"
+
+
+@dataclass(frozen=True)
+class Write:
+    """One part of a batch: a value, or None to delete the key.
+
+    `expect` makes the whole batch conditional: the key's version, 0 for a key that must not be there.
+    """
+
+    key: bytes
+    value: bytes | None
+    expect: int | None = None
+
+
+@dataclass(eq=False)
+class Pending:
+    """A batch that waits to be written."""
+
+    writes: tuple[Write, ...]
+    done: Callable[[Pending], None] | None = None  # called once, by the thread that wrote it
+    version: int = 0
+    error: Exception | None = None
+    over: bool = False
+
+    @property
+    def size(self) -> int:
+        return sum(len(w.key) + len(w.value or b"") + format.RECORD.size for w in self.writes)
+
+    def end(self, error: Exception | None = None) -> None:
+        if not self.over:
+            self.error, self.over = error, True
+            if self.done is not None:
+                self.done(self)
+
+
+@dataclass(eq=False)
+class Segment:
+    number: int
+    file: File
+    salt: int
+    length: int  # bytes that count
+    first: int = 0
+    last: int = 0
+    live: int = 0  # bytes of records that count
+    users: int = 0
+    retired: bool = False
+    held: bool = False  # by readers of an older state
+    hint: format.Hint = field(default_factory=format.Hint)  # of one that is being written
+
+    @property
+    def dead_share(self) -> float:
+        room = self.length - format.HEADER.size
+        return 1 - self.live / room if room > 0 else 0.0
+
+
+@dataclass(frozen=True)
+class Options:
+    segment_bytes: int = SEGMENT_BYTES
+    dead_share: float = DEAD_SHARE
+    salt: Callable[[], int] = field(default=lambda: secrets.randbits(32))  # a test gives known ones
+
+
+@dataclass(frozen=True)
+class Stat:
+    keys: int
+    version: int
+    segments: int
+    bytes_on_disk: int  # of the segments
+    bytes_live: int
+    written: int  # bytes of segments since it was opened, by batches and by compaction
+    asked: int  # bytes of keys and values that were put since then
+
+
+class Store:
+    """Open one with `Store.open`; one process at a time has a folder."""
+
+    def __init__(self, files: Files, options: Options) -> None:
+        self.files, self.options = files, options
+        self.lock = threading.Lock()  # of the index, the segments' books and the queue
+        self.committing = threading.Lock()  # held by the one that writes
+        self.compacting = threading.Lock()
+        self.queue: deque[Pending] = deque()
+        self.segments: dict[int, Segment] = {}
+        self.sealed: dict[int, Sealed] = {}
+        self.index = Index()
+        self.version = self.next_number = 0
+        self.sealed_version = 0  # the last version that the active segment does not hold
+        self.failure: str | None = None
+        self.closed = False
+        self.recovered: Plan | None = None  # what opening found
+        self.written = self.asked = 0
+
+    # ---- opening and closing ----
+
+    @classmethod
+    def open(cls, folder: Path | str | Files, options: Options | None = None) -> Store:
+        """The store of a folder, made where there is none.
+
+        Raises Locked, WrongFormat, Damaged (nothing was changed) and OSError.
+        """
+        files: Files = DiskFiles(folder) if isinstance(folder, str | Path) else folder
+        store = cls(files, options or Options())
+        files.make()
+        if not files.lock():
+            raise Locked(f"{folder} is open in another process; one at a time may have it")
+        try:
+            store._load()
+        except BaseException:
+            store._release()
+            raise
+        return store
+
+    def _load(self) -> None:
+        names = self.files.names()
+        if MANIFEST not in names:
+            if segments := [n for n in names if n.endswith(".seg") and self._counts(n)]:
+                lost = f"segments {', '.join(segments)} are there; see `roadpulley store repair --dry-run`"
+                raise Damaged([Damage(MANIFEST, 0, "it is not there", lost)])
+            return self._create()
+        manifest = self._read_manifest()
+        self.next_number = manifest.next_number
+        best: dict[bytes, int] = {}
+        where: dict[bytes, int | None] = {}
+        damage: list[Damage] = []
+        unhinted: list[tuple[Segment, format.Hint]] = []
+        for sealed in manifest.sealed:
+            problem = self._load_sealed(sealed, names, best, where, unhinted)
+            if problem is not None:
+                damage.append(problem)
+        self.sealed_version = manifest.version
+        found, decided = self._scan_active(manifest.active, manifest.version)
+        damage += decided.damage
+        if damage:
+            raise Damaged(damage)
+        for name in unknown(names, manifest):
+            self.files.unlink(name)
+        for each, hint in unhinted:
+            self._write_hint(each.number, each.length, hint)
+        self.recovered = decided
+        segment = self.segments[manifest.active]
+        segment.salt, segment.length = found.salt, decided.keep
+        kept = [frame for frame in found.frames if frame.end <= decided.keep]
+        for frame in kept:
+            self._note(segment, frame.places, best, where)
+            for place in frame.places:
+                segment.hint.add(place)
+        self.version = max(manifest.version, segment.last)
+        self.index = Index((key, location) for key, location in where.items() if location is not None)
+        for _, location in self.index.now.items():
+            number, _, size = located(location)
+            self.segments[number].live += size
+        self._go_on(manifest, decided)
+
+    def _counts(self, name: str) -> bool:
+        """Whether a segment without a manifest may hold anything that was acknowledged."""
+        file = self.files.open(name)
+        try:
+            return file.size() > format.HEADER.size
+        finally:
+            file.close()
+
+    def _read_manifest(self) -> Manifest:
+        file = self.files.open(MANIFEST)
+        try:
+            return Manifest.read(file.read(0, file.size()))
+        except format.FromTheFuture as error:
+            raise WrongFormat(f"{MANIFEST}: {error}") from error
+        except (Unreadable, ValueError, KeyError, TypeError) as error:
+            lost = "which segments count is not known; see `roadpulley store repair --dry-run`"
+            raise Damaged([Damage(MANIFEST, 0, str(error), lost)]) from error
+        finally:
+            file.close()
+
+    def _create(self) -> None:
+        for name in self.files.names():
+            if name.endswith((".seg", ".hint", ".tmp")):
+                self.files.unlink(name)  # of a creation that was cut off
+        self.next_number = 1
+        segment = self._new_segment()
+        self.active = segment
+        self._write_manifest()
+
+    def _load_sealed(
+        self,
+        sealed: Sealed,
+        names: Sequence[str],
+        best: dict[bytes, int],
+        where: dict[bytes, int | None],
+        unhinted: list[tuple[Segment, format.Hint]],
+    ) -> Damage | None:
+        name = segment_name(sealed.number)
+        if name not in names:
+            return Damage(name, 0, "it is not there", f"versions {sealed.first} to {sealed.last} are lost")
+        file = self.files.open(name)
+        segment = Segment(sealed.number, file, 0, sealed.length)
+        self.segments[sealed.number], self.sealed[sealed.number] = segment, sealed
+        size = file.size()
+        if problem := sealed_damage(sealed, None, size):
+            return problem
+        try:
+            segment.salt = format.read_header(file.read(0, format.HEADER.size), sealed.number)
+            places = self._read_hint(sealed, names)
+        except format.FromTheFuture as error:
+            raise WrongFormat(f"{name}: {error}") from error
+        except Unreadable as error:
+            return Damage(name, 0, str(error), f"versions {sealed.first} to {sealed.last} are lost")
+        if places is None:
+            found = scan(file.read(0, sealed.length), sealed.number)
+            if problem := sealed_damage(sealed, found, size):
+                return problem
+            places = [place for frame in found.frames for place in frame.places]
+            hint = format.Hint()
+            for place in places:
+                hint.add(place)
+            unhinted.append((segment, hint))
+        self._note(segment, places, best, where)
+        segment.first, segment.last = sealed.first, sealed.last
+        return None
+
+    def _read_hint(self, sealed: Sealed, names: Sequence[str]) -> list[Place] | None:
+        """What a hint says; None if it is missing or spoilt, and the segment has to be read whole."""
+        if hint_name(sealed.number) not in names:
+            return None
+        file = self.files.open(hint_name(sealed.number))
+        try:
+            return format.read_hint(file.read(0, file.size()), sealed.number, sealed.length)
+        except Unreadable:
+            return None
+        finally:
+            file.close()
+
+    def _scan_active(self, number: int, known: int) -> tuple[Scan, Plan]:
+        name = segment_name(number)
+        if name not in self.files.names():
+            missing = Damage(name, 0, "it is not there", f"all versions after {known} are lost")
+            return Scan(number), Plan(damage=[missing])
+        file = self.files.open(name)
+        self.segments[number] = Segment(number, file, 0, 0)
+        try:
+            found = scan(file.read(0, file.size()), number)
+        except format.FromTheFuture as error:
+            raise WrongFormat(f"{name}: {error}") from error
+        return found, plan(found, known)
+
+    def _note(
+        self,
+        segment: Segment,
+        places: Sequence[Place],
+        best: dict[bytes, int],
+        where: dict[bytes, int | None],
+    ) -> None:
+        """Take in a segment's records: of one key's, that of the highest version counts."""
+        number, seen = segment.number, best.get
+        for place in places:
+            if place.version >= seen(place.key, 0):
+                best[place.key] = place.version
+                size = place.size
+                where[place.key] = locate(number, place.offset, size) if place.kind == PUT else None
+            if place.version > segment.last:
+                segment.last = place.version
+            segment.first = min(segment.first or place.version, place.version)
+
+    def _go_on(self, manifest: Manifest, decided: Plan) -> None:
+        """Write on where the last process stopped, or in a new segment what it left unproven."""
+        old = self.segments[manifest.active]
+        if not decided.fresh:
+            self.active = old
+            return
+        # Danger: what is written again may have been acknowledged, as a mark is not synced. The manifest may
+        # cut it off the old segment only once it is safe in the new one.
+        segment = self._new_segment()
+        durable = self.version
+        for frame in decided.rewrite:
+            self._write_again(segment, frame, old, durable)
+        segment.file.sync()
+        self._seal(old, segment)
+        self._mark()
+
+    def _write_again(self, segment: Segment, frame: Frame, old: Segment, durable: int) -> None:
+        raw = [old.file.read(place.offset, place.size) for place in frame.places]
+        records = [format.read_record(each, old.salt) for each in raw]
+        data = format.pack_frame(records, frame.head.version, durable, segment.salt)
+        segment.file.write(segment.length, data)
+        self._take_in(segment, data, frame.head.version)
+        self.version = frame.head.version
+
+    def close(self) -> None:
+        """Wait for what is being written, and let go of the folder. Closing twice does no harm."""
+        with self.compacting, self.committing, self.lock:
+            if self.closed:
+                return
+            self.closed = True
+            waiting, self.queue = list(self.queue), deque()
+        for pending in waiting:
+            pending.end(Closed("the store was closed before this was written"))
+        self._release()
+
+    def _release(self) -> None:
+        for segment in self.segments.values():
+            segment.file.close()
+        self.segments.clear()
+        self.closed = True
+        self.files.unlock()
+
+    def __enter__(self) -> Store:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    # ---- writing ----
+
+    def put(self, key: bytes, value: bytes, expect: int | None = None) -> int:
+        """Write one key; gives its version. Raises Conflict, WriteFailed, Failed, Closed, ValueError."""
+        return self.batch([Write(key, value, expect)])
+
+    def delete(self, key: bytes, expect: int | None = None) -> int:
+        """Delete one key, there or not; gives the version of that. Raises as `put`."""
+        return self.batch([Write(key, None, expect)])
+
+    def batch(self, writes: Sequence[Write]) -> int:
+        """Write all or nothing, later ones of one key last; gives the one version of all. Raises as `put`."""
+        pending = self.enqueue(writes)
+        with self.committing:
+            while not pending.over:
+                self._commit()
+        if pending.error is not None:
+            raise pending.error
+        return pending.version
+
+    def enqueue(self, writes: Sequence[Write], done: Callable[[Pending], None] | None = None) -> Pending:
+        """Have a batch wait for `flush`. Raises ValueError, Closed."""
+        pending = Pending(tuple(writes), done)
+        check(pending)
+        with self.lock:
+            if self.closed:
+                raise Closed("the store is closed")
+            self.queue.append(pending)
+        return pending
+
+    def flush(self) -> None:
+        """Write all that waits. Each batch ends with its version or its error."""
+        with self.committing:
+            while self.queue:
+                self._commit()
+
+    def _take_group(self) -> list[Pending]:
+        group: list[Pending] = []
+        size = 0
+        with self.lock:
+            while self.queue and (not group or size + self.queue[0].size <= GROUP_BYTES):
+                size += self.queue[0].size
+                group.append(self.queue.popleft())
+        return group
+
+    def _commit(self) -> None:
+        """Write, sync and acknowledge what waits. The caller holds `committing`."""
+        group = self._take_group()
+        try:
+            self._write_group(group)
+        except BaseException as error:
+            for pending in group:
+                pending.end(error if isinstance(error, Exception) else Failed(repr(error)))
+            if not isinstance(error, Exception):
+                raise
+        finally:
+            for pending in group:
+                pending.end(Failed("it was not written"))  # only if something above forgot it
+
+    def _write_group(self, group: list[Pending]) -> None:
+        if self.failure is not None:
+            raise Failed(self.failure)
+        data: list[bytes] = []
+        written: list[tuple[Pending, bytes]] = []
+        versions: dict[bytes, int] = {}  # of keys that earlier batches of the group write; 0: deleted
+        version = self.version
+        for pending in group:
+            try:
+                self._check_expected(pending, versions)
+            except Exception as error:
+                pending.end(error)
+                continue
+            version += 1
+            pending.version = version
+            records = [
+                Record(DELETE if w.value is None else PUT, w.key, w.value or b"", version)
+                for w in pending.writes
+            ]
+            versions.update((w.key, 0 if w.value is None else version) for w in pending.writes)
+            frame = format.pack_frame(records, version, self.version, self.active.salt)
+            data.append(frame)
+            written.append((pending, frame))
+        if not written:
+            return
+        self._append(b"".join(data))
+        for pending, frame in written:
+            self._take_in(self.active, frame, pending.version)
+            self.asked += sum(len(w.key) + len(w.value or b"") for w in pending.writes)
+        self.version = version
+        self._mark()
+        for pending, _ in written:
+            pending.end()
+        if self.active.length >= self.options.segment_bytes and self.failure is None:
+            self._rotate()
+
+    def _check_expected(self, pending: Pending, versions: dict[bytes, int]) -> None:
+        for write in pending.writes:
+            if write.expect is None:
+                continue
+            found = versions.get(write.key)
+            if found is None:
+                record = self._read(write.key, None)
+                found = record.version if record else 0
+            if found != write.expect:
+                raise Conflict(write.key, write.expect, found)
+
+    def _append(self, data: bytes) -> None:
+        """Write and sync at the end of the active segment. Raises WriteFailed, Failed."""
+        segment = self.active
+        try:
+            segment.file.write(segment.length, data)
+        except OSError as error:
+            self._take_back(segment)
+            raise WriteFailed(f"{segment_name(segment.number)}: {error.strerror or error}") from error
+        try:
+            segment.file.sync()
+        except OSError as error:
+            self.failure = f"{segment_name(segment.number)} could not be synced: {error.strerror or error}"
+            raise Failed(self.failure) from error
+        self.written += len(data)
+
+    def _take_back(self, segment: Segment) -> None:
+        """Cut off what was written in part, so that what follows does not stand behind it."""
+        try:
+            segment.file.truncate(segment.length)
+        except OSError as error:
+            name = segment_name(segment.number)
+            self.failure = f"{name}: a part could not be taken back: {error.strerror or error}"
+
+    def _take_in(self, segment: Segment, frame: bytes, version: int) -> None:
+        """Let the index know of a frame at the segment's end, which is synced."""
+        head = format.read_head(frame[: format.FRAME.size], segment.salt)
+        at = segment.length + format.FRAME.size
+        found = format.places(head, frame[format.FRAME.size :], at, segment.salt)
+        with self.lock:
+            for place in found:
+                here = locate(segment.number, place.offset, place.size) if place.kind == PUT else None
+                old = self.index.set(place.key, here, version)
+                if old is not None:
+                    number, _, size = located(old)
+                    if number in self.segments:
+                        self.segments[number].live -= size
+                segment.live += place.size if here is not None else 0
+                segment.hint.add(place)
+            segment.length += len(frame)
+            segment.first, segment.last = segment.first or version, version
+
+    def _mark(self) -> None:
+        """Say in the log that all up to here is synced; itself it need not be.
+
+        Danger: without it the last batch before a crash could not be told from one that nobody was told of,
+        and damage to it would pass for a torn end.
+        """
+        segment, mark = self.active, format.pack_mark(self.version, self.active.salt)
+        try:
+            segment.file.write(segment.length, mark)
+        except OSError:
+            return self._take_back(segment)
+        segment.length += len(mark)
+        self.written += len(mark)
+
+    # ---- segments ----
+
+    def _new_segment(self) -> Segment:
+        """A new file, synced with its header and its name. Raises OSError; what it left is removed later."""
+        number, salt = self.next_number, self.options.salt()
+        file = self.files.open(segment_name(number), create=True)
+        self.next_number += 1
+        header = format.pack_header(number, salt)
+        try:
+            file.write(0, header)
+            file.sync()
+            self.files.sync_folder()
+        except BaseException:
+            file.close()
+            self._forget(segment_name(number))
+            raise
+        segment = Segment(number, file, salt, len(header))
+        with self.lock:
+            self.segments[number] = segment
+        return segment
+
+    def _forget(self, name: str) -> None:
+        try:
+            self.files.unlink(name)
+        except OSError:
+            pass  # it is not named by the manifest, and removed at the next opening
+
+    def _rotate(self) -> None:
+        """Seal the active segment and go on in a new one, unless the disk won't have it: then later."""
+        try:
+            self._seal(self.active, None)
+        except (OSError, Failed):
+            pass
+
+    def _seal(self, old: Segment, segment: Segment | None) -> None:
+        """Go on in another segment. Raises OSError where all is as it was, Failed where that is not known."""
+        try:
+            old.file.sync()  # its last mark too: what is sealed is whole
+        except OSError as error:
+            self.failure = f"{segment_name(old.number)} could not be synced: {error.strerror or error}"
+            raise Failed(self.failure) from error
+        segment = segment or self._new_segment()
+        before = self.sealed_version
+        self.sealed_version = max(before, old.last)
+        self.sealed[old.number] = Sealed(old.number, old.length, old.first, old.last)
+        self.active = segment
+        try:
+            self._write_manifest()
+        except OSError:
+            del self.sealed[old.number]
+            self.active, self.sealed_version = old, before
+            with self.lock:
+                del self.segments[segment.number]
+            segment.file.close()
+            self._forget(segment_name(segment.number))
+            raise
+        self._write_hint(old.number, old.length, old.hint)
+        old.hint = format.Hint()
+
+    def _write_manifest(self) -> None:
+        """Replace it: write, sync, rename, sync the folder.
+
+        Raises OSError where the old one stands, and Failed where which one stands is not known.
+        """
+        manifest = Manifest(
+            tuple(self.sealed.values()), self.active.number, self.next_number, self.sealed_version
+        )
+        temporary = MANIFEST + ".tmp"
+        if temporary in self.files.names():
+            self.files.unlink(temporary)
+        file = self.files.open(temporary, create=True)
+        try:
+            file.write(0, manifest.pack())
+            file.sync()
+        finally:
+            file.close()
+        try:
+            self.files.rename(temporary, MANIFEST)
+            self.files.sync_folder()
+        except OSError as error:
+            # Danger: both manifests name what was written so far. What came after would be in one of them
+            # only.
+            self.failure = f"{MANIFEST} could not be replaced: {error.strerror or error}"
+            raise Failed(self.failure) from error
+
+    def _write_hint(self, number: int, length: int, hint: format.Hint) -> None:
+        """Of a sealed segment. It only saves time, so that failing does no harm, and it needs no sync."""
+        name = hint_name(number)
+        try:
+            if name in self.files.names():
+                self.files.unlink(name)
+            file = self.files.open(name, create=True)
+        except OSError:
+            return
+        try:
+            file.write(0, hint.pack(number, length))
+        except OSError:
+            self._forget(name)
+        finally:
+            file.close()
+
+    # ---- reading ----
+
+    def get(self, key: bytes) -> bytes | None:
+        """A key's value, or None. Raises Damaged, Closed, OSError."""
+        record = self._read(key, None)
+        return record.value if record else None
+
+    def entry(self, key: bytes) -> Record | None:
+        """A key's value with its version, or None."""
+        return self._read(key, None)
+
+    def scan(self, prefix: bytes = b"", start: bytes = b"", end: bytes | None = None) -> Iterator[Record]:
+        """Records in the order of their keys: with a prefix, from `start` on, before `end`.
+
+        Each is as it stands when it is reached; for one state of all use a snapshot.
+        """
+        return self._scan(prefix, start, end, None)
+
+    def snapshot(self) -> Snapshot:
+        """One state of all keys, as it is now. Close it: what it needs stays on disk until then."""
+        with self.lock:
+            if self.closed:
+                raise Closed("the store is closed")
+            self.index.hold(self.version)
+            return Snapshot(self, self.version)
+
+    def _scan(self, prefix: bytes, start: bytes, end: bytes | None, version: int | None) -> Iterator[Record]:
+        at: bytes | None = max(start, prefix)
+        last = end_of(prefix)
+        stop = min(last, end) if last is not None and end is not None else last if end is None else end
+        while at is not None:
+            with self.lock:
+                self._check_open()
+                keys, at = self.index.chunk(at, stop, version)
+            for key, _ in keys:
+                if (record := self._read(key, version)) is not None:
+                    yield record
+
+    def _check_open(self) -> None:
+        if self.closed:
+            raise Closed("the store is closed")
+
+    def _read(self, key: bytes, version: int | None) -> Record | None:
+        with self.lock:
+            self._check_open()
+            location = self.index.get(key, version)
+            if location is None:
+                return None
+            number, offset, size = located(location)
+            segment = self.segments[number]
+            segment.users += 1
+        with self._using(segment):
+            data = segment.file.read(offset, size)
+        try:
+            record = format.read_record(data, segment.salt)
+            if record.key != key:
+                raise Unreadable("the record of another key stands there")
+            return record
+        except Unreadable as error:
+            lost = f"the value of {key!r} is lost"
+            raise Damaged([Damage(segment_name(number), offset, str(error), lost)]) from error
+
+    @contextmanager
+    def _using(self, segment: Segment) -> Iterator[None]:
+        try:
+            yield
+        finally:
+            with self.lock:
+                segment.users -= 1
+                self._let_go(segment)
+
+    def _let_go(self, segment: Segment) -> None:
+        """Close a segment's file once nobody needs it. The caller holds `lock`."""
+        if segment.retired and not segment.users and not segment.held and not self.closed:
+            segment.file.close()
+            self.segments.pop(segment.number, None)
+
+    def _released(self, version: int) -> None:
+        with self.lock:
+            if self.index.release(version):
+                for segment in list(self.segments.values()):
+                    segment.held = False
+                    self._let_go(segment)
+
+    # ---- care ----
+
+    def compact(self, everything: bool = True, stop: Callable[[], bool] = lambda: False) -> bool:
+        """Write what counts of old segments anew, and remove them; whether it was done.
+
+        Those of which more than `dead_share` is dead, or all. `stop` is asked all along; stopped or failed,
+        all is as before. Raises OSError, WriteFailed, Damaged.
+        """
+        from .compaction import compact
+
+        with self.compacting:
+            return compact(self, everything, stop)
+
+    def stat(self) -> Stat:
+        with self.lock:
+            here = [s for s in self.segments.values() if not s.retired]
+            return Stat(
+                len(self.index.now),
+                self.version,
+                len(here),
+                sum(s.length for s in here),
+                sum(s.live for s in here),
+                self.written,
+                self.asked,
+            )
+
+
+class Snapshot:
+    """One state of a store; use it as a context."""
+
+    def __init__(self, store: Store, version: int) -> None:
+        self.store, self.version, self.open = store, version, True
+
+    def get(self, key: bytes) -> bytes | None:
+        self._check()
+        record = self.store._read(key, self.version)
+        return record.value if record else None
+
+    def scan(self, prefix: bytes = b"", start: bytes = b"", end: bytes | None = None) -> Iterator[Record]:
+        self._check()
+        return self.store._scan(prefix, start, end, self.version)
+
+    def _check(self) -> None:
+        if not self.open:
+            raise Closed("the snapshot is closed")
+
+    def close(self) -> None:
+        if self.open:
+            self.open = False
+            self.store._released(self.version)
+
+    def __enter__(self) -> Snapshot:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+
+def check(pending: Pending) -> None:
+    """Raises ValueError, naming the place."""
+    if not pending.writes:
+        raise ValueError("a batch of nothing: give at least one write")
+    for number, write in enumerate(pending.writes):
+        where = f"write {number}" if len(pending.writes) > 1 else "the write"
+        if len(write.key) > format.LONGEST_KEY:
+            raise ValueError(f"{where}: its key has {len(write.key)} bytes, {format.LONGEST_KEY} at most")
+        if write.value is not None and len(write.value) > format.LARGEST_VALUE:
+            most = format.LARGEST_VALUE
+            raise ValueError(f"{where}: its value has {len(write.value)} bytes, {most} at most")
+    if pending.size > format.LARGEST_BODY:
+        raise ValueError(f"the batch has {pending.size} bytes, {format.LARGEST_BODY} at most")
+    keys: dict[bytes, int] = defaultdict(int)
+    for write in pending.writes:
+        keys[write.key] += 1
+        if keys[write.key] > 1 and write.expect is not None:
+            raise ValueError(f"{write.key!r} is written twice: expect its version where it is written first")
