--- a/roadpulley/testbed/disk.py
+++ b/roadpulley/testbed/disk.py
@@ -1,9 +1,8 @@
 """A disk in memory that fails as disks do, and whose every state after a crash can be had.
-
-It keeps a log of all that was asked of it. `crashed(n, chance)` gives a new disk as it may stand if the power went
-after the first `n` entries, under the rules of POSIX: what was synced is there; of what was not, any part may be,
-in any order: writes lost, kept, or torn at any byte, names made, changed or removed or not. What a failed sync
-left behind may be lost for good, whatever syncs succeed later.
+ It keeps a log of all that was asked of it. `crashed(n, chance)` gives a new disk as it may stand if the
+power went after the first `n` entries, under the rules of POSIX: what was synced is there; of what was not,
+any part may be, in any order: writes lost, kept, or torn at any byte, names made, changed or removed or
+not. What a failed sync left behind may be lost for good, whatever syncs succeed later.
 """
 
 from __future__ import annotations
--- a/tests/store/test_store_crashes.py
+++ b/tests/store/test_store_crashes.py
@@ -75,7 +75,8 @@
 
 
 def test_every_crash_of_a_small_workload() -> None:
-    """Each moment, with nothing kept, everything, and each of the unsynced entries alone kept or lost or torn."""
+    """Each moment, with nothing kept, everything, and each of the unsynced entries alone kept or lost or
+    torn."""
     work = Workload(1, 16)
     tried = 0
     for count in range(len(work.disk.log) + 1):
