--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -29,7 +29,7 @@
 SUBSET, COVER = 8, 24  # backends that a gateway of a large fleet uses; gateways that each backend needs
 DRAWN = 12  # candidates of one choice: the work of a choice does not grow with the fleet
 NOISE = [(-math.log(1 - (i + 0.5) / 1024)) ** CHANCE for i in range(1024)]  # quantiles of the chance in it
-FADED_MS = 25.0  # a mark's fading is looked at again after this: under 1% of it
+FADED_MS = 80.0  # a mark's fading is looked at again after this: 2% of it
 WHEEL_MS = 4.0  # requests due within this share one timer: small beside any patience
 RETRY_SHARE, RETRY_CALM, RETRY_STORE = 0.15, 0.6, 10.0  # extra attempts earned a request; when calm; the most
 PATIENCE = 0.4  # of the aim: how long to wait before anything is known
@@ -118,6 +118,7 @@
         self.backends: dict[int, Backend] = {}
         self.subset: list[Backend] = []  # the backends that this gateway uses
         self.warm: list[Backend] = []  # of these, those that are surely warm
+        self.ring: list[Backend] = []  # these twice, so that a draw may go round the end
         self.warm_at = math.inf  # when the next of them will be
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, the oldest first
@@ -347,6 +348,7 @@
 
     def sort_warm(self, now: float) -> None:
         self.warm = [b for b in self.subset if b.warmth(now) >= 1]
+        self.ring = self.warm * 2
         cold = (b.started + self.settings.rules.warm_within for b in self.subset if b.warmth(now) < 1)
         self.warm_at = min(cold, default=math.inf)
 
@@ -379,7 +381,8 @@
         return min(1.0, of_class * of_plan / of_all)
 
     def fade(self, now: float, b: Backend) -> None:
-        b.slow, b.bad, b.faded_at = self.mark(now, b, "slow"), self.mark(now, b, "all"), now
+        b.slow, b.faded_at = self.mark(now, b, "slow"), now
+        b.bad = self.mark(now, b, "all") if "all" in b.marks else 0.0
 
     def cheapest(self, now: float, request: Request, among: list[Backend]) -> Backend | None:
         """By what an answer should take, judged by answers, failures and silence alike, and by chance."""
@@ -416,7 +419,14 @@
             part = b.warmth(now) * min(1.0, b.warmth(now) * self.settings.rules.fall_multiple / 2)
             if b.warmth(now) < 1 and self.random.random() < part and self.failing(now, b, request) < 0.5:
                 return b
-        return self.cheapest(now, request, warm if len(warm) <= DRAWN else self.random.choices(warm, k=DRAWN))
+        return self.cheapest(now, request, warm if len(warm) <= DRAWN else self.draw(warm))
+
+    def draw(self, among: list[Backend]) -> list[Backend]:
+        """A few of many, each as likely as any other: every so many-th from one on, both by chance."""
+        size = len(among)
+        first, step = int(self.random.random() * size), 1 + int(self.random.random() * (size // DRAWN))
+        ring = self.ring if among is self.warm else among * 2
+        return ring[first : first + DRAWN * step : step]
 
     # ---- attempts and retries ----
 
--- a/tests/decisions/test_flat.py
+++ b/tests/decisions/test_flat.py
@@ -113,3 +113,18 @@
         assert gc.collect() < 300
     finally:
         gc.enable()
+
+
+def test_every_backend_of_a_large_fleet_is_drawn_about_as_often_and_in_changing_company() -> None:
+    world = World([entry(n) for n in range(200)], gateways=1)
+    gateway = world.gateway
+    drawn, company = Counter[int](), Counter[tuple[int, int]]()
+    for _ in range(8_000):
+        few = [b.id for b in gateway.draw(gateway.warm)]
+        assert len(set(few)) == DRAWN
+        drawn.update(few)
+        company.update((a, b) for a in few for b in few if a == 0 < b)
+    mean = 8_000 * DRAWN / 200
+    assert len(drawn) == 200 and max(abs(n - mean) for n in drawn.values()) < 0.25 * mean
+    # Danger: were neighbours always drawn together, a choice inside a failing hall would find nothing else.
+    assert len({b for _, b in company}) > 100 and max(company.values()) < drawn[0] / 3
--- a/tests/store/test_store_crashes.py
+++ b/tests/store/test_store_crashes.py
@@ -67,6 +67,10 @@
             assert state_of(again) == {**found, b"after": b"wards"}
 
 
+def torn_at(length: int) -> Chance:
+    return Chance(lambda op: True, lambda op: length)
+
+
 def marks(log: list[Op]) -> tuple[int, int]:
     def last(word: str) -> int:
         return max((op.at for op in log if op.what == word), default=0)
@@ -90,7 +94,7 @@
                 tried += 2
             if op is recent[-1] and op.what == "write":
                 for length in range(0, len(op.data), 1 + len(op.data) // 40):
-                    work.check(count, Chance(lambda each: True, lambda each, n=length: n))  # type: ignore[misc]
+                    work.check(count, torn_at(length))
                     tried += 1
     assert tried > 1_000
 
