--- /dev/null
+++ b/roadpulley/store/aio.py
@@ -0,0 +1,133 @@
+"""The store for an event loop: no call here waits for a disk on it.
+
+Writes are taken by one thread, which writes and syncs all that wait together, and reads by a few others. A write
+that is cancelled may still be done: whether it was is told by reading.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from functools import partial
+from pathlib import Path
+from typing import TypeVar
+
+from .files import Files
+from .format import Record
+from .store import Options, Pending, Snapshot, Stat, Store, Write
+
+READERS = 4  # threads: a read that waits for the disk holds up only those behind it
+PAGE = 512  # records of a scan that are read at a time
+T = TypeVar("T")
+
+
+class AsyncStore:
+    """Open one with `AsyncStore.open`; close it with `await close()`."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.loop = asyncio.get_running_loop()
+        self.writer = ThreadPoolExecutor(1, "store-writer")
+        self.readers = ThreadPoolExecutor(READERS, "store-reader")
+        self.flushing = False
+
+    @classmethod
+    async def open(cls, folder: Path | str | Files, options: Options | None = None) -> AsyncStore:
+        """Raises as `Store.open`."""
+        loop = asyncio.get_running_loop()
+        return cls(await loop.run_in_executor(None, Store.open, folder, options))
+
+    # ---- writing ----
+
+    async def put(self, key: bytes, value: bytes, expect: int | None = None) -> int:
+        """As `Store.put`: returns once it is synced."""
+        return await self.batch([Write(key, value, expect)])
+
+    async def delete(self, key: bytes, expect: int | None = None) -> int:
+        return await self.batch([Write(key, None, expect)])
+
+    async def batch(self, writes: Sequence[Write]) -> int:
+        """As `Store.batch`. Raises Conflict, WriteFailed, Failed, Closed, ValueError."""
+        done: asyncio.Future[int] = self.loop.create_future()
+        self.store.enqueue(writes, partial(self._ended, done))
+        self._flush()
+        return await done
+
+    def _flush(self) -> None:
+        if not self.flushing:
+            self.flushing = True
+            self.writer.submit(self._write)
+
+    def _write(self) -> None:
+        """In the writer's thread: all that waits, and what comes meanwhile."""
+        try:
+            self.store.flush()
+        finally:
+            self.loop.call_soon_threadsafe(self._flushed)
+
+    def _flushed(self) -> None:
+        self.flushing = False
+        if self.store.queue:
+            self._flush()
+
+    def _ended(self, done: asyncio.Future[int], pending: Pending) -> None:
+        self.loop.call_soon_threadsafe(self._tell, done, pending)
+
+    @staticmethod
+    def _tell(done: asyncio.Future[int], pending: Pending) -> None:
+        if done.done():
+            return
+        if pending.error is not None:
+            done.set_exception(pending.error)
+        else:
+            done.set_result(pending.version)
+
+    # ---- reading ----
+
+    async def get(self, key: bytes) -> bytes | None:
+        return await self._read(partial(self.store.get, key))
+
+    async def entry(self, key: bytes) -> Record | None:
+        return await self._read(partial(self.store.entry, key))
+
+    async def scan(
+        self, prefix: bytes = b"", start: bytes = b"", end: bytes | None = None, limit: int = PAGE
+    ) -> list[Record]:
+        """At most so many records; go on with `start` = the last key + a zero byte."""
+        return await self._read(partial(take, self.store, prefix, start, end, limit))
+
+    async def snapshot(self) -> Snapshot:
+        """Its own calls wait for the disk: hand it to a thread (a backup, say)."""
+        return await self._read(self.store.snapshot)
+
+    async def _read(self, call: partial[T] | object) -> T:
+        return await self.loop.run_in_executor(self.readers, call)  # type: ignore[arg-type, no-any-return]
+
+    # ---- care ----
+
+    async def compact(self, everything: bool = True) -> bool:
+        return await self._read(partial(self.store.compact, everything))
+
+    async def stat(self) -> Stat:
+        return await self._read(self.store.stat)
+
+    async def close(self) -> None:
+        """Write what waits, and let go of the folder."""
+        await self.loop.run_in_executor(self.writer, self._end)
+        self.writer.shutdown(wait=False)
+        self.readers.shutdown(wait=False)
+
+    def _end(self) -> None:
+        self.store.flush()
+        self.readers.shutdown(wait=True)
+        self.store.close()
+
+
+def take(store: Store, prefix: bytes, start: bytes, end: bytes | None, limit: int) -> list[Record]:
+    found: list[Record] = []
+    for record in store.scan(prefix, start, end):
+        if len(found) >= limit:
+            break
+        found.append(record)
+    return found
