Store commands: verify, dump, stat, compact, repair, backup while it is written to, restore

Backups copy the manifest, what it names and what the last segment holds by then: one state, with no lock; the test takes eight while another thread writes and compacts, and each is all batches up to its version and none after. Repair never changes the damaged folder. On an event loop mostly dead segments are compacted by themselves.

--- a/roadpulley/cli/__init__.py
+++ b/roadpulley/cli/__init__.py
@@ -6,9 +6,9 @@
 import sys
 from collections.abc import Sequence
 
-from . import check, dev, serve
+from . import check, dev, serve, store
 
-COMMANDS = (dev, serve, check)
+COMMANDS = (dev, serve, check, store)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- a/roadpulley/store/aio.py
+++ b/roadpulley/store/aio.py
@@ -1,22 +1,26 @@
 """The store for an event loop: no call here waits for a disk on it.
-
-Writes are taken by one thread, which writes and syncs all that wait together, and reads by a few others. A write
-that is cancelled may still be done: whether it was is told by reading.
+ Writes are taken by one thread, which writes and syncs all that wait together, and reads by a few others. A
+write that is cancelled may still be done: whether it was is told by reading. Segments that are mostly dead
+are compacted in a thread of their own, by themselves.
 """
 
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Sequence
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from pathlib import Path
 from typing import TypeVar
 
+from .errors import StoreError
 from .files import Files
 from .format import Record
 from .store import Options, Pending, Snapshot, Stat, Store, Write
 
+log = logging.getLogger(__name__)
+
 READERS = 4  # threads: a read that waits for the disk holds up only those behind it
 PAGE = 512  # records of a scan that are read at a time
 T = TypeVar("T")
@@ -30,7 +34,8 @@
         self.loop = asyncio.get_running_loop()
         self.writer = ThreadPoolExecutor(1, "store-writer")
         self.readers = ThreadPoolExecutor(READERS, "store-reader")
-        self.flushing = False
+        self.keeper = ThreadPoolExecutor(1, "store-keeper")
+        self.flushing = self.keeping = self.closing = False
 
     @classmethod
     async def open(cls, folder: Path | str | Files, options: Options | None = None) -> AsyncStore:
@@ -70,6 +75,21 @@
         self.flushing = False
         if self.store.queue:
             self._flush()
+        elif not self.keeping and not self.closing and self.store.worth_compacting():
+            self.keeping = True
+            self.keeper.submit(self._keep)
+
+    def _keep(self) -> None:
+        """In the keeper's thread. What fails is tried again after a later write, and harms nothing."""
+        try:
+            self.store.compact(everything=False, stop=lambda: self.closing)
+        except (OSError, StoreError) as error:
+            log.warning("compaction was given up: %s", error)
+        finally:
+            self.loop.call_soon_threadsafe(self._kept)
+
+    def _kept(self) -> None:
+        self.keeping = False
 
     def _ended(self, done: asyncio.Future[int], pending: Pending) -> None:
         self.loop.call_soon_threadsafe(self._tell, done, pending)
@@ -102,7 +122,7 @@
         return await self._read(self.store.snapshot)
 
     async def _read(self, call: partial[T] | object) -> T:
-        return await self.loop.run_in_executor(self.readers, call)  # type: ignore[arg-type, no-any-return]
+        return await self.loop.run_in_executor(self.readers, call)  # type: ignore[arg-type]
 
     # ---- care ----
 
@@ -113,7 +133,9 @@
         return await self._read(self.store.stat)
 
     async def close(self) -> None:
-        """Write what waits, and let go of the folder."""
+        """Write what waits, and let go of the folder. A compaction that runs is stopped."""
+        self.closing = True
+        await self.loop.run_in_executor(None, self.keeper.shutdown)
         await self.loop.run_in_executor(self.writer, self._end)
         self.writer.shutdown(wait=False)
         self.readers.shutdown(wait=False)
--- a/roadpulley/store/store.py
+++ b/roadpulley/store/store.py
@@ -696,6 +696,11 @@
         with self.compacting:
             return compact(self, everything, stop)
 
+    def worth_compacting(self) -> bool:
+        """Whether `compact(everything=False)` would find anything to do."""
+        with self.lock:
+            return any(self.segments[n].dead_share > self.options.dead_share for n in self.sealed)
+
     def stat(self) -> Stat:
         with self.lock:
             here = [s for s in self.segments.values() if not s.retired]
--- /dev/null
+++ b/tests/store/test_store_care.py
@@ -0,0 +1,269 @@
+"""Backups while it is written to, a look through the files, what can be saved, and the commands for it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import threading
+from pathlib import Path
+
+import pytest
+
+from roadpulley.cli import main
+from roadpulley.store import Conflict, Damaged, Locked, Options, Store, Write
+from roadpulley.store.aio import AsyncStore
+from roadpulley.store.backup import NotEmpty, backup
+from roadpulley.store.care import look, rescue
+from roadpulley.store.files import DiskFiles
+from roadpulley.store.format import segment_name
+from roadpulley.testbed.disk import MemoryDisk
+
+SMALL = Options(segment_bytes=2_000)
+KILLS = int(os.environ.get("STORE_KILLS", "6"))
+WRITER = """
+import sys
+from roadpulley.store import Options, Store, Write
+with Store.open(sys.argv[1], Options(segment_bytes=20_000)) as store:
+    last = store.get(b"last")
+    number = int(last) if last else 0
+    while True:
+        number += 1
+        text = b"%d" % number
+        slot = number % 50
+        store.batch([Write(b"last", text), Write(b"a%d" % slot, text), Write(b"b%d" % slot, text)])
+        print(number, flush=True)
+        if number % 40 == 0:
+            store.compact()
+"""
+
+
+def state(store: Store) -> dict[bytes, bytes]:
+    return {r.key: r.value for r in store.scan()}
+
+
+def write(folder: Path, count: int = 60) -> dict[bytes, bytes]:
+    with Store.open(folder, SMALL) as store:
+        for number in range(count):
+            store.batch(
+                [Write(b"k%02d" % (number % 30), b"%d" % number * 20), Write(b"last", b"%d" % number)]
+            )
+        return state(store)
+
+
+def test_a_writer_that_is_killed_over_and_over_loses_nothing_that_it_was_told_of(tmp_path: Path) -> None:
+    rng = random.Random(1)
+    for _ in range(KILLS):
+        command = [sys.executable, "-c", WRITER, str(tmp_path / "s")]
+        with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as writer:
+            assert writer.stdout is not None
+            told = 0
+            for _ in range(rng.randrange(1, 120)):
+                told = int(writer.stdout.readline())
+            writer.send_signal(signal.SIGKILL)
+            told = max([told, *(int(line) for line in writer.stdout.read().split("\n")[:-1])])
+        with Store.open(tmp_path / "s", Options(segment_bytes=20_000)) as store:
+            found = state(store)
+        last = int(found.pop(b"last"))
+        assert last in (told, told + 1)  # what it was about to be told of may be there
+        lately = range(max(1, last - 49), last + 1)
+        right = {b"%s%d" % (p, n % 50): b"%d" % n for n in lately for p in (b"a", b"b")}
+        assert found == right
+
+
+def test_a_second_process_is_kept_out(tmp_path: Path) -> None:
+    with Store.open(tmp_path / "s"):
+        code = "import sys; from roadpulley.store import Store; Store.open(sys.argv[1])"
+        command = [sys.executable, "-c", code, str(tmp_path / "s")]
+        said = subprocess.run(command, capture_output=True, text=True, timeout=30)
+        assert said.returncode == 1
+        assert "is open in another process; one at a time may have it" in said.stderr
+        with pytest.raises(Locked):
+            Store.open(tmp_path / "s")
+
+
+def test_a_backup_of_a_store_that_is_written_to_is_one_state_of_it(tmp_path: Path) -> None:
+    stop = threading.Event()
+    store = Store.open(tmp_path / "s", SMALL)
+
+    def work() -> None:
+        number = 0
+        while not stop.is_set():
+            number += 1
+            text = b"%d" % number
+            store.batch([Write(b"a%d" % (number % 7), text), Write(b"b%d" % (number % 7), text)])
+            if number % 25 == 0:
+                store.compact()
+
+    writer = threading.Thread(target=work)
+    writer.start()
+    try:
+        for number in range(8):
+            version = backup(DiskFiles(tmp_path / "s"), DiskFiles(tmp_path / f"copy{number}"))
+            with Store.open(tmp_path / f"copy{number}") as copy:
+                found = state(copy)
+            for n in range(7):
+                assert found.get(b"a%d" % n) == found.get(b"b%d" % n)  # no batch in part
+            # Batches count from one, as versions do: all up to this one are there, and none after it.
+            right = {b"a%d" % (n % 7): b"%d" % n for n in range(max(1, version - 6), version + 1)}
+            assert {k: v for k, v in found.items() if k.startswith(b"a")} == right
+    finally:
+        stop.set()
+        writer.join()
+        store.close()
+    with pytest.raises(NotEmpty):
+        backup(DiskFiles(tmp_path / "s"), DiskFiles(tmp_path / "copy1"))
+
+
+def test_what_can_be_read_on_both_sides_of_damage_is_saved() -> None:
+    disk = MemoryDisk()
+    with Store.open(disk, Options(salt=lambda: 7)) as store:
+        for number in range(5):
+            store.put(b"k%d" % number, b"value %d" % number)
+        store.delete(b"k4")
+    content = disk.content[disk.entries[segment_name(1)]]
+    content[content.index(b"value 2")] ^= 1
+    with pytest.raises(Damaged, match="00000001.seg at byte .* versions from 3 to 6 were acknowledged"):
+        Store.open(disk)
+    found = look(disk)
+    assert len(found.damage) == 1
+    target = MemoryDisk()
+    assert rescue(found, target) == 3
+    with Store.open(target) as saved:
+        assert state(saved) == {b"k0": b"value 0", b"k1": b"value 1", b"k3": b"value 3"}
+
+
+def test_without_a_manifest_all_segments_are_read(tmp_path: Path) -> None:
+    right = write(tmp_path / "s")
+    (tmp_path / "s" / "MANIFEST").unlink()
+    found = look(DiskFiles(tmp_path / "s"))
+    assert "MANIFEST at byte 0: it is not there" in str(found.damage[0])
+    rescue(found, DiskFiles(tmp_path / "t"))
+    with Store.open(tmp_path / "t") as saved:
+        assert state(saved) == right
+
+
+def test_the_commands(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    right, folder = write(tmp_path / "s"), str(tmp_path / "s")
+    assert main(["store", "verify", folder]) == 0
+    assert "whole" in capsys.readouterr().out
+    assert main(["store", "stat", folder]) == 0
+    assert "keys     31" in capsys.readouterr().out
+    assert main(["store", "dump", folder, "--prefix", "k0"]) == 0
+    lines = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+    assert {k["key"]: k["value"] for k in lines} == {
+        k.decode(): v.decode() for k, v in right.items() if k.startswith(b"k0")
+    }
+    assert main(["store", "compact", folder]) == 0
+    assert main(["store", "backup", folder, "--to", str(tmp_path / "b")]) == 0
+    assert main(["store", "restore", str(tmp_path / "b"), "--to", str(tmp_path / "r")]) == 0
+    with Store.open(tmp_path / "r") as store:
+        assert state(store) == right
+    assert main(["store", "restore", str(tmp_path / "b"), "--to", str(tmp_path / "r")]) == 2
+    assert "not empty" in capsys.readouterr().err
+    assert main(["store", "stat", str(tmp_path / "none")]) == 2
+    with Store.open(folder):
+        assert main(["store", "verify", folder]) == 2
+        assert "verify a backup of it" in capsys.readouterr().err
+
+
+def test_the_commands_on_a_damaged_store(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    write(tmp_path / "s")
+    folder, path = str(tmp_path / "s"), tmp_path / "s" / segment_name(1)
+    data = bytearray(path.read_bytes())
+    data[500] ^= 1
+    path.write_bytes(data)
+    assert main(["store", "verify", folder]) == 1
+    assert "00000001.seg at byte" in (out := capsys.readouterr().out) and "damaged" in out
+    path.write_bytes(data[:400])
+    assert main(["store", "stat", folder]) == 1
+    assert "it has 400 of" in capsys.readouterr().err
+    before = {p.name: p.read_bytes() for p in (tmp_path / "s").iterdir()}
+    assert main(["store", "repair", folder]) == 2
+    assert main(["store", "repair", folder, "--dry-run"]) == 0
+    assert "keys can be saved" in capsys.readouterr().out
+    assert main(["store", "repair", folder, "--to", str(tmp_path / "t")]) == 0
+    assert {p.name: p.read_bytes() for p in (tmp_path / "s").iterdir()} == before
+    assert main(["store", "verify", str(tmp_path / "t")]) == 0
+
+
+def test_many_writers_on_an_event_loop_are_synced_together(tmp_path: Path) -> None:
+    async def work() -> None:
+        store = await AsyncStore.open(tmp_path / "s", SMALL)
+        async with asyncio.timeout(20):
+            versions = await asyncio.gather(*(store.put(b"k%d" % n, b"%d" % n) for n in range(200)))
+            assert sorted(versions) == list(range(1, 201))
+            with pytest.raises(Conflict):
+                await store.put(b"k1", b"x", expect=1_000)
+            assert await store.get(b"k7") == b"7" and await store.get(b"none") is None
+            entry = await store.entry(b"k8")
+            assert entry is not None and entry.version == versions[8]
+            page = await store.scan(b"k1", limit=5)
+            rest = await store.scan(b"k1", start=page[-1].key + b"\0")
+            assert len(page) == 5 and len(page) + len(rest) == 111
+            await store.delete(b"k7")
+            assert await store.compact() and (await store.stat()).keys == 199
+            last = [store.loop.create_task(store.put(b"last%d" % n, b"")) for n in range(20)]
+            await asyncio.sleep(0)
+            await store.close()
+            await asyncio.gather(*last)
+
+    asyncio.run(work())
+    with Store.open(tmp_path / "s") as store:
+        assert len(state(store)) == 219
+
+
+def test_the_loop_turns_while_the_disk_is_slow() -> None:
+    """A sync that hangs holds up its writers, and nobody else; what came meanwhile is one group after it."""
+    let_go, entered, syncs = threading.Event(), threading.Event(), 0
+    disk = MemoryDisk()
+
+    def slow(op: object) -> None:
+        nonlocal syncs
+        if getattr(op, "what", "") == "sync":
+            syncs += 1
+            entered.set()
+            assert let_go.wait(20)
+
+    async def work() -> None:
+        store = await AsyncStore.open(disk)
+        disk.fault = slow
+        first = asyncio.create_task(store.put(b"first", b""))
+        while not entered.is_set():
+            await asyncio.sleep(0.001)
+        others = [asyncio.create_task(store.put(b"k%d" % n, b"")) for n in range(50)]
+        for _ in range(20):
+            await asyncio.sleep(0.001)
+        assert not first.done() and not any(o.done() for o in others)
+        assert await store.get(b"first") is None  # not yet sure, so not yet there
+        let_go.set()
+        await asyncio.gather(first, *others)
+        assert syncs == 2
+        disk.fault = lambda op: None
+        await store.close()
+
+    asyncio.run(asyncio.wait_for(work(), 30))
+
+
+def test_mostly_dead_segments_are_compacted_by_themselves(tmp_path: Path) -> None:
+    """Space stays bounded: at most twice what counts, one segment, and a compaction under way."""
+
+    async def work() -> None:
+        store = await AsyncStore.open(tmp_path / "s", SMALL)
+        most = 0
+        async with asyncio.timeout(30):
+            for number in range(400):
+                await store.batch([Write(b"k%d" % (number % 20), b"%04d" % number * 20)])
+                most = max(most, (await store.stat()).bytes_on_disk)
+            while store.keeping:
+                await asyncio.sleep(0.005)
+            stat = await store.stat()
+            await store.close()
+        assert most < 8 * stat.bytes_live and stat.bytes_on_disk < 2 * stat.bytes_live + 2 * 2_000 + 1_000
+        assert stat.written < 5 * stat.asked  # records of 80 bytes carry 19 + 36 + 36 more each
+
+    asyncio.run(work())
