--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import json
 import os
 import random
@@ -29,6 +30,7 @@
 sys.path.insert(0, str(ROOT))
 
 from roadpulley.store import Options, Store, Write  # noqa: E402
+from roadpulley.store.aio import AsyncStore  # noqa: E402
 
 VALUE = 100  # bytes
 BATCH = 1_000  # records of one load's batch
@@ -179,9 +181,27 @@
 
 
 def many(kind: str, folder: Path, records: int, seconds: float) -> dict[str, float]:
+    """Ours by its face for the event loop, the others by as many threads: each as a gateway would use it."""
+    if kind == "store":
+        return {f"writes_{WRITERS}": asyncio.run(on_loop(folder, seconds)) / seconds}
     return writes(kind, folder, records, seconds, WRITERS)
 
 
+async def on_loop(folder: Path, seconds: float) -> int:
+    store, end, count = await AsyncStore.open(folder / "ours"), time.perf_counter() + seconds, 0
+
+    async def write(mine: int) -> None:
+        nonlocal count
+        number = 0
+        while time.perf_counter() < end:
+            await store.put(b"w%d/%d" % (mine, number % 1_000), b"v" * VALUE)
+            number, count = number + 1, count + 1
+
+    await asyncio.gather(*(write(n) for n in range(WRITERS)))
+    await store.close()
+    return count
+
+
 def overwrite(kind: str, folder: Path, records: int, seconds: float) -> dict[str, float]:
     """Every key ten times in a drawn order, a part of the records: most space ever, and bytes written."""
     keys, rng = max(BATCH, records // 20), random.Random(3)
--- a/roadpulley/store/compaction.py
+++ b/roadpulley/store/compaction.py
@@ -71,7 +71,7 @@
 def compact(store: Store, everything: bool, stop: Callable[[], bool]) -> bool:
     """See `Store.compact`, whose caller holds `compacting`."""
     if everything:
-        with store.committing:
+        with store.writing():
             store._check_open()
             if store.active.length > format.HEADER.size and store.failure is None:
                 store._seal(store.active, None)
@@ -131,14 +131,14 @@
     if not outputs or outputs[-1].segment.length + outputs[-1].size >= store.options.segment_bytes:
         if outputs:
             outputs[-1].flush()
-        with store.committing:
+        with store.writing():
             outputs.append(Output(store, store._new_segment()))
     return outputs[-1]
 
 
 def install(store: Store, victims: list[Segment], outputs: list[Output]) -> None:
     """Have the manifest name the new ones, then the index, then remove the old files."""
-    with store.committing:
+    with store.writing():
         before = dict(store.sealed)
         for segment in victims:
             del store.sealed[segment.number]
--- a/roadpulley/store/store.py
+++ b/roadpulley/store/store.py
@@ -48,6 +48,7 @@
     version: int = 0
     error: Exception | None = None
     over: bool = False
+    turn: threading.Event | None = None  # of a thread that sleeps until it is over, or its turn to write
 
     @property
     def size(self) -> int:
@@ -58,6 +59,8 @@
             self.error, self.over = error, True
             if self.done is not None:
                 self.done(self)
+            if self.turn is not None:
+                self.turn.set()
 
 
 @dataclass(eq=False)
@@ -315,7 +318,7 @@
 
     def close(self) -> None:
         """Wait for what is being written, and let go of the folder. Closing twice does no harm."""
-        with self.compacting, self.committing, self.lock:
+        with self.compacting, self.writing(), self.lock:
             if self.closed:
                 return
             self.closed = True
@@ -350,13 +353,46 @@
     def batch(self, writes: Sequence[Write]) -> int:
         """Write all or nothing, later ones of one key last; gives the one version of all. Raises as `put`."""
         pending = self.enqueue(writes)
-        with self.committing:
-            while not pending.over:
-                self._commit()
+        while not pending.over:
+            if self.committing.acquire(blocking=False):
+                self._lead(pending)
+            elif pending.turn is None:
+                pending.turn = threading.Event()  # and look once more: the turn may just have ended
+            else:
+                pending.turn.wait()
+                pending.turn.clear()
         if pending.error is not None:
             raise pending.error
         return pending.version
 
+    def _lead(self, pending: Pending) -> None:
+        """Write what waits, this batch with it. The caller has taken `committing`, and loses it here."""
+        try:
+            while not pending.over:
+                self._commit()
+        finally:
+            self._pass_on()
+
+    def _pass_on(self) -> None:
+        """Give `committing` back, and have the first that waits take it.
+
+        Danger: one that comes while it is held finds it taken and sleeps; nobody else would wake it.
+        """
+        self.committing.release()
+        with self.lock:
+            first = self.queue[0] if self.queue else None
+        if first is not None and first.turn is not None:
+            first.turn.set()
+
+    @contextmanager
+    def writing(self) -> Iterator[None]:
+        """Have the log for oneself."""
+        self.committing.acquire()
+        try:
+            yield
+        finally:
+            self._pass_on()
+
     def enqueue(self, writes: Sequence[Write], done: Callable[[Pending], None] | None = None) -> Pending:
         """Have a batch wait for `flush`. Raises ValueError, Closed."""
         pending = Pending(tuple(writes), done)
@@ -369,7 +405,7 @@
 
     def flush(self) -> None:
         """Write all that waits. Each batch ends with its version or its error."""
-        with self.committing:
+        with self.writing():
             while self.queue:
                 self._commit()
 
