--- a/tests/store/test_store_second_reader.py
+++ b/tests/store/test_store_second_reader.py
@@ -1,4 +1,4 @@
-"""A reader written from docs/design/store-format.md alone reads what the store wrote, or the page is wrong."""
+"""A reader written from docs/design/store-format.md alone: it reads what the store wrote."""
 
 from __future__ import annotations
 
