Segments that hold nothing go at once, and many small ones are merged

A machine that loses power over and over left a small segment each time, and none of them was ever mostly dead. Now what an empty segment's place was is dropped with the next manifest, and more than eight that are smaller than a quarter are compacted together: 60 losses of power leave at most eleven segments, all acknowledged writes in them.

--- a/roadpulley/store/compaction.py
+++ b/roadpulley/store/compaction.py
@@ -21,6 +21,7 @@
     from .store import Segment, Store
 
 FRAME_BYTES = 1024 * 1024  # of records in one frame
+SMALL, MANY = 0.25, 8  # of a whole segment; so many of those are let be: each loss of power may leave one
 
 
 @dataclass
@@ -62,10 +63,14 @@
 
 
 def choose(store: Store, everything: bool) -> list[Segment]:
-    """The sealed segments that are worth it."""
+    """The sealed segments that are worth it: mostly dead ones, and small ones once there are many."""
     with store.lock:
         sealed = [store.segments[number] for number in store.sealed]
-        return [s for s in sealed if everything or s.dead_share > store.options.dead_share]
+    if everything:
+        return sealed
+    small = [s for s in sealed if s.length < store.options.segment_bytes * SMALL]
+    few = small if len(small) > MANY else []
+    return [s for s in sealed if s.dead_share > store.options.dead_share or s in few]
 
 
 def compact(store: Store, everything: bool, stop: Callable[[], bool]) -> bool:
--- a/roadpulley/store/store.py
+++ b/roadpulley/store/store.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 
 from . import format
+from .compaction import choose, compact
 from .errors import Closed, Conflict, Damaged, Failed, Locked, WriteFailed, WrongFormat
 from .files import DiskFiles, File, Files
 from .format import DELETE, PUT, Manifest, Place, Record, Sealed, Unreadable, hint_name, segment_name
@@ -585,20 +586,27 @@
         segment = segment or self._new_segment()
         before = self.sealed_version
         self.sealed_version = max(before, old.last)
-        self.sealed[old.number] = Sealed(old.number, old.length, old.first, old.last)
+        if old.last:  # else it holds nothing, and goes
+            self.sealed[old.number] = Sealed(old.number, old.length, old.first, old.last)
         self.active = segment
         try:
             self._write_manifest()
         except OSError:
-            del self.sealed[old.number]
+            self.sealed.pop(old.number, None)
             self.active, self.sealed_version = old, before
             with self.lock:
                 del self.segments[segment.number]
             segment.file.close()
             self._forget(segment_name(segment.number))
             raise
-        self._write_hint(old.number, old.length, old.hint)
-        old.hint = format.Hint()
+        if old.last:
+            self._write_hint(old.number, old.length, old.hint)
+            old.hint = format.Hint()
+            return
+        with self.lock:
+            old.retired = True
+            self._let_go(old)
+        self._forget(segment_name(old.number))
 
     def _write_manifest(self) -> None:
         """Replace it: write, sync, rename, sync the folder.
@@ -734,15 +742,12 @@
         Those of which more than `dead_share` is dead, or all. `stop` is asked all along; stopped or failed,
         all is as before. Raises OSError, WriteFailed, Damaged.
         """
-        from .compaction import compact
-
         with self.compacting:
             return compact(self, everything, stop)
 
     def worth_compacting(self) -> bool:
         """Whether `compact(everything=False)` would find anything to do."""
-        with self.lock:
-            return any(self.segments[n].dead_share > self.options.dead_share for n in self.sealed)
+        return bool(choose(self, everything=False))
 
     def stat(self) -> Stat:
         with self.lock:
--- a/tests/store/test_store_crashes.py
+++ b/tests/store/test_store_crashes.py
@@ -110,6 +110,24 @@
         work.check(count, Chance.drawn((seed, number)))
 
 
+def test_a_machine_that_loses_power_over_and_over_leaves_no_heap_of_segments() -> None:
+    disk, options = MemoryDisk(), Options(segment_bytes=4_000, salt=lambda: 7)
+    for number in range(40):
+        store = Store.open(disk, options)
+        store.put(b"k%d" % number, b"%d" % number)
+        store.batch([Write(b"last", b"%d" % number)])
+        if store.worth_compacting():
+            assert store.compact(everything=False)
+        assert not store.worth_compacting()
+        disk = disk.crashed(len(disk.log), NOTHING if number % 2 else ALL)
+    for _ in range(20):  # and while nothing is written
+        Store.open(disk, options)
+        disk = disk.crashed(len(disk.log), NOTHING)
+    assert len([name for name in disk.names() if name.endswith(".seg")]) <= 11
+    with Store.open(disk, options) as store:
+        assert state_of(store) == {b"last": b"39", **{b"k%d" % n: b"%d" % n for n in range(40)}}
+
+
 def test_a_crash_while_recovering_from_a_crash() -> None:
     work = Workload(5, 30)
     rng = random.Random(5)
