--- a/tests/store/test_store_faults.py
+++ b/tests/store/test_store_faults.py
@@ -267,3 +267,24 @@
         signal.signal(signal.SIGALRM, before)
     with Store.open(tmp_path) as store:
         assert all(len(r.value) == 16 * 1024 * 1024 for r in store.scan()) and came
+
+
+def test_a_snapshot_reads_what_compaction_has_removed_since() -> None:
+    disk = MemoryDisk()
+    with Store.open(disk, SMALL) as store:
+        for number in range(12):
+            store.put(b"k%d" % (number % 4), b"old %d" % number * 8)
+        right = state(store)
+        with store.snapshot() as held:
+            for number in range(12):
+                store.put(b"k%d" % (number % 5), b"new %d" % number * 8)
+            store.delete(b"k0")
+            assert store.compact()
+            store.put(b"k1", b"newer")
+            assert store.compact()
+            assert {r.key: r.value for r in held.scan()} == right
+            assert held.get(b"k0") == right[b"k0"] and store.get(b"k0") is None
+        assert not any(segment.retired for segment in store.segments.values())
+        assert not store.index.before
+        with pytest.raises(Closed, match="the snapshot is closed"):
+            held.get(b"k0")
--- a/tests/store/test_store_second_reader.py
+++ b/tests/store/test_store_second_reader.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from roadpulley.store import Options, Store, Write
-from roadpulley.testbed.disk import MemoryDisk
+from roadpulley.testbed.disk import MemoryDisk, Op
 
 PACKAGE = Path(__file__).resolve().parents[2] / "roadpulley" / "store"
 
@@ -107,3 +107,31 @@
     assert sorted(told) == list(range(1, 12 * 60 + 1))
     assert store.stat().keys == 12 * 7
     store.close()
+
+
+def test_one_that_came_while_another_wrote_is_woken_though_nobody_comes_after() -> None:
+    entered, let_go, told = threading.Event(), threading.Event(), list[int]()
+
+    def fault(op: Op) -> None:
+        if op.what == "sync" and not entered.is_set():
+            entered.set()
+            assert let_go.wait(20)
+
+    disk = MemoryDisk()
+    store = Store.open(disk)
+    disk.fault = fault
+
+    def write(key: bytes) -> None:
+        told.append(store.put(key, b""))
+
+    threads = [threading.Thread(target=write, args=(k,), daemon=True) for k in (b"first", b"second")]
+    threads[0].start()
+    assert entered.wait(20)
+    threads[1].start()
+    while not store.queue or store.queue[0].turn is None:
+        threading.Event().wait(0.001)
+    let_go.set()
+    for each in threads:
+        each.join(timeout=20)
+    assert sorted(told) == [1, 2], "the second was not woken"
+    store.close()
