--- /dev/null
+++ b/roadpulley/tenants/__init__.py
@@ -0,0 +1,1 @@
+"""Many tenants in one installation. See docs/design/hosted.md."""
