--- a/roadpulley/cli/store.py
+++ b/roadpulley/cli/store.py
@@ -126,7 +126,15 @@
 
     with Store.open(args.folder) as store:
         before = store.stat().bytes_on_disk
-        store.compact()
+        said, looked, of = Said("looked at records"), 0, store.stat().keys
+
+        def note() -> bool:
+            nonlocal looked
+            looked += 1
+            said(looked, max(looked, of))
+            return False
+
+        store.compact(stop=note)
         print(f"{before:,} bytes before, {store.stat().bytes_on_disk:,} now")
     return 0
 
