--- a/tests/store/test_store_faults.py
+++ b/tests/store/test_store_faults.py
@@ -288,3 +288,16 @@
         assert not store.index.before
         with pytest.raises(Closed, match="the snapshot is closed"):
             held.get(b"k0")
+
+
+def test_no_version_is_given_twice_though_all_that_had_it_is_compacted_away() -> None:
+    disk = MemoryDisk()
+    for _ in range(3):
+        with Store.open(disk, SMALL) as store:
+            before = store.version
+            store.put(b"a", b"1")
+            assert store.delete(b"a") == before + 2
+            store.compact()
+        with Store.open(disk.crashed(len(disk.log), NOTHING), SMALL) as store:
+            assert store.version == before + 2 and state(store) == {}
+    assert not [n for n in disk.names() if n.endswith(".hint")]
