--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -253,7 +253,8 @@
     path = folder / "config.json"
     path.write_text(json.dumps(config))
     env = {"LB_CONFIG": str(path)}
-    made = Part(SUBJECT, "-P", "-m", "roadpulley", env=env, speaks=False, judged=True)
+    installed = ["-P"] if SUBJECT != sys.executable else []  # not the source in this folder
+    made = Part(SUBJECT, *installed, "-m", "roadpulley", env=env, speaks=False, judged=True)
     assert made.process.stderr is not None
     while "serves at" not in made.process.stderr.readline():
         if made.process.poll() is not None:
--- a/roadpulley/store/__init__.py
+++ b/roadpulley/store/__init__.py
@@ -2,7 +2,8 @@
 
 from .errors import Closed, Conflict, Damaged, Failed, Locked, StoreError, WriteFailed, WrongFormat
 from .format import Record
-from .store import Options, Snapshot, Stat, Store, Write
+from .parts import Options, Stat, Write
+from .store import Snapshot, Store
 
 __all__ = [
     "Closed",
--- a/roadpulley/store/aio.py
+++ b/roadpulley/store/aio.py
@@ -17,7 +17,8 @@
 from .errors import StoreError
 from .files import Files
 from .format import Record
-from .store import Options, Pending, Snapshot, Stat, Store, Write
+from .parts import Options, Pending, Stat, Write
+from .store import Snapshot, Store
 
 log = logging.getLogger(__name__)
 
--- a/roadpulley/store/backup.py
+++ b/roadpulley/store/backup.py
@@ -14,8 +14,9 @@
 from .errors import Damaged, StoreError
 from .files import File, Files
 from .format import Manifest, Unreadable, segment_name
+from .parts import MANIFEST
 from .recovery import Damage
-from .store import MANIFEST, Store
+from .store import Store
 
 PIECE = 4 * 1024 * 1024
 TRIES = 20  # that compaction may get in the way of
--- a/roadpulley/store/care.py
+++ b/roadpulley/store/care.py
@@ -9,8 +9,9 @@
 from .errors import WrongFormat
 from .files import Files
 from .format import DELETE, FRAME, Manifest, Record, Unreadable, number_of, segment_name
+from .parts import MANIFEST, Options, Write
 from .recovery import Damage, Scan, plan, scan, sealed_damage
-from .store import MANIFEST, Options, Store, Write
+from .store import Store
 
 Progress = Callable[[int, int], None]  # bytes done, of how many
 
--- a/roadpulley/store/compaction.py
+++ b/roadpulley/store/compaction.py
@@ -18,7 +18,8 @@
 from .recovery import scan, sealed_damage
 
 if TYPE_CHECKING:
-    from .store import Segment, Store
+    from .parts import Segment
+    from .store import Store
 
 FRAME_BYTES = 1024 * 1024  # of records in one frame
 SMALL, MANY = 0.25, 8  # of a whole segment; so many of those are let be: each loss of power may leave one
--- /dev/null
+++ b/roadpulley/store/parts.py
@@ -0,0 +1,117 @@
+"""What a store is made of: writes that wait, segments, settings and figures."""
+
+from __future__ import annotations
+
+import logging
+import secrets
+import threading
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from . import format
+from .files import File
+
+log = logging.getLogger(__name__)
+
+SEGMENT_BYTES = 64 * 1024 * 1024
+DEAD_SHARE = 0.5  # of a sealed segment's bytes, from which on it is worth writing the rest again
+MANIFEST = "MANIFEST"
+
+
+@dataclass(frozen=True)
+class Write:
+    """One part of a batch: a value, or None to delete the key.
+
+    `expect` makes the whole batch conditional: the key's version, 0 for a key that must not be there.
+    """
+
+    key: bytes
+    value: bytes | None
+    expect: int | None = None
+
+
+@dataclass(eq=False)
+class Pending:
+    """A batch that waits to be written."""
+
+    writes: tuple[Write, ...]
+    done: Callable[[Pending], None] | None = None  # called once, by the thread that wrote it
+    version: int = 0
+    error: Exception | None = None
+    over: bool = False
+    turn: threading.Event | None = None  # of a thread that sleeps until it is over, or its turn to write
+
+    @property
+    def size(self) -> int:
+        return sum(len(w.key) + len(w.value or b"") + format.RECORD.size for w in self.writes)
+
+    def end(self, error: Exception | None = None) -> None:
+        if not self.over:
+            self.error, self.over = error, True
+            if self.done is not None:
+                try:
+                    self.done(self)
+                except Exception:
+                    # Danger: others of its group are written too, and must be told so.
+                    log.exception("whoever wrote version %d could not be told", self.version)
+            if self.turn is not None:
+                self.turn.set()
+
+
+@dataclass(eq=False)
+class Segment:
+    number: int
+    file: File
+    salt: int
+    length: int  # bytes that count
+    first: int = 0
+    last: int = 0
+    live: int = 0  # bytes of records that count
+    users: int = 0
+    retired: bool = False
+    held: bool = False  # by readers of an older state
+    hint: format.Hint = field(default_factory=format.Hint)  # of one that is being written
+
+    @property
+    def dead_share(self) -> float:
+        room = self.length - format.HEADER.size
+        return 1 - self.live / room if room > 0 else 0.0
+
+
+@dataclass(frozen=True)
+class Options:
+    segment_bytes: int = SEGMENT_BYTES
+    dead_share: float = DEAD_SHARE
+    salt: Callable[[], int] = field(default=lambda: secrets.randbits(32))  # a test gives known ones
+
+
+@dataclass(frozen=True)
+class Stat:
+    keys: int
+    version: int
+    segments: int
+    bytes_on_disk: int  # of the segments
+    bytes_live: int
+    written: int  # bytes of segments since it was opened, by batches and by compaction
+    asked: int  # bytes of keys and values that were put since then
+
+
+def check(pending: Pending) -> None:
+    """Raises ValueError, naming the place."""
+    if not pending.writes:
+        raise ValueError("a batch of nothing: give at least one write")
+    for number, write in enumerate(pending.writes):
+        where = f"write {number}" if len(pending.writes) > 1 else "the write"
+        if len(write.key) > format.LONGEST_KEY:
+            raise ValueError(f"{where}: its key has {len(write.key)} bytes, {format.LONGEST_KEY} at most")
+        if write.value is not None and len(write.value) > format.LARGEST_VALUE:
+            most = format.LARGEST_VALUE
+            raise ValueError(f"{where}: its value has {len(write.value)} bytes, {most} at most")
+    if pending.size > format.LARGEST_BODY:
+        raise ValueError(f"the batch has {pending.size} bytes, {format.LARGEST_BODY} at most")
+    keys: dict[bytes, int] = defaultdict(int)
+    for write in pending.writes:
+        keys[write.key] += 1
+        if keys[write.key] > 1 and write.expect is not None:
+            raise ValueError(f"{write.key!r} is written twice: expect its version where it is written first")
--- a/roadpulley/store/store.py
+++ b/roadpulley/store/store.py
@@ -7,106 +7,25 @@
 from __future__ import annotations
 
 import logging
-import secrets
 import threading
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 from pathlib import Path
 
 from . import format
 from .compaction import choose, compact
-from .errors import Closed, Conflict, Damaged, Failed, Locked, WriteFailed, WrongFormat
-from .files import DiskFiles, File, Files
-from .format import DELETE, PUT, Manifest, Place, Record, Sealed, Unreadable, hint_name, segment_name
+from .errors import Closed, Conflict, Damaged, Failed, Locked, WriteFailed
+from .files import DiskFiles, Files
+from .format import DELETE, PUT, Manifest, Record, Sealed, Unreadable, hint_name, segment_name
 from .index import Index, end_of, locate, located
-from .recovery import Damage, Frame, Plan, Scan, plan, scan, sealed_damage, unknown
+from .opening import Opening
+from .parts import MANIFEST, Options, Pending, Segment, Stat, Write, check
+from .recovery import Damage, Plan
 
 log = logging.getLogger(__name__)
 
-SEGMENT_BYTES = 64 * 1024 * 1024
-DEAD_SHARE = 0.5  # of a sealed segment's bytes, from which on it is worth writing the rest again
 GROUP_BYTES = 8 * 1024 * 1024  # of one write and sync: those that wait longer go with the next
-MANIFEST = "MANIFEST"
-
-
-@dataclass(frozen=True)
-class Write:
-    """One part of a batch: a value, or None to delete the key.
-
-    `expect` makes the whole batch conditional: the key's version, 0 for a key that must not be there.
-    """
-
-    key: bytes
-    value: bytes | None
-    expect: int | None = None
-
-
-@dataclass(eq=False)
-class Pending:
-    """A batch that waits to be written."""
-
-    writes: tuple[Write, ...]
-    done: Callable[[Pending], None] | None = None  # called once, by the thread that wrote it
-    version: int = 0
-    error: Exception | None = None
-    over: bool = False
-    turn: threading.Event | None = None  # of a thread that sleeps until it is over, or its turn to write
-
-    @property
-    def size(self) -> int:
-        return sum(len(w.key) + len(w.value or b"") + format.RECORD.size for w in self.writes)
-
-    def end(self, error: Exception | None = None) -> None:
-        if not self.over:
-            self.error, self.over = error, True
-            if self.done is not None:
-                try:
-                    self.done(self)
-                except Exception:
-                    # Danger: others of its group are written too, and must be told so.
-                    log.exception("whoever wrote version %d could not be told", self.version)
-            if self.turn is not None:
-                self.turn.set()
-
-
-@dataclass(eq=False)
-class Segment:
-    number: int
-    file: File
-    salt: int
-    length: int  # bytes that count
-    first: int = 0
-    last: int = 0
-    live: int = 0  # bytes of records that count
-    users: int = 0
-    retired: bool = False
-    held: bool = False  # by readers of an older state
-    hint: format.Hint = field(default_factory=format.Hint)  # of one that is being written
-
-    @property
-    def dead_share(self) -> float:
-        room = self.length - format.HEADER.size
-        return 1 - self.live / room if room > 0 else 0.0
-
-
-@dataclass(frozen=True)
-class Options:
-    segment_bytes: int = SEGMENT_BYTES
-    dead_share: float = DEAD_SHARE
-    salt: Callable[[], int] = field(default=lambda: secrets.randbits(32))  # a test gives known ones
-
-
-@dataclass(frozen=True)
-class Stat:
-    keys: int
-    version: int
-    segments: int
-    bytes_on_disk: int  # of the segments
-    bytes_live: int
-    written: int  # bytes of segments since it was opened, by batches and by compaction
-    asked: int  # bytes of keys and values that were put since then
 
 
 class Store:
@@ -142,188 +61,12 @@
         if not files.lock():
             raise Locked(f"{folder} is open in another process; one at a time may have it")
         try:
-            store._load()
+            Opening(store).load()
         except BaseException:
             store._release()
             raise
         return store
 
-    def _load(self) -> None:
-        names = self.files.names()
-        if MANIFEST not in names:
-            if segments := [n for n in names if n.endswith(".seg") and self._counts(n)]:
-                lost = f"segments {', '.join(segments)} are there; see `roadpulley store repair --dry-run`"
-                raise Damaged([Damage(MANIFEST, 0, "it is not there", lost)])
-            return self._create()
-        manifest = self._read_manifest()
-        self.next_number = manifest.next_number
-        best: dict[bytes, int] = {}
-        where: dict[bytes, int | None] = {}
-        damage: list[Damage] = []
-        unhinted: list[tuple[Segment, format.Hint]] = []
-        for sealed in manifest.sealed:
-            problem = self._load_sealed(sealed, names, best, where, unhinted)
-            if problem is not None:
-                damage.append(problem)
-        self.sealed_version = manifest.version
-        found, decided = self._scan_active(manifest.active, manifest.version)
-        damage += decided.damage
-        if damage:
-            raise Damaged(damage)
-        for name in unknown(names, manifest):
-            self.files.unlink(name)
-        for each, hint in unhinted:
-            self._write_hint(each.number, each.length, hint)
-        self.recovered = decided
-        segment = self.segments[manifest.active]
-        segment.salt, segment.length = found.salt, decided.keep
-        kept = [frame for frame in found.frames if frame.end <= decided.keep]
-        for frame in kept:
-            self._note(segment, frame.places, best, where)
-            for place in frame.places:
-                segment.hint.add(place)
-        self.version = max(manifest.version, segment.last)
-        self.index = Index((key, location) for key, location in where.items() if location is not None)
-        for _, location in self.index.now.items():
-            number, _, size = located(location)
-            self.segments[number].live += size
-        self._go_on(manifest, decided)
-
-    def _counts(self, name: str) -> bool:
-        """Whether a segment without a manifest may hold anything that was acknowledged."""
-        file = self.files.open(name)
-        try:
-            return file.size() > format.HEADER.size
-        finally:
-            file.close()
-
-    def _read_manifest(self) -> Manifest:
-        file = self.files.open(MANIFEST)
-        try:
-            return Manifest.read(file.read(0, file.size()))
-        except format.FromTheFuture as error:
-            raise WrongFormat(f"{MANIFEST}: {error}") from error
-        except (Unreadable, ValueError, KeyError, TypeError) as error:
-            lost = "which segments count is not known; see `roadpulley store repair --dry-run`"
-            raise Damaged([Damage(MANIFEST, 0, str(error), lost)]) from error
-        finally:
-            file.close()
-
-    def _create(self) -> None:
-        for name in self.files.names():
-            if name.endswith((".seg", ".hint", ".tmp")):
-                self.files.unlink(name)  # of a creation that was cut off
-        self.next_number = 1
-        segment = self._new_segment()
-        self.active = segment
-        self._write_manifest()
-
-    def _load_sealed(
-        self,
-        sealed: Sealed,
-        names: Sequence[str],
-        best: dict[bytes, int],
-        where: dict[bytes, int | None],
-        unhinted: list[tuple[Segment, format.Hint]],
-    ) -> Damage | None:
-        name = segment_name(sealed.number)
-        if name not in names:
-            return Damage(name, 0, "it is not there", f"versions {sealed.first} to {sealed.last} are lost")
-        file = self.files.open(name)
-        segment = Segment(sealed.number, file, 0, sealed.length)
-        self.segments[sealed.number], self.sealed[sealed.number] = segment, sealed
-        size = file.size()
-        if problem := sealed_damage(sealed, None, size):
-            return problem
-        try:
-            segment.salt = format.read_header(file.read(0, format.HEADER.size), sealed.number)
-            places = self._read_hint(sealed, names)
-        except format.FromTheFuture as error:
-            raise WrongFormat(f"{name}: {error}") from error
-        except Unreadable as error:
-            return Damage(name, 0, str(error), f"versions {sealed.first} to {sealed.last} are lost")
-        if places is None:
-            found = scan(file.read(0, sealed.length), sealed.number)
-            if problem := sealed_damage(sealed, found, size):
-                return problem
-            places = [place for frame in found.frames for place in frame.places]
-            hint = format.Hint()
-            for place in places:
-                hint.add(place)
-            unhinted.append((segment, hint))
-        self._note(segment, places, best, where)
-        segment.first, segment.last = sealed.first, sealed.last
-        return None
-
-    def _read_hint(self, sealed: Sealed, names: Sequence[str]) -> list[Place] | None:
-        """What a hint says; None if it is missing or spoilt, and the segment has to be read whole."""
-        if hint_name(sealed.number) not in names:
-            return None
-        file = self.files.open(hint_name(sealed.number))
-        try:
-            return format.read_hint(file.read(0, file.size()), sealed.number, sealed.length)
-        except Unreadable:
-            return None
-        finally:
-            file.close()
-
-    def _scan_active(self, number: int, known: int) -> tuple[Scan, Plan]:
-        name = segment_name(number)
-        if name not in self.files.names():
-            missing = Damage(name, 0, "it is not there", f"all versions after {known} are lost")
-            return Scan(number), Plan(damage=[missing])
-        file = self.files.open(name)
-        self.segments[number] = Segment(number, file, 0, 0)
-        try:
-            found = scan(file.read(0, file.size()), number)
-        except format.FromTheFuture as error:
-            raise WrongFormat(f"{name}: {error}") from error
-        return found, plan(found, known)
-
-    def _note(
-        self,
-        segment: Segment,
-        places: Sequence[Place],
-        best: dict[bytes, int],
-        where: dict[bytes, int | None],
-    ) -> None:
-        """Take in a segment's records: of one key's, that of the highest version counts."""
-        number, seen = segment.number, best.get
-        for place in places:
-            if place.version >= seen(place.key, 0):
-                best[place.key] = place.version
-                size = place.size
-                where[place.key] = locate(number, place.offset, size) if place.kind == PUT else None
-            if place.version > segment.last:
-                segment.last = place.version
-            segment.first = min(segment.first or place.version, place.version)
-
-    def _go_on(self, manifest: Manifest, decided: Plan) -> None:
-        """Write on where the last process stopped, or in a new segment what it left unproven."""
-        old = self.segments[manifest.active]
-        if not decided.fresh:
-            self.active = old
-            if old.last:
-                self._mark()
-            return
-        # Danger: what is written again may have been acknowledged, as a mark is not synced. The manifest may
-        # cut it off the old segment only once it is safe in the new one.
-        segment = self._new_segment()
-        durable = self.version
-        for frame in decided.rewrite:
-            self._write_again(segment, frame, old, durable)
-        segment.file.sync()
-        self._seal(old, segment)
-        self._mark()
-
-    def _write_again(self, segment: Segment, frame: Frame, old: Segment, durable: int) -> None:
-        raw = [old.file.read(place.offset, place.size) for place in frame.places]
-        records = [format.read_record(each, old.salt) for each in raw]
-        data = format.pack_frame(records, frame.head.version, durable, segment.salt)
-        segment.file.write(segment.length, data)
-        self._take_in(segment, data, frame.head.version)
-        self.version = frame.head.version
-
     def close(self) -> None:
         """Wait for what is being written, and let go of the folder. Closing twice does no harm."""
         with self.compacting, self.writing(), self.lock:
@@ -792,23 +535,3 @@
 
     def __exit__(self, *_: object) -> None:
         self.close()
-
-
-def check(pending: Pending) -> None:
-    """Raises ValueError, naming the place."""
-    if not pending.writes:
-        raise ValueError("a batch of nothing: give at least one write")
-    for number, write in enumerate(pending.writes):
-        where = f"write {number}" if len(pending.writes) > 1 else "the write"
-        if len(write.key) > format.LONGEST_KEY:
-            raise ValueError(f"{where}: its key has {len(write.key)} bytes, {format.LONGEST_KEY} at most")
-        if write.value is not None and len(write.value) > format.LARGEST_VALUE:
-            most = format.LARGEST_VALUE
-            raise ValueError(f"{where}: its value has {len(write.value)} bytes, {most} at most")
-    if pending.size > format.LARGEST_BODY:
-        raise ValueError(f"the batch has {pending.size} bytes, {format.LARGEST_BODY} at most")
-    keys: dict[bytes, int] = defaultdict(int)
-    for write in pending.writes:
-        keys[write.key] += 1
-        if keys[write.key] > 1 and write.expect is not None:
-            raise ValueError(f"{write.key!r} is written twice: expect its version where it is written first")
--- a/tests/store/test_store_faults.py
+++ b/tests/store/test_store_faults.py
@@ -10,7 +10,7 @@
 import pytest
 
 from roadpulley.store import Closed, Conflict, Failed, Options, Store, Write, WriteFailed
-from roadpulley.store.store import Pending
+from roadpulley.store.parts import Pending
 from roadpulley.testbed.disk import ALL, NOTHING, Chance, MemoryDisk, Op
 
 SMALL = Options(segment_bytes=400, salt=lambda: 7)
