--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -11,7 +11,6 @@
 import argparse
 import asyncio
 import json
-import os
 import sys
 import tempfile
 import time
@@ -24,6 +23,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
 import request_cost as parts_of  # noqa: E402
+from report import report  # noqa: E402
 from request_cost import BACKENDS, CUSTOMERS, LOCAL, NODE_PROCESSES, ROOT, VALUE, Part  # noqa: E402
 
 # Of all loaders together: more than are open at once, as answers come in order and a refusal would be timed
@@ -181,10 +181,7 @@
         uvloop.run(offer(int(port), float(rate), float(seconds), int(first)))
         return 0
     rows = run(args.times, args.seconds)
-    print(table(rows))
-    args.out.parent.mkdir(parents=True, exist_ok=True)
-    args.out.write_text(json.dumps({"cpus": os.cpu_count(), "rows": rows}, indent=1))
-    return 0
+    return report(table(rows), rows, args.out)
 
 
 if __name__ == "__main__":
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -29,6 +29,8 @@
 ROOT = Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT))
 
+from report import report  # noqa: E402
+
 from roadpulley.testbed import terms  # noqa: E402
 from roadpulley.testbed.counter import Counter  # noqa: E402
 from roadpulley.testbed.discovery import Discovery  # noqa: E402
@@ -377,10 +379,7 @@
         return 0
     os.environ.update(BENCH_CUSTOMERS=str(args.customers), BENCH_BACKENDS=str(args.backends))
     rows = run(args)
-    print(table(rows))
-    args.out.parent.mkdir(parents=True, exist_ok=True)
-    args.out.write_text(json.dumps({"cpus": os.cpu_count(), "seconds": args.seconds, "rows": rows}, indent=1))
-    return 0
+    return report(table(rows), rows, args.out, seconds=args.seconds)
 
 
 if __name__ == "__main__":
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -12,7 +12,6 @@
 import argparse
 import asyncio
 import json
-import os
 import random
 import resource
 import shutil
@@ -29,6 +28,8 @@
 ROOT = Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT))
 
+from report import report  # noqa: E402
+
 from roadpulley.store import Options, Store, Write  # noqa: E402
 from roadpulley.store.aio import AsyncStore  # noqa: E402
 
@@ -289,10 +290,7 @@
         print(json.dumps(PARTS[name](kind, Path(folder), args.records, args.seconds)))
         return 0
     rows = run(args.records, args.seconds, args.folder)
-    print(table(rows))
-    args.out.parent.mkdir(parents=True, exist_ok=True)
-    args.out.write_text(json.dumps({"cpus": os.cpu_count(), "rows": rows}, indent=1))
-    return 0
+    return report(table(rows), rows, args.out)
 
 
 if __name__ == "__main__":
--- a/benchmarks/worker_quotas.py
+++ b/benchmarks/worker_quotas.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import argparse
-import json
 import sys
 from collections import defaultdict
 from pathlib import Path
@@ -21,6 +20,8 @@
 ROOT = Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT))
 
+from report import report  # noqa: E402
+
 from roadpulley.testbed.installation import Installation  # noqa: E402
 from roadpulley.testbed.quotas import Use, uses  # noqa: E402
 from roadpulley.testbed.scenario import DiscoveryKind, Load, Scenario  # noqa: E402
@@ -79,10 +80,7 @@
     parser.add_argument("--out", type=Path, default=ROOT / "benchmarks" / "out" / "worker_quotas.json")
     args = parser.parse_args()
     rows = run(args.workers, args.seeds, args.seconds, 32 if args.one_connection else 1)
-    print(table(rows))
-    args.out.parent.mkdir(parents=True, exist_ok=True)
-    args.out.write_text(json.dumps({"rows": rows}, indent=1))
-    return 0
+    return report(table(rows), rows, args.out)
 
 
 if __name__ == "__main__":
--- a/benchmarks/workers.py
+++ b/benchmarks/workers.py
@@ -22,6 +22,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
 import request_cost as parts_of  # noqa: E402
+from report import report  # noqa: E402
 from request_cost import BACKENDS, NODE_PROCESSES, ROOT, Part, hosts_of  # noqa: E402
 
 from roadpulley.testbed.server import Port  # noqa: E402
@@ -152,10 +153,7 @@
     parser.add_argument("--out", type=Path, default=ROOT / "benchmarks" / "out" / "workers.json")
     args = parser.parse_args()
     rows = run(args.workers, args.seconds)
-    print(table(rows))
-    args.out.parent.mkdir(parents=True, exist_ok=True)
-    args.out.write_text(json.dumps({"cpus": os.cpu_count(), "rows": rows}, indent=1))
-    return 0
+    return report(table(rows), rows, args.out)
 
 
 if __name__ == "__main__":
