Shed by worth against the tightest aim, so that cheap classes no longer hold out longest

Cause: Shedding judged each class by its own aim (SHED_AT times kind.aim, a quarter less for low worth).

Now a class may find a part of the tightest aim among the classes worth as much or more, and the part falls to a tenth with the worth.

--- a/mintford/shedding.py
+++ b/mintford/shedding.py
@@ -9,7 +9,7 @@
 from .attempts import Attempts
 from .load import LONGEST, MARK_MS, PATIENCE, RATE_MS, RECENT, Fleet
 
-SHED_AT, SHED_BAND, SHED_SPAN = 0.6, 0.5, 0.25  # of the aim: refusals begin; to all; earlier for low worth
+SHED_AT, SHED_BAND, SHED_SPAN = 0.6, 0.5, 0.9  # of the aim: refusals begin; to all; earlier for low worth
 LEAST_OUT = 2.0  # too few to tell anything
 CALM = 0.1  # of the aim: latency under which capacity counts as clearly spare
 LAG_AIM, LAG_WEIGHT = 20.0, 0.5  # of the gateway's own loop: more than this is strain; weight of one look
@@ -57,14 +57,26 @@
 
     def __init__(self, fleet: Fleet, attempts: Attempts, own: OwnStrain, chance: random.Random) -> None:
         self.fleet, self.attempts, self.own, self.random = fleet, attempts, own, chance
+        self.waits = {kind.name: self.most_wait(kind) for kind in own.settings.classes}
 
-    def too_late(self, now: float, kind: api.RequestClass, aim_at: float, expected: float) -> bool:
-        """Whether a request that should take `expected` is refused; a class worth more holds out longer."""
+    def most_wait(self, kind: api.RequestClass) -> tuple[float, float]:
+        """The longest wait at which a class is still let in, and the aim that this is a part of, in ms.
+
+        Danger: all classes stand in the same queues. Judged by its own longer aim, a class of little worth
+        holds out until those worth more than it are late. So the tightest aim counts of those worth as much
+        as this one or more; and the less a class is worth, the less queue it may find.
+        """
         top = self.own.top_importance
         lesser = 1 - kind.importance / top if top else 0.0
-        band = SHED_BAND * self.random.random() if self.fleet.floor < LEAST_OUT else 0.0
-        strain = expected / max(kind.aim, 1.0)
-        return strain > SHED_AT * (1 - SHED_SPAN * lesser) + band or now + expected > aim_at
+        equals = (c.aim for c in self.own.settings.classes if c.importance >= kind.importance)
+        aim = min((kind.aim, *equals))
+        return SHED_AT * (1 - SHED_SPAN * lesser) * aim, aim
+
+    def too_late(self, now: float, kind: api.RequestClass, aim_at: float, expected: float) -> bool:
+        """Whether a request that should take `expected` ms is refused."""
+        wait, aim = self.waits.get(kind.name) or self.most_wait(kind)
+        band = SHED_BAND * self.random.random() * aim if self.fleet.floor < LEAST_OUT else 0.0
+        return expected > wait + band or now + expected > aim_at
 
     def time_to_answer(self, now: float) -> float:
         """What is out over the rate of answers: how long one more request should take (Little's law).
--- a/tests/decisions/test_decisions.py
+++ b/tests/decisions/test_decisions.py
@@ -114,15 +114,35 @@
     while len(out) < 500 and (s := sends(w.ask("view"))):
         out += s
     assert len(out) < 100
-    assert sends(w.ask("order")), "the dearer class still goes through"
-    while sends(w.ask("order")):
-        pass
+    assert (dearer := sends(w.ask("order"))), "the dearer class still goes through"
+    while s := sends(w.ask("order")):
+        out += s
+    out += dearer
     for send in out:
         w.end(send)
     w.pass_time(100)
     assert sends(w.ask("view")), "refusals end as soon as the load has gone"
 
 
+def test_a_class_worth_less_with_a_longer_aim_does_not_make_dearer_ones_late() -> None:
+    """Danger: judged by its own longer aim, the lesser class held out longest and filled every queue."""
+    quote = api.RequestClass("quote", aim=1500, deadline=4000, importance=1, effect=api.Effect.SAFE)
+    payout = api.RequestClass("payout", aim=1200, deadline=4000, importance=3)
+    slow = api.RequestClass("slow", aim=9000, deadline=9000, importance=3)
+    w = world(classes=(quote, payout, slow))
+    for _ in range(60):
+        send = one(w.ask("payout"))
+        w.pass_time(20)
+        w.end(send)
+    waits = {}
+    for name in ("quote", "payout", "slow"):
+        while sends(w.ask(name)):
+            pass
+        waits[name] = w.gateway.shedding.time_to_answer(w.now)
+    assert waits["quote"] < 0.5 * waits["payout"] <= 0.5 * 0.7 * payout.aim
+    assert waits["slow"] == waits["payout"], "as much worth, but a longer aim: it may not delay the other"
+
+
 def test_a_gateway_without_answers_lets_requests_through() -> None:
     """Danger: in a large fleet the floor fell under one request: no request, no answer, for ever."""
     w = world(gateways=1000)
