Follow each customer's store through the units all gateways sent on; settle guesses

The number of a period held what was asked, refused tries too, and what time pays back was counted from the period's start: a store that was full until late in a period looked full again after its burst was spent, and the next period began full as well. Settled units (the true ones after a guess) were thrown away by read_ended.

Now the counter holds what was sent on and settled, and each gateway follows the store by itself, cap and all, taking away what the others added since its last reading. Wants have a name of their own, told once in 3 s and only while the store is low; shares of the last finished period sum to one. A request waits for a reading only where units are scarce, the plan is thin or the customer unknown. A settlement is charged once, to the store that was charged, held to what a request can count; the ceiling goes by the guess. A total that falls by more than two requests has been lost.

--- a/mintford/attempts.py
+++ b/mintford/attempts.py
@@ -22,6 +22,7 @@
         self.id, self.kind, self.customer, self.units = event.request, kind, c, event.units
         self.expires, self.aim_at = event.expires, min(event.expires, now + kind.aim)
         self.attempts, self.check_at = 0, math.inf
+        self.charged = 0.0  # to the customer's store
         self.marks = "all", "class " + kind.name, "plan " + c.plan.name  # of a backend that this one bears on
         self.live: set[int] = set()  # numbers of the attempts out
         self.tried: set[int] = set()
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -141,6 +141,7 @@
     outcome: Outcome
     lag: float
     finished: bool
+    cost: float = 0.0  # the true units, where the deployment settles them; 0: not told
 
 
 @dataclass(slots=True)
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -1,4 +1,11 @@
-"""Quotas: leases sized by share of wants, local buckets, and the calls to the counter that size them."""
+"""Quotas: leases sized by share of wants, local buckets, and the calls to the counter that size them.
+
+Each customer has one store of units for all gateways. Every gateway adds what it has sent on to a number on
+the counter and learns from the total what the others have; so each follows the store by itself, cap and all,
+and knows it as it stood at the last reading. A lease is the part of it that this gateway may spend before the
+next: all but what the others will have spent by then, at least this gateway's share of the wants. Wants are
+told under a name of their own, once a period, and only while the store is low: nobody needs them before.
+"""
 
 from __future__ import annotations
 
@@ -6,35 +13,84 @@
 import math
 import random
 from collections import deque
+from dataclasses import dataclass
+from enum import Enum
 
 from . import interface as api
 from .guards import NEVER_RAN
 
 LEASE_MS = 15_000.0  # the design's lease
 REFRESH_MS = 500.0  # between refreshes at least: shares follow a shift, calls stay under requests
-SPARSE = 1.5  # of the largest requests: an even part of the burst under this is too thin to spend locally
-WANTS_MS = 3_000.0  # memory of the wants
-FRESH_MS, SURGE = 100.0, 5.0  # a sparse reading stands until so many quotas at once could spend what is left
+FRESH_MS = 100.0  # the same where units are scarce, and a request waits for a reading older than that
+SURGE = 10.0  # a reading stands until so many quotas at once could spend what is left
+SPARSE = 1.5  # of the largest requests: an even part of the burst under this is too thin to spend unread
+SCARCE = 2.0  # of the largest requests: a lease that holds less is told and read at once
+AHEAD = 1.5  # of what the others spend until the next reading: kept for them
+PRESSED = 0.5  # of the burst: under this, wants decide
+WANTS_MS = 3_000.0  # memory of the wants, and a period of theirs
+EPOCH_MS = 30_000.0  # then a number of spent units begins anew, and the last one can still be read
+NAME_MS = 60_000.0  # the longest that the counter keeps a name
 ROOM_STEP, ROOM_CUT, ROOM_LEAST = 0.005, 0.9, 0.1  # how refreshes thin out as calls fail, and come back
+GIVEN_BACK = 2.0  # of the largest requests: a total that falls by more has been lost, not settled
+UNITS = 0.01  # what rounding may leave of a difference
+EVENLY, UNKNOWN = 0.8, 0.7  # of the rate: how far time is taken to have paid back what was spent unseen
 
 
 class Customer:
-    """One customer at this gateway: its lease and its local buckets."""
+    """One customer at this gateway: its lease and its local buckets. All amounts are units of quota."""
 
     def __init__(self, key: str, plan: api.Plan, spread: int, now: float, since: float, unit: float) -> None:
         self.key, self.plan, self.even = key, plan, 1 / max(1, spread)  # even: a gateway's even share
-        self.tokens, self.filled_at, self.out = max(unit, plan.burst * self.even), now, 0
+        self.unit, self.filled_at, self.out = unit, now, 0
+        self.store = plan.burst  # of all gateways, as far as this one knows
+        self.tokens = max(unit, plan.burst * self.even)  # of the lease
         # Danger: a restarted gateway does not know what it sent before. Counted as empty at its start, its
         # part of the ceiling can never be spent twice.
         self.ceiling = (now - since) / 1000 * plan.ceiling_rate * self.even
         self.keep_ms = max(LEASE_MS, plan.ceiling_burst / max(plan.ceiling_rate, 1e-9) * 1000)
+        self.part = self.even  # the lease's part of the quota's rate
         self.sparse = plan.burst * self.even < SPARSE * unit
-        full_again = plan.burst / max(plan.rate, 1e-9) * 1000
-        self.period_ms = min(LEASE_MS, max(REFRESH_MS, full_again))  # an empty burst is full again after it
-        self.part, self.chance = self.even, 1.0  # the lease: of quota and burst; of the requests, if sparse
-        self.lease_end, self.fresh_until, self.heard = now + LEASE_MS, now, False  # heard: of its size
-        self.unsaid, self.mine, self.all = 0.0, 0.0, 0.0  # units not yet added; lately added, here and by all
-        self.period, self.reading, self.read_at = -1, 0.0, now  # the last reading
+        self.lease_end, self.fresh_until, self.read_at = now + LEASE_MS, now, now
+        self.heard = self.calling = False  # a reading stands; one is on its way
+        self.unsaid = 0.0  # sent on and settled, not yet added
+        self.mine, self.others = 0.0, 0.0  # lately sent on, here and elsewhere: fading sums
+        self.totals: dict[int, float] = {}  # the last reading of this epoch, and of the last
+        self.tail = 0.0  # what others added to the last epoch after this gateway's last reading of it
+        self.asked, self.asked_at = 0.0, now  # lately asked, refused ones too: a fading sum
+        self.wants_told = -1  # the period
+        self.telling, self.wanted, self.wants = 0.0, 0.0, 0.0  # wants here, told in this and the last; of all
+
+    def share(self) -> float:
+        """This gateway's part of what all want; by what was sent on where wants are not known."""
+        if self.wants > 0:
+            return min(1.0, self.wanted / self.wants)
+        spent = self.mine + self.others
+        return self.mine / spent if spent > UNITS else self.even
+
+    def scarce(self, now: float) -> bool:
+        """Whether this little is left, if the others have gone on as they did since the last reading."""
+        gone = AHEAD * self.others / WANTS_MS * (now - self.read_at)
+        return not self.heard or self.tokens - gone < SCARCE * self.unit
+
+
+class Kind(Enum):
+    """Of a call: adds what was spent, reads the epoch before, tells or reads wants."""
+
+    SPENT = 1
+    ENDED = 2
+    WANTS = 3
+
+
+@dataclass(slots=True)
+class Call:
+    """One call to the counter that is under way."""
+
+    customer: str
+    kind: Kind
+    period: int  # an epoch, or a period of the wants
+    amount: float
+    request: str  # the id of the request that waits for it
+    since: float  # when the last reading before it was taken, in ms
 
 
 class Quotas:
@@ -44,7 +100,7 @@
         self.settings, self.random = settings, chance
         self.plans = {p.name: p for p in settings.plans}
         self.customers: dict[str, Customer] = {}
-        self.calls: dict[str, deque[tuple[str, int, float, str]]] = {}  # customer, period, added, request
+        self.calls: dict[str, deque[Call]] = {}  # by name
         self.counter_room = 1.0  # the part of refreshes that a crowded counter leaves room for
         self.since, self.tidied_at = 0.0, 0.0  # the first event; the last tidying
 
@@ -64,93 +120,179 @@
         self.fill(now, c)
         return c
 
+    # ---- the local buckets ----
+
     def fill(self, now: float, c: Customer) -> None:
-        if now > c.lease_end:
-            c.part, c.heard = c.even, False  # a lease unheard: the safe capacity is the even share
+        plan = c.plan
+        if now > c.lease_end and c.heard:  # a lease unheard: the safe capacity is the even share
+            c.part, c.heard, c.wants = c.even, False, 0.0
+            c.totals.clear()
         passed, c.filled_at = (now - c.filled_at) / 1000, now
-        most = max(self.settings.most_units, c.plan.burst * c.part)
-        c.tokens = min(most, c.tokens + passed * c.plan.rate * c.part)
-        c.ceiling = min(c.plan.ceiling_burst * c.even, c.ceiling + passed * c.plan.ceiling_rate * c.even)
+        c.store = min(plan.burst, c.store + passed * plan.rate)
+        most = c.store if c.heard else max(c.unit, plan.burst * c.even)
+        c.tokens = min(most, c.tokens + passed * plan.rate * c.part)
+        c.ceiling = min(plan.ceiling_burst * c.even, c.ceiling + passed * plan.ceiling_rate * c.even)
 
     def short(self, c: Customer, units: float) -> float:
         """Units that the lease lacks for such a request; 0 or less: it can be paid."""
-        if c.sparse and c.heard:  # the grant as a fraction of all wants
-            return 0.0 if self.random.random() < c.chance else units
         return units - c.tokens if c.plan.rate else 0.0
 
-    def take(self, c: Customer, units: float) -> None:
-        c.tokens, c.ceiling = c.tokens - (units if 0 < units <= c.tokens else 0.0), c.ceiling - units
+    def take(self, c: Customer, units: float, inside: bool) -> float:
+        """Charge a request that is sent on; gives what the store was charged: beyond the quota, nothing."""
+        c.ceiling -= units
+        charged = units if inside and c.plan.rate else 0.0
+        self.charge(c, charged)
+        return charged
+
+    def charge(self, c: Customer, units: float) -> None:
+        c.tokens, c.store, c.unsaid = c.tokens - units, c.store - units, c.unsaid + units
+
+    def settle(self, c: Customer, charged: float, cost: float) -> None:
+        """The true units of a request that was charged for a guess: the difference, to the same store.
+
+        What the answer says is held to what one request can count. The ceiling goes by the guess.
+        """
+        if charged > 0 and cost > 0:
+            self.charge(c, min(cost, max(self.settings.most_units, charged)) - charged)
+
+    # ---- calls ----
 
     def refresh(self, now: float, c: Customer, units: float, request: str, out: api.Actions) -> bool:
-        """Add the units asked since the last call, refused ones too, and so learn of all that were asked.
+        """Before a request is judged: whether it waits for a reading (true), as units are scarce.
 
-        A sparse lease is refreshed by the request that needs it, which waits for the reply (true): a local
-        bucket would be empty, or full of units that a hundred other gateways hold too.
+        A local bucket would be empty then, or full of units that other gateways hold too.
         """
-        c.unsaid += units
-        if now < c.fresh_until or not self.settings.may_count or not c.plan.rate:
+        fade = math.exp((c.asked_at - now) / WANTS_MS)
+        c.asked, c.asked_at = c.asked * fade + units, now
+        if not self.settings.may_count or not c.plan.rate or c.calling or not (c.sparse or c.scarce(now)):
+            return False
+        if c.heard and now - c.read_at < FRESH_MS:
+            return False
+        # What is all spent will not be there sooner than time gives it back, unless others give some back.
+        if c.heard and not c.unsaid and c.store < units and now - c.read_at < REFRESH_MS:
             return False
-        said, c.unsaid = c.unsaid / self.counter_room, 0.0
+        return self.call(now, c, request, out)
+
+    def tell(self, now: float, c: Customer, out: api.Actions) -> None:
+        """After units were charged: add them where they are scarce, or when a refresh is due."""
+        due = c.sparse or now >= c.fresh_until or c.scarce(now)
+        if self.settings.may_count and c.plan.rate and due and not c.calling:
+            self.call(now, c, "", out)
+
+    def call(self, now: float, c: Customer, request: str, out: api.Actions) -> bool:
         if self.random.random() > self.counter_room:
-            return False  # crowded: those that do add, add for this one too, so that totals stay true
-        c.fresh_until = now + (FRESH_MS if c.sparse else REFRESH_MS)
-        self.count(c, int(now // c.period_ms), said, out, request if c.sparse else "")
-        return c.sparse
-
-    def count(self, c: Customer, period: int, amount: float, out: api.Actions, request: str) -> None:
-        name = f"{period}:" + hashlib.blake2b(c.key.encode(), digest_size=16).hexdigest()  # keys may be long
-        self.calls.setdefault(name, deque()).append((c.key, period, round(amount, 3), request))
-        out.append(api.Count(name, round(amount, 3), 4 * c.period_ms))
-
-    def counted(self, now: float, event: api.CounterReplied, out: api.Actions) -> str:
-        """Take in a reply; gives the id of the request that has waited for it, if one need wait no longer."""
+            return False  # crowded: what is not said now is said by a later call
+        epoch = int(now // EPOCH_MS)
+        if epoch not in c.totals:  # what the others have sent on since the last reading of the last one
+            self.count(c, Call(c.key, Kind.ENDED, epoch - 1, 0.0, "", c.read_at), out)
+        c.calling, said, c.unsaid = True, round(c.unsaid, 3), 0.0
+        self.count(c, Call(c.key, Kind.SPENT, epoch, said, request, c.read_at), out)
+        if c.heard and c.store < PRESSED * c.plan.burst:
+            self.tell_wants(now, c, out)
+        return True
+
+    def tell_wants(self, now: float, c: Customer, out: api.Actions) -> None:
+        """Add this gateway's wants to the period's number, and read the last finished period's total."""
+        period = int(now // WANTS_MS)
+        if c.wants_told < period:
+            c.wanted = c.telling if c.wants_told == period - 1 else 0.0
+            c.wants_told, c.telling, c.wants = period, round(c.asked, 3), 0.0
+            self.count(c, Call(c.key, Kind.WANTS, period, c.telling, "", now), out)
+            if c.wanted:
+                self.count(c, Call(c.key, Kind.WANTS, period - 1, 0.0, "", now), out)
+
+    def count(self, c: Customer, call: Call, out: api.Actions) -> None:
+        digest = hashlib.blake2b(c.key.encode(), digest_size=16).hexdigest()  # keys may be long
+        name = f"{'w' if call.kind is Kind.WANTS else 's'}{call.period}:{digest}"
+        self.calls.setdefault(name, deque()).append(call)
+        out.append(api.Count(name, call.amount, 4 * WANTS_MS if call.kind is Kind.WANTS else NAME_MS))
+
+    def counted(self, now: float, event: api.CounterReplied) -> str:
+        """Take in a reply; gives the id of the request that has waited for it, "" for none."""
         waiting = self.calls.get(event.name)
         if not waiting:
             return ""
-        key, period, amount, held = waiting.popleft()
+        call = waiting.popleft()
         if not waiting:
             del self.calls[event.name]
         # Danger: a crowded counter fails everybody's calls, and their number keeps it crowded.
         ok, room = event.outcome is api.Outcome.OK, self.counter_room
         self.counter_room = min(1.0, room + ROOM_STEP) if ok else max(ROOM_LEAST, room * ROOM_CUT)
-        c = self.customers.get(key)
-        if c and ok and self.renew(now, c, period, amount, event.reading, held, out):
-            return ""
-        if c and event.outcome in NEVER_RAN:
-            c.unsaid += amount
-        return held
-
-    def renew(
-        self, now: float, c: Customer, period: int, amount: float, total: float, held: str, out: api.Actions
-    ) -> bool:
-        """Size the lease. A period's number holds what was asked in it, and what the last period owed.
-
-        Who adds first reads the last number and carries over the burst that time has not paid back (true: the
-        lease waits for that). What exceeds the burst is told from the quota's rate: past that, quota over
-        wants is the part let in; a local bucket holds this gateway's share of what is left.
+        c = self.customers.get(call.customer)
+        if c is None:
+            return call.request
+        if call.kind is Kind.SPENT:
+            c.calling = False
+        if call.kind is Kind.WANTS:
+            if ok and not call.amount and call.period == c.wants_told - 1:
+                c.wants = max(event.reading, c.wanted)
+        elif ok:
+            self.fill(now, c)
+            self.read(now, c, call, event.reading)
+        elif event.outcome in NEVER_RAN:
+            c.unsaid += call.amount
+        return call.request
+
+    # ---- readings ----
+
+    def read(self, now: float, c: Customer, call: Call, total: float) -> None:
+        """Take in a total: what others have added since the last reading is gone from the store."""
+        known = c.totals.get(call.period)
+        if c.heard and (known is not None or call.kind is Kind.SPENT):
+            elsewhere = total - (known or 0.0) - call.amount
+            if call.kind is Kind.ENDED and c.calling:
+                c.tail = elsewhere  # goes with the reading that is still to come: one time pays both back
+            else:
+                self.follow(now, c, call, elsewhere + c.tail)
+                c.tail = 0.0
+        else:
+            self.guess(now, c, call, total)
+        c.totals[call.period] = total
+        for old in [period for period in c.totals if period < max(c.totals) - 1]:
+            del c.totals[old]
+        if call.kind is Kind.SPENT:
+            c.heard, c.read_at = True, now
+            self.renew(now, c)
+
+    def follow(self, now: float, c: Customer, call: Call, elsewhere: float) -> None:
+        """Take from the store what others sent on since the last reading.
+
+        At the cap, time has given nothing for what was spent only now: units spent evenly since the last
+        reading have mostly been paid back. Others' tries beyond the quota take nothing from it.
         """
-        rate, burst = c.plan.rate, c.plan.burst
-        if amount and total <= amount + 0.01 and self.random.random() <= self.counter_room:
-            self.count(c, period - 1, 0.0, out, held)
-            return True
-        if not amount:
-            period, owed = period + 1, min(burst, total - rate * c.period_ms / 1000)
-            if owed > 0:
-                self.count(c, period, owed, out, held)
-                return True
-            total = 0.0
-        fade, c.lease_end = math.exp((c.read_at - now) / WANTS_MS), now + LEASE_MS
-        before, same, c.period, c.reading, c.read_at = c.reading, period == c.period, period, total, now
-        if same and total < before - 0.01:
-            # Danger: the counter lost its numbers; it would look as if nobody had asked for anything.
-            return False
-        if same:
-            c.mine, c.all = c.mine * fade + amount, c.all * fade + max(amount, total - before)
-        paid, over = max(0.0, rate * (now - period * c.period_ms) / 1000), total - burst  # 0: rounding
-        load = min(1.0, c.all * 1000 / WANTS_MS / rate)
-        c.part = 1 - (1 - min(1.0, c.mine / c.all)) * load if c.all else c.even
-        c.chance, c.heard = 1.0 if over <= paid else paid / over, True
-        c.tokens = max(c.tokens, (paid - over) * c.part)
-        least = FRESH_MS if c.sparse else REFRESH_MS
-        c.fresh_until = now + max(least, (paid - over) / (SURGE * rate) * 1000)
-        return False
+        if elsewhere < -GIVEN_BACK * c.unit:
+            elsewhere = 0.0  # Danger: the counter lost its numbers; it would look as if all was given back
+        passed = max(1.0, now - call.since)
+        fade = math.exp(-passed / WANTS_MS)
+        lately = (1 - fade) * WANTS_MS / passed  # of what came evenly in that time
+        c.mine = c.mine * fade + max(0.0, call.amount) * lately
+        c.others = c.others * fade + max(0.0, elsewhere) * lately
+        if c.store >= c.plan.burst - UNITS and elsewhere > 0:
+            elsewhere -= EVENLY * min(elsewhere, c.plan.rate * passed / 1000)
+        c.store = min(c.plan.burst, max(min(0.0, c.store), c.store - elsewhere))
+
+    def guess(self, now: float, c: Customer, call: Call, total: float) -> None:
+        """A store that this gateway has not followed: the burst less what time has not paid back.
+
+        When it was spent is not told: it may be just now. So, of a store that was used, no more than the even
+        share is taken for there.
+        """
+        passed, spent = (now - call.period * EPOCH_MS) / 1000, max(0.0, total - call.amount)
+        left = c.plan.burst - max(0.0, spent - UNKNOWN * c.plan.rate * passed)
+        if spent > UNITS:
+            left = min(left, max(c.unit, c.plan.burst * c.even))
+        c.store = min(c.store, max(0.0, left) - c.unsaid - call.amount)
+        if call.kind is Kind.SPENT:
+            c.mine, c.others = max(0.0, call.amount), 0.0
+
+    def renew(self, now: float, c: Customer) -> None:
+        """Size the lease: all but what the others will spend, at most their share of what is there."""
+        rate, c.lease_end = c.plan.rate, now + LEASE_MS
+        if c.wants_told < int(now // WANTS_MS) - 1:
+            c.wants = 0.0  # too old to go by
+        share = c.share()
+        ahead = AHEAD * c.others / WANTS_MS * FRESH_MS
+        c.tokens = c.store - min(max(0.0, c.store) * (1 - share), ahead)
+        load = min(1.0, (c.mine + c.others) / WANTS_MS * 1000 / rate)
+        c.part = 1 - (1 - share) * load
+        c.fresh_until = now + max(REFRESH_MS, c.tokens / (SURGE * rate) * 1000)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -77,7 +77,7 @@
             self.admit(now, request, out)
 
     def on_counted(self, now: float, event: api.CounterReplied, out: api.Actions) -> None:
-        request = self.attempts.requests.get(self.quotas.counted(now, event, out))
+        request = self.attempts.requests.get(self.quotas.counted(now, event))
         if request and not request.attempts:
             self.admit(now, request, out)
 
@@ -95,6 +95,9 @@
         lag = max(1.0, now - attempt.sent_at - self.own.lag)
         patience = self.patience(now, attempt)
         self.fleet.judge(now, attempt.backend, request.marks, event.outcome, lag, patience)
+        if event.outcome is api.Outcome.OK:
+            self.quotas.settle(request.customer, request.charged, event.cost)
+            request.charged = 0.0  # once only
         if never_ran:
             request.ran.remove(attempt)
         if event.request not in self.attempts.requests:
@@ -126,7 +129,8 @@
         if backend is None:
             wait = short * 1000 / max(plan.rate * c.part, 1e-9) if short > 0 else kind.aim * PATIENCE
             return self.attempts.finish(request, out, wait)
-        self.quotas.take(c, units)
+        request.charged = self.quotas.take(c, units, short <= 0)
+        self.quotas.tell(now, c, out)
         self.send(now, request, backend, out)
 
     def send(self, now: float, request: Request, b: Backend, out: api.Actions) -> None:
--- a/mintford/wirehost.py
+++ b/mintford/wirehost.py
@@ -106,10 +106,16 @@
 
 
 def read_ended(
-    request: str, _settled: Any, lag: Any, outcome: str, finished: Any, attempt: int, backend: int, *_: Any
+    request: str, settled: Any, lag: Any, outcome: str, finished: Any, attempt: int, backend: int, *_: Any
 ) -> api.Event:
     return api.AttemptEnded(
-        text(request), int(attempt), int(backend), api.Outcome(outcome), float(lag or 0), bool(finished)
+        text(request),
+        int(attempt),
+        int(backend),
+        api.Outcome(outcome),
+        float(lag or 0),
+        bool(finished),
+        float(settled or 0),
     )
 
 
--- a/tests/decisions/test_wirehost.py
+++ b/tests/decisions/test_wirehost.py
@@ -43,8 +43,9 @@
 
 
 def test_a_request_is_sent_and_its_outcome_taken() -> None:
+    create = [["create", 5, {**SETUP, "familyInfo": {"mayCount": False}}], CREATE[1]]
     code, replies = play(
-        batch(*CREATE),
+        batch(*create),
         batch(JOB, moment=20),
         batch(["ended", JOB[1], 0, 18.5, "Ok", True, 0, 77, None, None], moment=40),
     )
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import heapq
 from collections.abc import Iterable
 
@@ -106,6 +107,45 @@
         return actions
 
 
+class Counter:
+    """An exact counter for worlds, at once or with what it is told to fail with."""
+
+    def __init__(self) -> None:
+        self.numbers: dict[str, tuple[float, float]] = {}  # total, forgotten at
+        self.added: dict[str, float] = {}  # over all time, by the part of a name that tells the customer
+        self.fails: api.Outcome | None = None
+        self.calls = 0
+
+    def play(self, world: World, actions: list[api.Action]) -> list[api.Action]:
+        """Answer all calls among the actions, and those that the answers bring; gives all the actions."""
+        done: list[api.Action] = []
+        todo = list(actions)
+        while todo:
+            action = todo.pop(0)
+            done.append(action)
+            if isinstance(action, api.Count):
+                todo += world.give(self.reply(world.now, action))
+        return done
+
+    def reply(self, now: float, call: api.Count) -> api.CounterReplied:
+        self.calls += 1
+        if self.fails is not None:
+            return api.CounterReplied(call.name, self.fails, 0.0)
+        total, until = self.numbers.get(call.name, (0.0, 0.0))
+        if until <= now:
+            total, until = 0.0, now + call.expire_in
+        self.numbers[call.name] = (total + call.amount, until)
+        if call.name.startswith("s"):
+            digest = call.name.split(":")[1]
+            self.added[digest] = self.added.get(digest, 0.0) + call.amount
+        return api.CounterReplied(call.name, api.Outcome.OK, total + call.amount)
+
+    def spent(self, customer: str) -> float:
+        """Units that all gateways have added for a customer."""
+        digest = hashlib.blake2b(customer.encode(), digest_size=16).hexdigest()
+        return round(self.added.get(digest, 0.0), 6)
+
+
 def sends(actions: Iterable[api.Action]) -> list[api.Send]:
     return [a for a in actions if isinstance(a, api.Send)]
 
