--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -42,6 +42,7 @@
 
     def __init__(self, key: str, plan: api.Plan, spread: int, now: float, since: float, unit: float) -> None:
         self.key, self.plan, self.even = key, plan, 1 / max(1, spread)  # even: a gateway's even share
+        self.digest = ""  # of the key, once it is needed
         self.unit, self.filled_at, self.out = unit, now, 0
         self.store = plan.burst  # of all gateways, as far as this one knows
         self.spilled = 0.0  # over the burst since the last reading
@@ -218,8 +219,8 @@
                 self.count(c, Call(c.key, Kind.WANTS, period - 1, 0.0, "", now), out)
 
     def count(self, c: Customer, call: Call, out: api.Actions) -> None:
-        digest = hashlib.blake2b(c.key.encode(), digest_size=16).hexdigest()  # keys may be long
-        name = f"{'w' if call.kind is Kind.WANTS else 's'}{call.period}:{digest}"
+        c.digest = c.digest or hashlib.blake2b(c.key.encode(), digest_size=16).hexdigest()  # keys may be long
+        name = f"{'w' if call.kind is Kind.WANTS else 's'}{call.period}:{c.digest}"
         self.calls.setdefault(name, deque()).append(call)
         out.append(api.Count(name, call.amount, 4 * WANTS_MS if call.kind is Kind.WANTS else NAME_MS))
 
