Forget what was left of an epoch when a lease lapses

Seen on reading: fill() clears the readings of a lapsed lease but kept c.tail, the rest of an epoch whose second reading never came. The next first reading holds that rest already, and the one after it took it off the store again. The new test fails without the line.

--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -138,7 +138,7 @@
     def fill(self, now: float, c: Customer) -> None:
         plan = c.plan
         if now > c.lease_end and c.heard:  # a lease unheard: the safe capacity is the even share
-            c.part, c.heard, c.wants = c.even, False, 0.0
+            c.part, c.heard, c.wants, c.tail = c.even, False, 0.0, 0.0
             c.totals.clear()
         passed, c.filled_at = (now - c.filled_at) / 1000, now
         c.store += passed * plan.rate
--- a/tests/decisions/test_leases.py
+++ b/tests/decisions/test_leases.py
@@ -242,3 +242,15 @@
     world.pass_time(3 * LEASE_MS)
     world.ask()
     assert len(world.gateway.quotas.customers) == 1
+
+
+def test_what_was_left_of_an_epoch_is_not_taken_off_again_after_the_lease_has_lapsed() -> None:
+    """Danger: a lapsed lease is sized from the whole numbers, which hold that rest already."""
+    world, counter = World(), Counter()
+    sent(counter, world)
+    customer(world).tail = 5.0  # its reading never came
+    c = customer(world)
+    world.gateway.quotas.fill(world.now + LEASE_MS - 100, c)
+    assert c.heard and c.tail == 5.0
+    world.gateway.quotas.fill(world.now + LEASE_MS + 100, c)
+    assert not c.heard and c.tail == 0.0
