Share a part of each hard ceiling through the counter, spent only after it is counted

Cause: a ceiling was split evenly for good, so a gateway that gets most of a customer's traffic, or is the only one left, refused within the quota; and the even part starts empty.

An epoch whose end is not read, a total that fell, a lapsed lease or a counter just back leave nothing of it but what time gives.

--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -17,6 +17,7 @@
 from enum import Enum
 
 from . import interface as api
+from .ceilings import Ceiling
 from .guards import NEVER_RAN
 
 LEASE_MS = 15_000.0  # the design's lease
@@ -32,6 +33,7 @@
 KEEP_MS = 60_000.0  # the longest that a customer without requests is kept
 NAME_MS = 60_000.0  # the longest that the counter keeps a name
 ROOM_STEP, ROOM_CUT, ROOM_LEAST = 0.005, 0.9, 0.1  # how refreshes thin out as calls fail, and come back
+TRUSTED = 0.5  # room under which a counter may just have come back, and empty
 BROKE = 0.7  # of the time that is waited for a call: one that ends unheard before was cut off, not late
 GIVEN_BACK = 2.0  # of the largest requests: a total that falls by more has been lost, not settled
 UNITS = 0.01  # what rounding may leave of a difference
@@ -41,16 +43,17 @@
 class Customer:
     """One customer at this gateway: its lease and its local buckets. All amounts are units of quota."""
 
-    def __init__(self, key: str, plan: api.Plan, spread: int, now: float, since: float, unit: float) -> None:
+    def __init__(
+        self, key: str, plan: api.Plan, spread: int, now: float, since: float, settings: api.Settings
+    ) -> None:
+        unit, counted = settings.most_units, settings.may_count and plan.rate > 0
         self.key, self.plan, self.even = key, plan, 1 / max(1, spread)  # even: a gateway's even share
         self.digest = ""  # of the key, once it is needed
         self.unit, self.filled_at, self.out = unit, now, 0
         self.store = plan.burst  # of all gateways, as far as this one knows
         self.spilled = 0.0  # over the burst since the last reading
         self.tokens = max(unit, plan.burst * self.even)  # of the lease
-        # Danger: a restarted gateway does not know what it sent before. Counted as empty at its start, its
-        # part of the ceiling can never be spent twice.
-        self.ceiling = (now - since) / 1000 * plan.ceiling_rate * self.even
+        self.ceiling = Ceiling(plan, self.even, counted, (now - since) / 1000)
         self.keep_ms = max(LEASE_MS, plan.ceiling_burst / max(plan.ceiling_rate, 1e-9) * 1000)
         self.part = self.even  # the lease's part of the quota's rate
         self.sparse = plan.burst * self.even < SPARSE * unit
@@ -61,6 +64,7 @@
         self.totals: dict[int, float] = {}  # the last reading of this epoch, and of the last
         self.unsure: dict[int, float] = {}  # by epoch: said, and never answered
         self.left = math.nan  # of the store, as first guessed; no number once it is followed
+        self.ended = True  # the end of the last epoch is read, if it is needed
         self.tail = 0.0  # what others added to the last epoch after this gateway's last reading of it
         self.asked, self.asked_at = 0.0, now  # lately asked, refused ones too: a fading sum
         self.wants_told = -1  # the period
@@ -111,6 +115,7 @@
         self.calls: dict[str, deque[Call]] = {}  # by name
         self.counter_room = 1.0  # the part of refreshes that a crowded counter leaves room for
         self.since, self.tidied_at = 0.0, 0.0  # the first event; the last tidying
+        self.lost_at = -math.inf  # when the counter was last seen to have lost its numbers
 
     def begin(self, now: float) -> None:
         self.since = self.tidied_at = now
@@ -122,7 +127,7 @@
         c = self.customers.get(event.customer)
         if c is None:
             plan = self.plans.get(event.plan) or api.Plan(event.plan)  # an unknown plan has no quota to keep
-            c = Customer(event.customer, plan, event.spread, now, self.since, self.settings.most_units)
+            c = Customer(event.customer, plan, event.spread, now, self.since, self.settings)
             self.customers[event.customer] = c
         self.fill(now, c)
         fade = math.exp((c.asked_at - now) / WANTS_MS)
@@ -149,21 +154,22 @@
             c.part, c.heard, c.wants, c.tail = c.even, False, 0.0, 0.0
             c.totals.clear()
             c.unsure.clear()
+            c.ceiling.forget()
         passed, c.filled_at = (now - c.filled_at) / 1000, now
         c.store += passed * plan.rate
         if c.store > plan.burst:
             c.spilled, c.store = c.spilled + c.store - plan.burst, plan.burst
         most = c.store if c.heard else max(c.unit, plan.burst * c.even)
         c.tokens = min(most, c.tokens + passed * plan.rate * c.part)
-        c.ceiling = min(plan.ceiling_burst * c.even, c.ceiling + passed * plan.ceiling_rate * c.even)
+        c.ceiling.fill(passed)
 
     def short(self, c: Customer, units: float) -> float:
         """Units that the lease lacks for such a request; 0 or less: it can be paid."""
         return units - c.tokens if c.plan.rate else 0.0
 
-    def take(self, c: Customer, units: float, inside: bool) -> float:
+    def take(self, c: Customer, units: float, inside: bool, counted: bool) -> float:
         """Charge a request that is sent on; gives what the store was charged: beyond the quota, nothing."""
-        c.ceiling -= units
+        c.ceiling.take(units, counted)
         charged = units if inside and c.plan.rate else 0.0
         self.charge(c, charged)
         return charged
@@ -191,6 +197,8 @@
         """
         if not self.settings.may_count or not c.plan.rate or c.calling:
             return False
+        if c.ceiling.lacks(units) and c.tokens >= units:
+            return self.call(now, c, request, out, units)
         if not (c.sparse or c.scarce(now)):
             return False
         if c.heard and now - c.read_at < FRESH_MS:
@@ -217,6 +225,7 @@
         # has paid back all of that.
         paid = not c.heard and c.plan.rate * (now - epoch * EPOCH_MS) >= 1000 * c.plan.burst
         if epoch not in c.totals and not paid:
+            c.ended = False
             self.count(c, Call(c.key, Kind.ENDED, epoch - 1, 0.0, "", c.read_at, now), out)
         c.calling, said, c.unsaid = True, round(c.unsaid + ahead, 3), 0.0
         self.count(c, Call(c.key, Kind.SPENT, epoch, said, request, c.read_at, now, ahead), out)
@@ -240,11 +249,14 @@
         self.calls.setdefault(name, deque()).append(call)
         out.append(api.Count(name, call.amount, 4 * WANTS_MS if call.kind is Kind.WANTS else NAME_MS))
 
-    def counted(self, now: float, event: api.CounterReplied) -> str:
-        """Take in a reply; gives the id of the request that has waited for it, "" for none."""
+    def counted(self, now: float, event: api.CounterReplied) -> tuple[str, bool]:
+        """Take in a reply; gives the id of the request that has waited for it, "" for none.
+
+        And whether the total that came holds the units of that request.
+        """
         waiting = self.calls.get(event.name)
         if not waiting:
-            return ""
+            return "", False
         call = waiting.popleft()
         if not waiting:
             del self.calls[event.name]
@@ -252,7 +264,7 @@
         self.crowded(event.outcome, (now - call.at) / max(1.0, self.settings.count_wait))
         c = self.customers.get(call.customer)
         if c is None:
-            return call.request
+            return call.request, False
         if call.kind is Kind.SPENT:
             c.calling = False
         if call.kind is Kind.WANTS:
@@ -266,7 +278,7 @@
         else:
             c.unsure[call.period] = c.unsure.get(call.period, 0.0) + call.amount
         c.unsaid -= call.ahead  # now the request is judged: let in, it is charged; else this gives it back
-        return call.request
+        return call.request, ok and call.ahead > 0
 
     def crowded(self, outcome: api.Outcome, waited: float) -> None:
         """Take in how a call fared, after this part of the time that is waited for one.
@@ -283,6 +295,7 @@
 
     def read(self, now: float, c: Customer, call: Call, total: float) -> None:
         """Take in a total: what others have added since the last reading is gone from the store."""
+        c.ended = c.ended or call.kind is Kind.ENDED
         known, unsure = c.totals.get(call.period), c.unsure.pop(call.period, 0.0)
         c.totals[call.period] = total
         # An epoch that ended before this gateway followed the store is a part of what it guessed.
@@ -295,6 +308,8 @@
             if call.kind is Kind.ENDED and c.calling:
                 c.tail = elsewhere  # goes with the reading that is still to come: one time pays both back
             else:
+                if known is None and not c.ended:
+                    c.ceiling.forget()  # Danger: what the others added to the last epoch is not known
                 self.follow(now, c, call, elsewhere + c.tail)
                 c.tail = 0.0
         else:
@@ -311,7 +326,10 @@
         What this gateway saw spill over the burst since then, time has mostly paid back to the others, who
         made room for it; all of it if they spent evenly. Tries beyond the quota take nothing from the store.
         """
+        c.ceiling.spent_elsewhere(elsewhere)
         if elsewhere < -GIVEN_BACK * c.unit:
+            self.lost_at = now
+            c.ceiling.forget()
             elsewhere = 0.0  # Danger: the counter lost its numbers; it would look as if all was given back
         passed = max(1.0, now - call.since)
         fade = math.exp(-passed / WANTS_MS)
@@ -338,6 +356,9 @@
         likely = burst - max(0.0, spent - UNKNOWN * rate * passed)
         if before < math.inf:
             likely -= max(0.0, before - UNKNOWN * rate * (passed + EPOCH_MS / 1000))
+        c.ceiling.met(spent, before, passed)
+        if now - self.lost_at < EPOCH_MS or self.counter_room < TRUSTED:
+            c.ceiling.forget()
         left = max(surely, min(likely, max(c.unit, burst * c.even)))
         if not math.isnan(c.left):  # the other total has come: by what it changes
             c.store = min(burst, c.store + left - c.left)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -79,9 +79,10 @@
             self.admit(now, request, out)
 
     def on_counted(self, now: float, event: api.CounterReplied, out: api.Actions) -> None:
-        request = self.attempts.requests.get(self.quotas.counted(now, event))
+        waiting, counted = self.quotas.counted(now, event)
+        request = self.attempts.requests.get(waiting)
         if request and not request.attempts:
-            self.admit(now, request, out)
+            self.admit(now, request, out, counted)
 
     def on_timer(self, now: float, event: api.TimerFired, out: api.Actions) -> None:
         if event.token == "follow":
@@ -114,7 +115,7 @@
 
     # ---- the way of a request ----
 
-    def admit(self, now: float, request: Request, out: api.Actions) -> None:
+    def admit(self, now: float, request: Request, out: api.Actions, counted: bool = False) -> None:
         """Send the request on if the lease, the guards and the backends let it, else refuse it."""
         c, kind, plan, units = request.customer, request.kind, request.customer.plan, request.units
         short = self.quotas.short(c, units)
@@ -123,7 +124,7 @@
         earned = RETRY_CALM if strain < CALM else RETRY_SHARE
         self.attempts.retries = min(RETRY_STORE, self.attempts.retries + earned)
         earns = plan.beyond_earns - plan.beyond_costs if short > 0 or crowded else 1.0
-        over_ceiling = bool(plan.ceiling_rate) and c.ceiling < units
+        over_ceiling = bool(plan.ceiling_rate) and not c.ceiling.holds(units, counted)
         # Refuse early what would be answered too late, and what earns less than it costs.
         refused = over_ceiling or earns <= 0
         # What is late already earns next to nothing: it may take what nobody else wants, and no more.
@@ -138,7 +139,7 @@
             if c.unsaid < 0:
                 self.quotas.tell(now, c, out)
             return self.attempts.finish(request, out, wait)
-        request.charged = self.quotas.take(c, units, short <= 0)
+        request.charged = self.quotas.take(c, units, short <= 0, counted)
         self.quotas.tell(now, c, out)
         self.send(now, request, backend, out)
 
--- a/tests/decisions/test_leases.py
+++ b/tests/decisions/test_leases.py
@@ -3,6 +3,7 @@
 from helpers import Counter, World, counts, refusals, sends
 
 from mintford import interface as api
+from mintford.ceilings import SHARED
 from mintford.quotas import EPOCH_MS, LEASE_MS, WANTS_MS, Customer
 
 
@@ -52,12 +53,19 @@
 
 def test_a_ceiling_is_split_evenly_and_starts_empty() -> None:
     """Danger: a restarted gateway that starts with a full store spends the ceiling twice."""
-    world = World()
+    world = World(may_count=False)
     assert not sends(world.ask(plan="firm"))
     world.pass_time(1000)  # half of twenty a second
     assert drain(world, 100, plan="firm") == 10
 
 
+def test_what_is_shared_of_a_ceiling_is_not_spent_while_the_counter_is_silent() -> None:
+    world = World()
+    assert not sends(world.ask(plan="firm"))
+    world.pass_time(1000)
+    assert drain(world, 100, plan="firm") == 10 * (1 - SHARED)
+
+
 def test_open_attempts_are_held_to_this_gateways_part_of_the_cap() -> None:
     world = World()
     world.pass_time(10_000)
