Keep units of a customer's quota for the classes worth most; read retries by their marks

Cause, by printing each judgement: the last try of a client, and each of a class that may not be repeated, waits for all that is left, longer than first tries do. So the longest patience of a class was no measure of a first try, and most fresh ones were judged late. Only marked retries are judged now, against unmarked ones of their class: what waits for another time waits for the end of the deadline.

A unit of quota is spent once; a customer near its quota got whatever came first. Now a class leaves up to half of the burst to those worth more, by its worth, where the store is followed.

--- a/mintford/attempts.py
+++ b/mintford/attempts.py
@@ -23,8 +23,8 @@
         self, event: api.RequestArrived, kind: api.RequestClass, c: Customer, now: float, gone: float
     ) -> None:
         self.id, self.kind, self.customer, self.units = event.request, kind, c, event.units
-        # `gone`: how long ago its client's first try began, as far as can be told.
-        self.expires, self.aim_at = event.expires, min(event.expires, now + kind.aim - gone)
+        self.expires, self.aim_at = event.expires, min(event.expires, now + kind.aim)
+        self.first_aim_at = self.aim_at - gone  # of its client's first try, as far as can be told
         self.attempts, self.check_at = 0, math.inf
         self.charged = 0.0  # to the customer's store
         self.marks = "all", "class " + kind.name, "plan " + c.plan.name  # of a backend that this one bears on
@@ -58,17 +58,18 @@
         self.lost = 0  # attempts out that are
         self.wheel: dict[int, list[Request]] = {}  # requests to look at, by the tick of their timer
         self.retries = RETRY_STORE
-        self.longest: dict[str, float] = {}  # patience of any try, by class
+        self.usual: dict[str, float] = {}  # patience of a first try, by class
 
-    def gone(self, kind: api.RequestClass, left: float) -> float:
-        """How long ago the first try of a request began, at least, whose client will wait for `left` ms.
+    def gone(self, kind: api.RequestClass, left: float, repeat: bool) -> float:
+        """How long ago the first try of a request began, as far as is told, whose client waits for `left` ms.
 
-        Clients give a try up after a part of the class's deadline, and all tries when it is over. So one that
-        will wait for less than the others do has the end of all tries before it.
+        Clients give a try up after a part of the class's deadline, or when all of it is over. So a marked
+        retry that waits for another time than first tries do waits for that end.
         """
-        longest = max(self.longest.get(kind.name, 0.0), left)
-        self.longest[kind.name] = longest
-        return max(0.0, kind.deadline - left) if left < longest - TOLD_MS else 0.0
+        if not repeat:
+            self.usual[kind.name] = left
+        usual = self.usual.get(kind.name, left)
+        return max(0.0, kind.deadline - left) if repeat and abs(left - usual) > TOLD_MS else 0.0
 
     def send(self, now: float, request: Request, b: Backend, out: api.Actions) -> Attempt:
         b.out += 1
--- a/mintford/ceilings.py
+++ b/mintford/ceilings.py
@@ -10,7 +10,13 @@
 
 from . import interface as api
 
-SHARED = 0.4  # of a ceiling that is known through the counter; the rest must do while the counter is silent
+SHARED = 0.4  # of a ceiling at most, through the counter
+SPLIT = 1.3  # of the quota: what is split carries that much by itself, for when the counter is slow or silent
+
+
+def share(plan: api.Plan) -> float:
+    """The part of a plan's ceiling that is shared. All gateways must know the same: settings alone decide."""
+    return max(0.0, min(SHARED, 1 - SPLIT * plan.rate / max(plan.ceiling_rate, 1e-9)))
 
 
 class Ceiling:
@@ -18,7 +24,7 @@
 
     def __init__(self, plan: api.Plan, even: float, counted: bool, seconds: float) -> None:
         """`seconds`: since this gateway's start."""
-        self.shared = SHARED if counted and even < 1 else 0.0
+        self.shared = share(plan) if counted and even < 1 else 0.0
         own = (1 - self.shared) * even
         self.own_rate, self.own_burst = own * plan.ceiling_rate, own * plan.ceiling_burst
         self.pool_rate, self.pool_burst = self.shared * plan.ceiling_rate, self.shared * plan.ceiling_burst
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -34,8 +34,10 @@
 NAME_MS = 60_000.0  # the longest that the counter keeps a name
 ROOM_STEP, ROOM_CUT, ROOM_LEAST = 0.005, 0.9, 0.1  # how refreshes thin out as calls fail, and come back
 TRUSTED = 0.5  # room under which a counter may just have come back, and empty
+FAILED = 2  # calls for a customer without a total, one after the other: then it waits for a refresh
 BROKE = 0.7  # of the time that is waited for a call: one that ends unheard before was cut off, not late
 GIVEN_BACK = 2.0  # of the largest requests: a total that falls by more has been lost, not settled
+UNSAID = 0.1  # of the burst: more than this, and than the largest request, is told at once
 UNITS = 0.01  # what rounding may leave of a difference
 EVENLY, UNKNOWN = 0.8, 0.7  # how far time is taken to have paid back what was spent unseen
 
@@ -59,6 +61,8 @@
         self.sparse = plan.burst * self.even < SPARSE * unit
         self.lease_end, self.fresh_until, self.read_at = now + LEASE_MS, now, now
         self.heard = self.calling = False  # a reading stands; one is on its way
+        self.much = max(unit, UNSAID * plan.burst)  # told at once
+        self.failed, self.quiet_until = 0, now  # calls one after the other; until when there are no more
         self.unsaid = 0.0  # sent on and settled, not yet added
         self.mine, self.others = 0.0, 0.0  # lately sent on, here and elsewhere: fading sums
         self.totals: dict[int, float] = {}  # the last reading of this epoch, and of the last
@@ -77,6 +81,10 @@
         spent = self.mine + self.others
         return self.mine / spent if spent > UNITS else self.even
 
+    def followed(self) -> bool:
+        """Whether its store is known: not only the least of it, nor the even share."""
+        return self.heard and math.isnan(self.left)
+
     def scarce(self, now: float) -> bool:
         """Whether this little is left, if the others have gone on as they did since the last reading."""
         gone = AHEAD * self.others / WANTS_MS * (now - self.read_at)
@@ -184,7 +192,7 @@
         """
         if charged > 0 and cost > 0:
             self.charge(c, min(cost, max(self.settings.most_units, charged)) - charged)
-            if abs(c.unsaid) >= c.unit:  # as much as a request: told at once, as no further one may come
+            if abs(c.unsaid) >= c.much:  # told at once, as no further request may come
                 self.tell(now, c, out)
 
     # ---- calls ----
@@ -195,7 +203,7 @@
         A local bucket would be empty then, or full of units that other gateways hold too. What the request
         takes if it is let in, as it likely is, is added by the same call: no other gateway can spend it too.
         """
-        if not self.settings.may_count or not c.plan.rate or c.calling:
+        if not self.settings.may_count or not c.plan.rate or c.calling or now < c.quiet_until:
             return False
         if c.ceiling.lacks(units) and c.tokens >= units:
             return self.call(now, c, request, out, units)
@@ -212,9 +220,9 @@
     def tell(self, now: float, c: Customer, out: api.Actions) -> None:
         """After units were charged: add them where they are scarce, or when a refresh is due."""
         # Danger: units added ahead for a request that was refused would be missed by the others meanwhile.
-        due = now >= c.fresh_until or abs(c.unsaid) >= c.unit or c.unsaid < -UNITS
+        due = now >= c.fresh_until or abs(c.unsaid) >= c.much or c.unsaid < -UNITS
         due = due or (abs(c.unsaid) > UNITS and (c.sparse or c.scarce(now)))
-        if self.settings.may_count and c.plan.rate and due and not c.calling:
+        if self.settings.may_count and c.plan.rate and due and not c.calling and now >= c.quiet_until:
             self.call(now, c, "", out)
 
     def call(self, now: float, c: Customer, request: str, out: api.Actions, ahead: float = 0.0) -> bool:
@@ -266,7 +274,9 @@
         if c is None:
             return call.request, False
         if call.kind is Kind.SPENT:
-            c.calling = False
+            c.calling, c.failed = False, 0 if ok else c.failed + 1
+            if c.failed >= FAILED:  # Danger: a counter that is gone would be called for every request, twice
+                c.quiet_until = now + REFRESH_MS
         if call.kind is Kind.WANTS:
             if ok and not call.amount and call.period == c.wants_told - 1:
                 c.wants = max(event.reading, c.wanted)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -71,7 +71,7 @@
         left, c = event.expires - now, self.quotas.customer(now, event, out)
         kind = self.classes.get(event.request_class) or api.RequestClass(event.request_class, left, left)
         request = self.attempts.requests[event.request] = Request(
-            event, kind, c, now, self.attempts.gone(kind, left)
+            event, kind, c, now, self.attempts.gone(kind, left, event.repeat)
         )
         if self.quotas.refresh(now, c, request.units, request.id, out):
             self.attempts.watch(now, request, now + 2 * self.settings.count_wait, out)
@@ -128,11 +128,11 @@
         # Refuse early what would be answered too late, and what earns less than it costs.
         refused = over_ceiling or earns <= 0
         # What is late already earns next to nothing: it may take what nobody else wants, and no more.
+        late = now + self.fleet.typical > request.first_aim_at
         spare = strain < CALM and earns == 1.0 and c.store > PRESSED * plan.burst
-        late = now + self.fleet.typical > request.aim_at
-        refused = refused or (
-            not (late and spare) and self.shedding.too_late(now, kind, earns, request.aim_at, expected)
-        )
+        kept = self.shedding.kept(kind) * plan.burst if c.followed() and earns == 1.0 else 0.0
+        refused = refused or (late and not spare) or (kept > 0 and c.store - units < kept)
+        refused = refused or self.shedding.too_late(now, kind, earns, request.aim_at, expected)
         backend = None if refused else self.fleet.pick(now, request.marks, None)
         if backend is None:
             wait = short * 1000 / max(plan.rate * c.part, 1e-9) if short > 0 else kind.aim * PATIENCE
--- a/mintford/shedding.py
+++ b/mintford/shedding.py
@@ -10,6 +10,7 @@
 from .load import LONGEST, MARK_MS, PATIENCE, RATE_MS, RECENT, Fleet
 
 SHED_AT, SHED_BAND, SHED_SPAN = 0.6, 0.5, 0.9  # of the aim: refusals begin; to all; earlier for low worth
+KEPT = 0.5  # of a customer's burst: left to the class worth most by one that is worth nothing
 LEAST_OUT = 2.0  # too few to tell anything
 CALM = 0.1  # of the aim: latency under which capacity counts as clearly spare
 LAG_AIM, LAG_WEIGHT = 20.0, 0.5  # of the gateway's own loop: more than this is strain; weight of one look
@@ -74,6 +75,15 @@
         aim = min((kind.aim, *equals))
         return SHED_AT * (1 - SHED_SPAN * lesser) * aim, aim
 
+    def kept(self, kind: api.RequestClass) -> float:
+        """The part of a customer's burst that a class leaves to those worth more.
+
+        A unit of quota is spent once. A customer near its quota gets the most for it where the classes that
+        are worth little wait until there is enough for those worth more.
+        """
+        top = self.own.top_importance
+        return KEPT * (1 - kind.importance / top) if top else 0.0
+
     def too_late(
         self, now: float, kind: api.RequestClass, earns: float, aim_at: float, expected: float
     ) -> bool:
--- a/tests/decisions/test_ceilings.py
+++ b/tests/decisions/test_ceilings.py
@@ -13,8 +13,8 @@
 from mintford.quotas import EPOCH_MS
 
 RATE, BURST, MOST = 10.0, 40.0, 4.0
-# The quota is far over the ceiling, so that the ceiling alone refuses.
-PLAN = api.Plan("firm", rate=500, burst=500, beyond_costs=1, ceiling_rate=RATE, ceiling_burst=BURST)
+# The quota's store is so large that the ceiling alone refuses.
+PLAN = api.Plan("firm", rate=4, burst=20_000, beyond_costs=1, ceiling_rate=RATE, ceiling_burst=BURST)
 MANY = [entry(n) for n in range(60)]
 
 
--- a/tests/decisions/test_counted_ahead.py
+++ b/tests/decisions/test_counted_ahead.py
@@ -118,7 +118,7 @@
     for world in (one, two):
         late_in_epoch(world)
     assert len(sends(counter.play(one, one.ask()))) == 1
-    through = sum(len(sends(counter.play(two, two.ask()))) for _ in range(12))
+    through = sum(len(sends(counter.play(two, two.ask("order")))) for _ in range(12))
     assert through == 7
 
 
--- a/tests/decisions/test_leases.py
+++ b/tests/decisions/test_leases.py
@@ -148,10 +148,10 @@
 def test_a_counter_that_lost_its_numbers_gives_nobody_a_second_burst() -> None:
     """Danger: an empty counter looks as if all that was spent had been given back."""
     world, counter = World(), Counter()
-    assert sum(len(sent(counter, world)) for _ in range(20)) == 8
+    assert sum(len(sent(counter, world, name="order")) for _ in range(20)) == 8
     counter.numbers.clear()
     world.pass_time(1000)
-    assert sum(len(sent(counter, world)) for _ in range(20)) <= 2 + 2
+    assert sum(len(sent(counter, world, name="order")) for _ in range(20)) <= 2 + 2
 
 
 def test_an_epoch_s_end_is_carried_into_the_next() -> None:
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -1,49 +1,75 @@
-"""A client's further tries join the chances of its first: what is late already takes what is to spare."""
+"""A client's further tries join the chances of its first, and units go to those worth most."""
 
 from __future__ import annotations
 
-from helpers import BASIC, Counter, World, entry, refusals, sends
+from helpers import BASIC, KEYED, SAFE, Counter, World, entry, refusals, sends
 
 from mintford import interface as api
 from mintford.attempts import TOLD_MS, Attempts
 from mintford.quotas import PRESSED
+from mintford.shedding import KEPT
 
+MANY = [entry(n) for n in range(40)]  # so that quotas alone refuse
 
-def ask(world: World, counter: Counter, life: float, customer: str = "c") -> list[api.Action]:
-    return counter.play(world, world.ask(customer=customer, life=life))
 
+def ask(world: World, life: float, repeat: bool, customer: str = "c") -> list[api.Action]:
+    """A request of the class worth most, so that no units are kept for another."""
+    world.serial += 1
+    event = api.RequestArrived(
+        f"r{world.serial}", KEYED.name, "basic", customer, world.now + life, 1.0, 2, 0, repeat
+    )
+    return Counter().play(world, world.give(event))
 
-def test_how_long_ago_a_first_try_began_is_told_by_how_little_patience_is_left() -> None:
+
+def test_how_long_ago_a_first_try_began_is_told_by_how_a_marked_retry_waits() -> None:
     attempts, kind = Attempts(World().gateway.settings), World().gateway.classes["view"]
-    assert attempts.gone(kind, 1800) == 0, "the first of a class: its own measure"
-    assert attempts.gone(kind, 1800 - TOLD_MS + 1) == 0, "the way here may have taken that"
-    assert attempts.gone(kind, 1000) == 2000
-    assert attempts.gone(kind, 2500) == 0, "a longer patience is the new measure"
-    assert attempts.gone(kind, 1800) == 1200
+    assert attempts.gone(kind, 1800, True) == 0, "no first try is known yet"
+    assert attempts.gone(kind, 1800, False) == 0
+    assert attempts.gone(kind, 1800 - TOLD_MS + 1, True) == 0, "as long as a first one: it does not tell"
+    assert attempts.gone(kind, 1000, True) == 2000, "the rest of the deadline"
+    assert attempts.gone(kind, 2500, True) == 500, "a last try is given all that is left"
+    assert attempts.gone(kind, 1000, False) == 0, "a client of little patience"
     other = World().gateway.classes["order"]
-    assert attempts.gone(other, 900) == 0, "by class"
+    assert attempts.gone(other, 900, True) == 0, "by class"
 
 
 def test_a_try_that_is_late_already_does_not_take_the_last_units_of_a_store() -> None:
-    world, counter = World([entry(n) for n in range(40)]), Counter()  # so that quotas alone refuse
-    assert sends(ask(world, counter, life=2000))
+    world = World(MANY, may_count=False)
+    world.pass_time(10_000)
+    assert sends(ask(world, 2000, False))
     c = world.gateway.quotas.customers["c"]
-    while c.store >= PRESSED * BASIC.burst:
-        assert sends(ask(world, counter, life=2000))
-    late = ask(world, counter, life=1500)  # 1.5 s after its first try began; the aim was 1 s
+    c.store = PRESSED * c.plan.burst - 1
+    late = ask(world, 1500, True)  # 1.5 s after its first try began; the aim was 1 s
     assert refusals(late) and not sends(late)
-    assert sends(ask(world, counter, life=2000)), "a fresh one gets the unit"
+    assert sends(ask(world, 2600, True)), "a retry that can be in time gets the unit"
 
 
 def test_a_late_try_is_served_where_nobody_else_wants_what_it_takes() -> None:
-    world, counter = World(), Counter()
-    ask(world, counter, life=2000)
-    assert sends(ask(world, counter, life=1500, customer="idle"))
+    world = World(MANY)
+    ask(world, 2000, False)
+    assert sends(ask(world, 1500, True, customer="idle"))
 
 
 def test_a_late_try_is_refused_while_the_backends_are_busy() -> None:
-    world, counter = World(), Counter()
-    for n in range(8):  # out, with nothing answered: well over what three backends always may hold
-        ask(world, counter, life=2000, customer=f"c{n}")
-    late = ask(world, counter, life=1500, customer="idle")
+    world = World()
+    for n in range(4):  # out, with nothing answered: nearly what three backends always may hold
+        assert sends(ask(world, 2000, False, customer=f"c{n}"))
+    late = ask(world, 1500, True, customer="idle")
     assert refusals(late) and not sends(late)
+
+
+def test_a_class_worth_little_leaves_units_to_one_worth_more() -> None:
+    """The safe class is worth a quarter of the keyed one: it leaves three quarters of what is kept."""
+    world, counter = World(MANY), Counter()
+    world.pass_time(10_000)
+    kept = KEPT * (1 - SAFE.importance / KEYED.importance) * BASIC.burst
+
+    def through(name: str) -> int:
+        return sum(
+            len(sends(counter.play(world, world.ask(name, spread=1)))) for _ in range(40)
+        )
+
+    through(SAFE.name)
+    c = world.gateway.quotas.customers["c"]
+    assert c.followed() and kept <= c.store < kept + 1
+    assert through(KEYED.name) == int(kept)
--- a/tests/decisions/test_settlement.py
+++ b/tests/decisions/test_settlement.py
@@ -114,7 +114,7 @@
         if rng.random() < asked / 4.5 / 50:  # 4.5 units a request
             before, guess = len(site.out), float(rng.randint(1, 8))
             inside = guess <= store + 1e-6
-            site.ask(rng.choices(range(size), [2 ** -n for n in range(size)])[0], "view", guess)
+            site.ask(rng.choices(range(size), [2 ** -n for n in range(size)])[0], KEYED.name, guess)
             if len(site.out) > before:
                 beyond += 0.0 if inside else guess
                 store -= guess if inside else 0.0
@@ -150,18 +150,18 @@
     site = Installation(2, 5)
     site.pass_time(10_000)
     for _ in range(60):
-        site.ask(0, "view", 1.0)
+        site.ask(0, KEYED.name, 1.0)
     assert len(site.out) == 60 == site.ledger
     while site.out:
         site.end(0, api.Outcome.OK, 8.0)
     (c,) = customers(site)
     assert c.store == 60 - 60 * 8
     site.pass_time(20_000)
-    site.ask(0, "view", 1.0)
-    site.ask(0, "view", 1.0)
+    site.ask(0, KEYED.name, 1.0)
+    site.ask(0, KEYED.name, 1.0)
     assert site.ledger == 480, "twenty seconds pay back 400 units, not 420"
     site.pass_time(2_000)
-    site.ask(0, "view", 1.0)
+    site.ask(0, KEYED.name, 1.0)
     assert site.ledger == 481
 
 
