--- a/roadpulley/testbed/arrivals.py
+++ b/roadpulley/testbed/arrivals.py
@@ -10,7 +10,6 @@
 from . import terms
 from .scenario import Fault, Scenario, rushes
 
-SHARES = {"basic": 0.37, "business": 0.37, "enterprise": 0.26}  # of the load
 CALM_USE = (0.15, 0.5)  # of the quota, by customers that are not heavy
 CUSTOMERS = 2**33
 
@@ -36,6 +35,7 @@
     key: str  # "" where the class has none
     place: int  # in the customer's set: the gateway of the first try
     patience: float  # for all tries together, milliseconds
+    units: float = 1.0  # as the request says
 
 
 def customers(scenario: Scenario) -> list[Customer]:
@@ -43,13 +43,15 @@
     rng = random.Random(f"{scenario.seed}:customers")
     made: list[Customer] = []
     numbers: set[int] = set()
-    for plan in terms.PLANS:
-        wanted, load = scenario.load.rate * SHARES[plan["name"]], 0.0
+    deployment = terms.DEPLOYMENTS[scenario.deployment]
+    for plan in deployment.plans:
+        wanted, load = scenario.load.rate * deployment.shares[plan["name"]], 0.0
+        quota = plan["rate"] / deployment.mean_units  # in requests
         while load < wanted:
             heavy = rng.random() < scenario.load.heavy
             use = scenario.load.heavy_x if heavy else rng.uniform(*CALM_USE)
-            rate = min(plan["rate"] * use, wanted - load) if made else min(plan["rate"] * use, wanted)
-            load += plan["rate"] * use
+            rate = min(quota * use, wanted - load) if made else min(quota * use, wanted)
+            load += quota * use
             number = rng.randrange(CUSTOMERS)
             while number in numbers:
                 number = rng.randrange(CUSTOMERS)
@@ -74,7 +76,7 @@
 def of_customer(scenario: Scenario, customer: Customer) -> Iterator[Arrival]:
     """One customer's requests, as a Poisson stream thinned to its rate of the moment."""
     rng = random.Random(f"{scenario.seed}:{customer.id}")
-    rush = rushes(scenario.faults)
+    rush, deployment = rushes(scenario.faults), terms.DEPLOYMENTS[scenario.deployment]
     most = max([1.0] + [f.factor for f in rush])
     at, end = 0.0, scenario.seconds * 1000
     while True:
@@ -87,14 +89,28 @@
         if not kept:
             continue
         kind = pick_kind(scenario, draw)
-        shape = next(c for c in terms.CLASSES if c["name"] == kind)
+        shape = next(c for c in deployment.classes if c["name"] == kind)
+        units = draw_units(rng, deployment)
         keyed = shape["effect"] == "token"
         patience = float(shape["deadline"])
-        yield Arrival(at, f"{root:016x}", customer, kind, f"{key:016x}" if keyed else "", place, patience)
+        name = f"{key:016x}" if keyed else ""
+        yield Arrival(at, f"{root:016x}", customer, kind, name, place, patience, units)
+
+
+def draw_units(rng: random.Random, deployment: terms.Deployment) -> float:
+    """What a request says that it takes: whole units, few of them many."""
+    if deployment.most_units == 1:
+        return 1.0
+    over = rng.expovariate(1 / (deployment.mean_units - 1))
+    return float(min(deployment.most_units, 1 + round(over)))
 
 
 def pick_kind(scenario: Scenario, draw: float) -> str:
     load = scenario.load
+    for kind, share in terms.DEPLOYMENTS[scenario.deployment].mix.items():
+        if draw < share:
+            return kind
+        draw -= share
     if draw < load.writes:
         return "search-order"
     return "deed-filing" if draw < load.writes + load.filings else "parcel-view"
--- a/roadpulley/testbed/front.py
+++ b/roadpulley/testbed/front.py
@@ -18,7 +18,7 @@
 from .relay import Relay
 from .scenario import Load
 from .server import LOCAL
-from .terms import CLASSES
+from .terms import DEPLOYMENTS
 
 PING_MS = 40.0  # between looks at a gateway that is not taken in yet
 PATIENCE_MS = 600.0  # that a client looks on after its time, so that a late answer shows as late
@@ -26,6 +26,7 @@
 LEAVING_MS = 300.0  # new connections go on coming for this long after a planned restart began
 AFTERMATH_MS = 1_000.0  # a connection that ends so soon after a death or a pause may have ended by it
 LEAST_WAIT_MS = 150.0  # with less time left nobody tries again
+CLASSES = [c for d in DEPLOYMENTS.values() for c in d.classes]  # names of two deployments are never the same
 EFFECT = {c["name"]: c["effect"] for c in CLASSES}
 GROUP = {c["name"]: c.get("group", "all") for c in CLASSES}
 WINDOW = {c["name"]: float(c.get("repeatWindow", 0)) for c in CLASSES}
@@ -35,12 +36,14 @@
     return b"*%d\r\n" % len(args) + b"".join(b"$%d\r\n%b\r\n" % (len(a), a) for a in args)
 
 
-def command(arrival: Arrival, id: str, wait: int) -> bytes:
+def command(arrival: Arrival, id: str, wait: int, repeat: bool = False) -> bytes:
     who = arrival.customer
     listed = f"c={arrival.kind},t={who.plan},d={wait},"
     if arrival.key:
         listed += f"k={arrival.key},"
-    listed += f"units=1,spread={who.spread},first={who.first}"
+    listed += f"units={arrival.units:g},spread={who.spread},first={who.first}"
+    if repeat:
+        listed += ",r=1"
     verb = b"API.READ" if EFFECT[arrival.kind] == "pure" else b"API.WRITE"
     return encode(verb, who.id.encode(), id.encode(), listed.encode())
 
@@ -195,6 +198,7 @@
     done: Done
     gates: list[Gate] = field(default_factory=list)
     open: set[asyncio.Task[None]] = field(default_factory=set)
+    marks_retries: bool = False
 
     def add(self, name: str, relay: Relay, running: Callable[[], bool]) -> None:
         self.gates.append(Gate(self, name, relay, running))
@@ -272,7 +276,10 @@
     async def ask(self, arrival: Arrival, id: str, place: int, left: float) -> tuple[str, float | None, int]:
         """One try; gives how it ended, the time to come back, and how often nobody was reached."""
         who, wait, gone = arrival.customer, max(1, int(left)), 0
-        ask = Ask(id, "", who.id, who.plan, arrival.kind, 1.0, float(wait), now_ms(), arrival.root)
+        ask = Ask(
+            id, "", who.id, who.plan, arrival.kind, arrival.units, float(wait), now_ms(), arrival.root
+        )
+        repeat = self.marks_retries and id != arrival.root
         ledgered = False
         while True:
             gate = self.choose(arrival, place + gone)
@@ -290,7 +297,7 @@
                 continue
             one = Try(ask, asyncio.get_running_loop().create_future())
             rest = max(1, int(wait - (now_ms() - ask.sent_at if ask.crossed_at else 0)))
-            link.send(one, command(arrival, id, rest))
+            link.send(one, command(arrival, id, rest, repeat))
             if not ledgered:
                 self.ledger.asks.append(ask)
                 ledgered = True
--- a/roadpulley/testbed/installation.py
+++ b/roadpulley/testbed/installation.py
@@ -69,7 +69,8 @@
     def __init__(self, scenario: Scenario, say: Say | None = None, folder: Path | None = None) -> None:
         self.scenario, self.say = scenario, say or (lambda words: None)
         self.ledger, self.origins, self.stats = Ledger(), Origins(), Stats()
-        self.terms = terms.Terms.read(terms.settings(0, scenario.gateways))
+        self.deployment = terms.DEPLOYMENTS[scenario.deployment]
+        self.terms = terms.Terms.read(self.deployment.settings(0, scenario.gateways))
         self.kept = None if folder else tempfile.TemporaryDirectory(prefix="roadpulley-")
         self.folder = folder or Path(self.kept.name if self.kept else ".")
         self.counter = Counter(kind=scenario.counter, ledger=self.ledger, origins=self.origins)
@@ -80,10 +81,11 @@
             self.dial,
             random.Random(f"{scenario.seed}:discovery"),
         )
-        self.front = Front(scenario.load, self.ledger, scenario.seed, self.on_done)
+        marks = self.deployment.marks_retries
+        self.front = Front(scenario.load, self.ledger, scenario.seed, self.on_done, marks_retries=marks)
         self.nodes: dict[str, Node] = {}
         self.at: dict[str, str] = {}  # the node whose address another's relays lead to, by its name
-        self.seen = Seen(max(c.repeat_window for c in self.terms.classes.values()))
+        self.seen: dict[str, Seen] = {}  # by the group of nodes that drops repeats
         self.gateways: dict[str, GatewayProcess] = {}
         self.relays: dict[str, Relay] = {}
         self.tasks: set[asyncio.Task[None]] = set()
@@ -97,15 +99,19 @@
         return relay.port.address if relay else ""
 
     def new_node(self, name: str, place: int) -> Node:
+        zone, cell = terms.ZONES[place % len(terms.ZONES)], place // terms.CELL
+        window = max(c.repeat_window for c in self.terms.classes.values())
+        seen = self.seen.setdefault(self.deployment.group(zone, cell), Seen(window))
         node = Node(
             name,
             self.scenario.node,
             self.ledger,
             self.origins,
-            self.seen,
+            seen,
             str(self.scenario.seed),
-            terms.ZONES[place % len(terms.ZONES)],
-            place // terms.CELL,
+            zone,
+            cell,
+            self.deployment,
         )
         self.nodes[name] = node
         return node
@@ -168,7 +174,7 @@
             "seed": f"{(SEED_BASE + self.scenario.seed * 7919 + index) % 2**64:016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self.discovery.catalogue.whole(lambda host: self.dial(name, host)),
-            "settings": terms.settings(index, self.scenario.gateways),
+            "settings": self.deployment.settings(index, self.scenario.gateways),
         }
         process = GatewayProcess(name, self.folder, config, port, self.ledger, self.scenario.workers)
         self.gateways[name] = process
--- a/roadpulley/testbed/ledger.py
+++ b/roadpulley/testbed/ledger.py
@@ -58,6 +58,7 @@
     work: float = 0.0  # core milliseconds
     capacity: float = 0.0  # of the node when the last byte came, in cores
     cold: bool = False
+    cost: float = 0.0  # the true units, where its answer settled a guess
 
 
 @dataclass(slots=True)
--- a/roadpulley/testbed/node.py
+++ b/roadpulley/testbed/node.py
@@ -16,7 +16,7 @@
 from .node_machine import Change, Job, NodeMachine, Seen, State, draw_work
 from .scenario import NodeKind
 from .server import Origins, Port
-from .terms import RULES
+from .terms import TILES, Deployment
 
 SYNTAX = b"-SYNTAX\r\n"
 BUSY = b"-BUSY\r\n"
@@ -24,6 +24,8 @@
 NUMBER = re.compile(r"\d{1,12}(\.\d{1,12})?")
 REPEATED = 0.1  # of the work: a repeat that is dropped is looked up, not done
 SWEEP_S = 0.25
+REPORT_MS = 300.0  # between two looks at its own load: reports are as old as that
+ODD_REPORTS = (b"inflight=-3", b"util=nan,queue=1e999", b"inflight", b"queue=x,queue=2", b"queue=%d" % 10**30)
 
 
 @dataclass(eq=False, slots=True)
@@ -69,9 +71,19 @@
     return Asked(id, customer, given["c"], given["t"], given.get("k", ""), units, wait)
 
 
-def served(value: bytes) -> bytes:
-    """A value, with neither figures on use nor a load report."""
-    return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
+def bulk_or_null(text: bytes) -> bytes:
+    return b"$%d\r\n%b\r\n" % (len(text), text) if text else b"$-1\r\n"
+
+
+def served(value: bytes, use: bytes = b"", report: bytes = b"") -> bytes:
+    """A value, the figures on use or null, the load report or null."""
+    return b"*3\r\n$%d\r\n%b\r\n%b%b" % (len(value), value, bulk_or_null(use), bulk_or_null(report))
+
+
+def true_units(rng: random.Random, guess: float, deployment: Deployment) -> float:
+    """What a request turns out to take."""
+    true = round(guess * rng.lognormvariate(0, deployment.guess_cv))
+    return float(min(deployment.most_units, max(1, true)))
 
 
 class Connection(asyncio.Protocol):
@@ -146,8 +158,7 @@
     seed: str = "0"
     zone: str = "a"
     cell: int = 0
-    keyed: frozenset[str] = frozenset({"search-order"})
-    rules: dict[str, float] = field(default_factory=lambda: RULES)
+    deployment: Deployment = TILES
 
     def __post_init__(self) -> None:
         self.connections: set[Connection] = set()
@@ -160,9 +171,10 @@
         self.sweeper: asyncio.TimerHandle | None = None
         self.machine = self.new_machine(warm=True)
         self.falls = 0
+        self.report, self.report_at = b"", 0.0
 
     def new_machine(self, warm: bool) -> NodeMachine:
-        rules = self.rules
+        rules = self.deployment.rules
         return NodeMachine(self.kind, now_ms(), warm, rules["fall"], rules["fallMultiple"])
 
     # ---- its process ----
@@ -255,22 +267,46 @@
         for job in change.done:
             turn = cast(Turn, job.tag)
             if turn.fails:
-                self._answer(turn, "failed", FAILED)
+                said = self.load_report()
+                self._answer(turn, "failed", b"-ERR failed %b\r\n" % said if said else FAILED)
             else:
-                self._answer(turn, "served", served(turn.value))
+                self._answer(turn, "served", served(turn.value, self.settle(turn), self.load_report()))
         if change.fell:
             self.falls += 1
             self.kill()
         else:
             self._arm()
 
+    def settle(self, turn: Turn) -> bytes:
+        """The true units of a request whose units were a guess."""
+        if not self.deployment.guess_cv or turn.attempt is None:
+            return b""
+        turn.attempt.cost = true_units(self.rng, turn.attempt.units, self.deployment)
+        return b"used=1,cost=%d" % turn.attempt.cost
+
+    def load_report(self) -> bytes:
+        """What it says of its load, as of its last look; now and then something that is no report."""
+        fields, machine, now = self.deployment.reports, self.machine, now_ms()
+        if not fields:
+            return b""
+        if self.rng.random() < self.deployment.odd_reports:
+            return self.rng.choice(ODD_REPORTS)
+        if now - self.report_at > REPORT_MS:
+            held = {
+                "inflight": machine.live + len(machine.waiting),
+                "queue": len(machine.waiting),
+                "util": min(1.0, machine.live / machine.kind.cores),
+            }
+            self.report, self.report_at = ",".join(f"{n}={held[n]:g}" for n in fields).encode(), now
+        return self.report
+
     def _began(self, turn: Turn, job: Job) -> None:
         attempt = turn.attempt
         assert attempt is not None
         attempt.begun_at = job.begun_at
         self.serial += 1
         attempt.serial = self.serial
-        new = attempt.kind not in self.keyed or self.seen.first(attempt.key, job.begun_at or 0.0)
+        new = attempt.kind not in self.deployment.keyed or self.seen.first(attempt.key, job.begun_at or 0.0)
         attempt.ran = new
         said = f"tile {attempt.id} {self.name} {self.serial} ".encode()
         turn.value = said.ljust(self.kind.value_bytes, b".")
