--- a/setup.py
+++ b/setup.py
@@ -12,6 +12,7 @@
 REQUEST_PATH = (
     "mintford/interface.py",
     "mintford/attempts.py",
+    "mintford/ceilings.py",
     "mintford/guards.py",
     "mintford/load.py",
     "mintford/quotas.py",
--- a/tests/decisions/test_ceilings.py
+++ b/tests/decisions/test_ceilings.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from mintford import interface as api
-from mintford.ceilings import SHARED, Ceiling
+from mintford.ceilings import SHARED, SPLIT, Ceiling, share
 from mintford.quotas import EPOCH_MS
 
 RATE, BURST, MOST = 10.0, 40.0, 4.0
@@ -198,3 +198,12 @@
     assert ceiling.pool == RATE * SHARED - 1 + 0.1 * RATE * SHARED
     ceiling.forget()
     assert not ceiling.holds(1, True)
+
+
+def test_what_is_split_carries_the_quota_by_itself() -> None:
+    def plan(times: float) -> api.Plan:
+        return api.Plan("p", rate=10, burst=10, ceiling_rate=10 * times, ceiling_burst=10 * times)
+
+    assert share(plan(3)) == SHARED and share(plan(1.2)) == 0
+    for times in (1.3, 1.6, 2.0, 2.5):
+        assert (1 - share(plan(times))) * times >= SPLIT - 1e-9
--- a/tests/decisions/test_counted_ahead.py
+++ b/tests/decisions/test_counted_ahead.py
@@ -6,7 +6,7 @@
 from helpers import Counter, World, counts, entry, refusals, sends
 
 from mintford import interface as api
-from mintford.quotas import EPOCH_MS, ROOM_LEAST
+from mintford.quotas import EPOCH_MS, REFRESH_MS, ROOM_LEAST
 
 # Many backends, so that quotas alone refuse. The even share of a store of eight requests is four.
 MANY = [entry(n) for n in range(40)]
@@ -131,3 +131,31 @@
     two.pass_time(300)
     through = sum(len(sends(counter.play(two, two.ask()))) for _ in range(12))
     assert through <= 4, "the even share, as it may have been long ago"
+
+
+def test_a_counter_that_is_gone_is_not_called_for_every_request() -> None:
+    world, calls = World(MANY, **TERMS), 0
+    for _ in range(100):
+        todo = world.ask(customer="c")
+        while todo:
+            action = todo.pop(0)
+            if isinstance(action, api.Count):
+                calls += 1
+                todo += world.give(api.CounterReplied(action.name, api.Outcome.CONNECT, 0.0))
+            elif isinstance(action, api.Send):
+                world.end(action)
+        world.pass_time(20)
+    c = world.gateway.quotas.customers["c"]
+    assert c.failed > 2 and calls <= 4 * (2000 / REFRESH_MS + 2), "two seconds, and the last epoch's end too"
+
+
+def test_a_plan_that_never_runs_short_is_told_now_and_then_and_not_with_every_request() -> None:
+    plan = api.Plan("basic", rate=1000, burst=2000, beyond_costs=1)
+    world, counter = World(MANY, plans=(plan,), **TERMS), Counter()
+    for _ in range(100):
+        for send in sends(counter.play(world, world.ask())):
+            world.end(send)
+        world.pass_time(1)
+    assert counter.calls <= 6
+    c = world.gateway.quotas.customers["c"]
+    assert counter.spent("c") + c.unsaid == 100
