A drain waits 400 ms for the first command of a connection just taken in

100 ms was less than a stalled machine or a far client needs, and a connection closed then is a lost request.

--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -33,6 +33,7 @@
 SLOW_MS = 5_000.0  # how long a client may leave answers unread without taking any
 SPARE_MS = 2_000.0  # unused for this long: may be closed when room is short
 IDLE_MS = 30_000.0  # unused for this long: closed
+FIRST_MS = 400.0  # in a drain, from being taken in until its first command: a round trip and a slow client
 YOUNG_MS = 100.0  # in which a new connection is let say something, however short room is
 RETRY_MS = 20.0  # until there may be room, or a descriptor, again
 HARMLESS = {b"CLIENT", b"SELECT"}  # commands of connection set-up
@@ -356,7 +357,7 @@
         Danger: one just taken in has its first command under way; closed now, its client could not know
         whether that was read.
         """
-        if self in self.server.silent and (due := self.used_at + YOUNG_MS) > now_ms():
+        if self in self.server.silent and (due := self.used_at + FIRST_MS) > now_ms():
             self.server.timers.at(due, self.leave)
         else:
             self.retire()
