Plans change in service: what a customer owes stays owed, whatever plan it has

A customer's debt is the state; a plan says how much may be owed and how fast it is given back. A new event PlanChanged (a plan, or one customer's own terms) moves the stores by the difference of the bursts, each gateway's lease by its even part, and hands the debt of a hard ceiling on.

Beside an exact store of debts over drawn orders one gateway lets out exactly what the rule gives; one to three gateways that hear up to a second apart never overdraw a changing ceiling.

--- a/mintford/ceilings.py
+++ b/mintford/ceilings.py
@@ -35,6 +35,12 @@
         # of the shared part it never takes again.
         self.unused = self.pool_burst
 
+    def inherit(self, old: Ceiling) -> None:
+        """Stand in for another plan's: what is owed to that stays owed, here and in the shared part."""
+        self.own = self.own_burst - (old.own_burst - old.own)
+        self.unused = self.pool_burst - (old.pool_burst - old.unused)
+        self.pool = min(self.unused, self.pool_burst - (old.pool_burst - old.pool))
+
     def fill(self, seconds: float) -> None:
         self.own = min(self.own_burst, self.own + seconds * self.own_rate)
         self.unused = min(self.pool_burst, self.unused + seconds * self.pool_rate)
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -195,6 +195,14 @@
     lag: float
 
 
+@dataclass(slots=True)
+class PlanChanged:
+    """From now on a plan has other terms, or one customer its own (None: again those of its plan)."""
+
+    plan: Plan | None
+    customer: str = ""  # "": all who have that plan and no terms of their own
+
+
 @dataclass(slots=True)
 class PeerSpoke:
     sender: int
@@ -210,6 +218,7 @@
     | CounterReplied
     | TimerFired
     | LoopLagged
+    | PlanChanged
     | PeerSpoke
 )
 
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -49,19 +49,17 @@
         self, key: str, plan: api.Plan, spread: int, now: float, since: float, settings: api.Settings
     ) -> None:
         unit, counted = settings.most_units, settings.may_count and plan.rate > 0
-        self.key, self.plan, self.even = key, plan, 1 / max(1, spread)  # even: a gateway's even share
+        self.key, self.named, self.even = key, plan.name, 1 / max(1, spread)  # even: a gateway's even share
         self.digest = ""  # of the key, once it is needed
         self.unit, self.filled_at, self.out = unit, now, 0
+        self.settle_terms(plan)
         self.store = plan.burst  # of all gateways, as far as this one knows
         self.spilled = 0.0  # over the burst since the last reading
         self.tokens = max(unit, plan.burst * self.even)  # of the lease
         self.ceiling = Ceiling(plan, self.even, counted, (now - since) / 1000)
-        self.keep_ms = max(LEASE_MS, plan.ceiling_burst / max(plan.ceiling_rate, 1e-9) * 1000)
         self.part = self.even  # the lease's part of the quota's rate
-        self.sparse = plan.burst * self.even < SPARSE * unit
         self.lease_end, self.fresh_until, self.read_at = now + LEASE_MS, now, now
         self.heard = self.calling = False  # a reading stands; one is on its way
-        self.much = max(unit, UNSAID * plan.burst)  # told at once
         self.failed, self.quiet_until = 0, now  # calls one after the other; until when there are no more
         self.unsaid = 0.0  # sent on and settled, not yet added
         self.mine, self.others = 0.0, 0.0  # lately sent on, here and elsewhere: fading sums
@@ -74,6 +72,13 @@
         self.wants_told = -1  # the period
         self.telling, self.wanted, self.wants = 0.0, 0.0, 0.0  # wants here, told in this and the last; of all
 
+    def settle_terms(self, plan: api.Plan) -> None:
+        """What follows from the plan alone."""
+        self.plan = plan
+        self.keep_ms = max(LEASE_MS, plan.ceiling_burst / max(plan.ceiling_rate, 1e-9) * 1000)
+        self.sparse = plan.burst * self.even < SPARSE * self.unit
+        self.much = max(self.unit, UNSAID * plan.burst)  # told at once
+
     def share(self) -> float:
         """This gateway's part of what all want; by what was sent on where wants are not known."""
         if self.wants > 0:
@@ -119,6 +124,7 @@
     def __init__(self, settings: api.Settings, chance: random.Random) -> None:
         self.settings, self.random = settings, chance
         self.plans = {p.name: p for p in settings.plans}
+        self.own: dict[str, api.Plan] = {}  # of customers with terms of their own
         self.customers: dict[str, Customer] = {}
         self.calls: dict[str, deque[Call]] = {}  # by name
         self.counter_room = 1.0  # the part of refreshes that a crowded counter leaves room for
@@ -134,14 +140,19 @@
             self.tidy(now, out)
         c = self.customers.get(event.customer)
         if c is None:
-            plan = self.plans.get(event.plan) or api.Plan(event.plan)  # an unknown plan has no quota to keep
+            plan = self.plan_of(event.customer, event.plan)
             c = Customer(event.customer, plan, event.spread, now, self.since, self.settings)
+            c.named = event.plan
             self.customers[event.customer] = c
         self.fill(now, c)
         fade = math.exp((c.asked_at - now) / WANTS_MS)
         c.asked, c.asked_at = c.asked * fade + event.units, now
         return c
 
+    def plan_of(self, customer: str, named: str) -> api.Plan:
+        """Its own terms, else those of the plan that its requests name; an unknown one has no quota."""
+        return self.own.get(customer) or self.plans.get(named) or api.Plan(named)
+
     def tidy(self, now: float, out: api.Actions) -> None:
         """Forget idle customers, once what they have spent is told."""
         kept, self.tidied_at = {}, now
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from . import changes
 from . import interface as api
 from .attempts import RETRY_CALM, RETRY_SHARE, RETRY_STORE, Attempt, Attempts, Request
 from .guards import END_MS, NEVER_RAN
@@ -37,6 +38,7 @@
             api.CounterReplied: self.on_counted,
             api.BackendsChanged: self.on_list,
             api.LoopLagged: lambda _, event, __: self.own.lagged(event.lag),
+            api.PlanChanged: lambda now, event, _: changes.take_in(self.quotas, now, event),
             api.RequestLapsed: lambda _, event, __: self.attempts.requests.pop(event.request, None),
         }  # peers' messages and begun answers change no decision
 
--- a/setup.py
+++ b/setup.py
@@ -13,6 +13,7 @@
     "mintford/interface.py",
     "mintford/attempts.py",
     "mintford/ceilings.py",
+    "mintford/changes.py",
     "mintford/guards.py",
     "mintford/load.py",
     "mintford/quotas.py",
--- /dev/null
+++ b/tests/decisions/test_plan_changes.py
@@ -0,0 +1,182 @@
+"""Plans that change in service: what is let out beside an exact store that follows the stated rule."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import SAFE, Counter, World, entry
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_ceilings import Installation
+
+from mintford import interface as api
+from mintford.ceilings import Ceiling
+from mintford.rules import Gateway
+
+SMALL = api.Plan("basic", rate=2, burst=8, beyond_costs=1)
+LARGE = api.Plan("basic", rate=10, burst=40, beyond_costs=1)
+NONE = api.Plan("basic")
+PLANS = {"small": SMALL, "large": LARGE, "none": NONE}
+MANY = [entry(n) for n in range(60)]
+
+
+def served(world: World, counter: Counter, times: int, **given: object) -> int:
+    """How many of so many requests at once are sent on; each is answered at once."""
+    sent = 0
+    for _ in range(times):
+        for action in counter.play(world, world.ask(**given)):  # type: ignore[arg-type]
+            if isinstance(action, api.Send):
+                sent += 1
+                world.end(action)
+    return sent
+
+
+def alone(plan: api.Plan = SMALL) -> World:
+    return World(MANY, plans=(plan,), gateways=1, classes=(SAFE,))  # nothing is kept for others
+
+
+def store(gateway: Gateway) -> float:
+    return gateway.quotas.customers["c"].store
+
+
+def test_an_upgrade_holds_at_once_and_gives_no_second_burst() -> None:
+    world, counter = alone(), Counter()
+    assert served(world, counter, 20, spread=1) == 8
+    world.give(api.PlanChanged(LARGE))
+    assert served(world, counter, 60, spread=1) == 32  # 40, of which 8 are owed
+    world.pass_time(1_000.0)
+    assert served(world, counter, 60, spread=1) == 10
+
+
+def test_a_downgrade_below_what_is_owed_waits_until_time_has_paid() -> None:
+    world, counter = alone(LARGE), Counter()
+    assert served(world, counter, 20, spread=1) == 20
+    world.give(api.PlanChanged(SMALL))
+    assert served(world, counter, 20, spread=1) == 0  # 20 owed, 8 may be
+    world.pass_time(5_900.0)
+    assert served(world, counter, 20, spread=1) == 0
+    world.pass_time(1_200.0)
+    assert served(world, counter, 20, spread=1) == 2
+
+
+def test_terms_of_one_customer_change_nobody_elses_and_end_again() -> None:
+    world, counter = alone(), Counter()
+    served(world, counter, 1, spread=1)
+    served(world, counter, 1, spread=1, customer="other")
+    world.give(api.PlanChanged(LARGE, "c"))
+    world.give(api.PlanChanged(api.Plan("basic", rate=2, burst=4, beyond_costs=1)))
+    assert served(world, counter, 60, spread=1) == 39
+    assert served(world, counter, 60, spread=1, customer="other") == 3
+    world.give(api.PlanChanged(None, "c"))
+    assert store(world.gateway) == pytest.approx(4 - 40)
+    world.give(api.PlanChanged(LARGE, "new"))  # before its first request
+    assert served(world, counter, 60, spread=1, customer="new") == 40
+
+
+def test_what_was_charged_before_a_change_is_settled_after_it() -> None:
+    world, counter = World(MANY, plans=(SMALL,), gateways=1, most_units=4.0), Counter()
+    (send,) = (a for a in counter.play(world, world.ask(spread=1)) if isinstance(a, api.Send))
+    world.give(api.PlanChanged(LARGE))
+    world.give(api.AttemptEnded(send.request, 0, send.backend, api.Outcome.OK, 1.0, True, cost=4.0))
+    assert store(world.gateway) == pytest.approx(40 - 4)
+
+
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("plan"), st.sampled_from(sorted(PLANS))),
+        st.tuples(st.just("ask"), st.integers(1, 30)),
+        st.tuples(st.just("wait"), st.integers(10, 4_000)),
+    ),
+    max_size=30,
+)
+
+
+@given(steps=STEPS)
+@settings(max_examples=150, deadline=None)
+def test_one_gateway_lets_out_what_an_exact_store_of_debts_does(steps: list[tuple[str, object]]) -> None:
+    """Whatever the order: all that the rule gives and no unit more, a free plan's use apart."""
+    world, counter, plan, owed = alone(), Counter(), SMALL, 0.0
+    for what, given_ in steps:
+        if what == "plan":
+            plan = PLANS[str(given_)]
+            world.give(api.PlanChanged(plan))
+        elif what == "wait":
+            world.pass_time(float(str(given_)))
+            owed = max(0.0, owed - plan.rate * float(str(given_)) / 1000)
+        else:
+            sent = served(world, counter, int(str(given_)), spread=1)
+            if not plan.rate:
+                assert sent == given_
+                continue
+            right = max(0, min(int(str(given_)), int(plan.burst - owed + 1e-6)))
+            assert sent == right, (sent, right, owed)
+            owed += sent
+
+
+CAPPED = {
+    "narrow": api.Plan("firm", rate=4, burst=20_000, beyond_costs=1, ceiling_rate=10, ceiling_burst=40),
+    "wide": api.Plan("firm", rate=4, burst=20_000, beyond_costs=1, ceiling_rate=25, ceiling_burst=120),
+}
+TIMES = st.lists(
+    st.tuples(st.sampled_from(sorted(CAPPED)), st.integers(0, 1_500), st.integers(0, 1_000)), max_size=8
+)
+
+
+@given(changes=TIMES, size=st.integers(1, 3), seed=st.integers(0, 5))
+@settings(max_examples=60, deadline=None)
+def test_floods_never_overdraw_a_ceiling_that_changes_at_each_gateway_in_its_own_time(
+    changes: list[tuple[str, int, int]], size: int, seed: int
+) -> None:
+    """The gateways hear up to a second apart. The exact store has the larger terms meanwhile."""
+    world, rate = Installation(size, seed), 10.0
+    most = 40.0
+
+    def flood(ms: float) -> None:
+        """Below nothing only by what was owed when the ceiling came down; nothing goes out meanwhile."""
+        least = min(0.0, world.level) - 1e-6
+        for _ in range(int(ms // 100) + 1):
+            for n in range(size):
+                for _ in range(4):
+                    world.ask(n, 2.0)
+            for n, each in enumerate(world.worlds):
+                world.play(n, each.pass_time(100.0))
+            assert world.level >= least, (world.level, least)
+            world.level = min(most, world.level + rate * 0.1)
+
+    flood(500.0)
+    for name, apart, then in changes:
+        plan, before = CAPPED[name], most
+        world.level += max(0.0, plan.ceiling_burst - most)
+        most, rate = max(most, plan.ceiling_burst), max(rate, plan.ceiling_rate)
+        for n in range(size):
+            world.worlds[n].give(api.PlanChanged(plan))
+            if n < size - 1:
+                flood(apart / size)
+        world.level -= max(0.0, before - plan.ceiling_burst)
+        most, rate = plan.ceiling_burst, plan.ceiling_rate
+        flood(then)
+
+
+def test_a_ceiling_that_comes_to_a_plan_without_one_begins_with_nothing() -> None:
+    free = api.Plan("firm", rate=4, burst=20_000, beyond_costs=1)
+    world = World(MANY, plans=(free,), gateways=1, classes=(SAFE,))
+    assert served(world, Counter(), 30, plan="firm", spread=1) == 30
+    world.give(api.PlanChanged(CAPPED["narrow"]))
+    assert served(world, Counter(), 30, plan="firm", spread=1) == 0
+    world.pass_time(1_000.0)
+    assert served(world, Counter(), 30, plan="firm", spread=1) == 10
+
+
+def test_what_is_owed_to_a_ceiling_is_owed_to_the_next_in_each_of_its_parts() -> None:
+    old, wide = Ceiling(CAPPED["narrow"], 0.5, True, 100.0), Ceiling(CAPPED["wide"], 0.5, True, 0.0)
+    old.fill(0.0)
+    old.met(0.0, 0.0, 0.0)
+    old.take(3.0, False)
+    old.own -= old.own  # the rest of its own part, so that the next comes from the shared one
+    old.take(2.0, True)
+    wide.inherit(old)
+    assert wide.own_burst - wide.own == pytest.approx(old.own_burst - old.own)
+    assert wide.pool_burst - wide.unused == pytest.approx(2.0)
+    assert wide.pool_burst - wide.pool == pytest.approx(old.pool_burst - old.pool) == 2.0
+    back = Ceiling(CAPPED["narrow"], 0.5, True, 0.0)
+    back.inherit(wide)
+    assert (back.own, back.pool, back.unused) == pytest.approx((old.own, old.pool, old.unused))
