roadpulley plan: versioned plans that reach gateways in service

Firms upgrade in the middle of a window and expect it to hold at once. Plans are rows of versions with a time from which they hold; customers are assigned plans and may have single terms overridden, until a time. The book stands on the store; a feed, replaced whole, holds all that holds or will, and each gateway goes by it with its own clock.

Found by its test: a second process could write over a version that the first had made.

--- a/roadpulley/cli/__init__.py
+++ b/roadpulley/cli/__init__.py
@@ -6,9 +6,9 @@
 import sys
 from collections.abc import Sequence
 
-from . import check, dev, serve, store
+from . import check, dev, plan, serve, store
 
-COMMANDS = (dev, serve, check, store)
+COMMANDS = (dev, serve, check, store, plan)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- /dev/null
+++ b/roadpulley/cli/plan.py
@@ -0,0 +1,241 @@
+"""`roadpulley plan COMMAND`: the book of plans. A change holds on all gateways within a second."""
+
+from __future__ import annotations
+
+import argparse
+import re
+import sys
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from datetime import UTC, datetime
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from roadpulley.checks import Bad, Table
+
+if TYPE_CHECKING:
+    from roadpulley.plans.book import Version
+    from roadpulley.plans.shelf import Shelf
+
+SPAN = re.compile(r"\+(\d{1,9})(ms|s|m|h|d)")
+UNIT_MS = {"ms": 1, "s": 1_000, "m": 60_000, "h": 3_600_000, "d": 86_400_000}
+TERMS = ("rate", "burst", "open-limit", "ceiling-rate", "ceiling-burst", "price", "spread")
+
+
+def add(commands: Any) -> None:
+    plan: argparse.ArgumentParser = commands.add_parser(
+        "plan", help="plans and who has them, changed in service", description=__doc__
+    )
+    plan.add_argument("--settings", type=Path, default=Path("deploy/plans.toml"), metavar="FILE")
+    parts = plan.add_subparsers(title="commands", metavar="COMMAND", required=True)
+    for name, (act, words, arguments) in ACTS.items():
+        part = parts.add_parser(name, help=words, description=words)
+        for argument in arguments.split():
+            part.add_argument(argument)
+        if name in ("set", "schedule", "override"):
+            for term in TERMS:
+                part.add_argument(f"--{term}", metavar="N")
+        if name in ("set", "schedule", "assign", "override", "cancel"):
+            part.add_argument("--expect", type=int, metavar="N", help="only if that is its last version")
+            part.add_argument("--note", default="", help="kept with the version")
+        if name in ("schedule", "assign", "override"):
+            part.add_argument("--from", dest="at", required=name == "schedule", metavar="TIME")
+        if name == "override":
+            part.add_argument("--until", metavar="TIME")
+        part.set_defaults(run=run, act=act)
+
+
+def run(args: argparse.Namespace) -> int:
+    """0: done; 1: somebody else was first; 2: it could not be done."""
+    try:
+        from roadpulley.plans.book import Stale
+        from roadpulley.store import StoreError
+    except ImportError as error:
+        print(f"roadpulley plan: {error.name} is missing: install roadpulley[store]", file=sys.stderr)
+        return 2
+    try:
+        with opened(args.settings) as shelf:
+            act: Callable[[Shelf, argparse.Namespace], None] = args.act
+            act(shelf, args)
+    except Stale as error:
+        print(f"roadpulley plan: {error}", file=sys.stderr)
+        return 1
+    except (Bad, StoreError, OSError) as error:
+        print(f"roadpulley plan: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+@contextmanager
+def opened(settings: Path) -> Iterator[Shelf]:
+    from roadpulley.plans.settings import read_settings
+    from roadpulley.plans.shelf import Shelf
+    from roadpulley.store import Store
+
+    found = read_settings(settings)
+    found.store.parent.mkdir(parents=True, exist_ok=True)
+    with Store.open(found.store) as store:
+        shelf = Shelf(store, found.feed, now)
+        if shelf.mend():
+            print(f"{found.feed} was behind the book, and is written anew", file=sys.stderr)
+        yield shelf
+
+
+def now() -> int:
+    return int(time.time() * 1000)
+
+
+def moment(text: str | None, path: str) -> int | None:
+    """A time in milliseconds from ISO 8601 with its zone, or from now on as `+90s`, `+2h`. Raises Bad."""
+    if text is None:
+        return None
+    if span := SPAN.fullmatch(text):
+        return now() + int(span[1]) * UNIT_MS[span[2]]
+    try:
+        at = datetime.fromisoformat(text)
+    except ValueError:
+        at = None
+    if at is None or at.tzinfo is None:
+        right = "give a time with its zone, as 2027-01-01T00:00:00+00:00, or one from now on, as +2h"
+        raise Bad(path, f"is {text!r}", right)
+    return int(at.timestamp() * 1000)
+
+
+def shown(at: int) -> str:
+    return datetime.fromtimestamp(at / 1000, UTC).isoformat(timespec="milliseconds")
+
+
+def given(args: argparse.Namespace) -> dict[str, Any]:
+    """The terms that were named, as numbers. Raises Bad."""
+    found: dict[str, Any] = {}
+    for option in TERMS:
+        name = option.replace("-", "_")
+        text = getattr(args, name)
+        if text is None:
+            continue
+        if name == "price":
+            found[name] = text
+            continue
+        try:
+            found[name] = int(text) if name in ("open_limit", "spread") else float(text)
+        except ValueError as error:
+            raise Bad(f"--{option}", f"is {text!r}", "give a number") from error
+    return found
+
+
+# ---- commands ----
+
+
+def set_terms(shelf: Shelf, args: argparse.Namespace) -> None:
+    from roadpulley.plans.terms import plan_name, read_terms
+
+    name = plan_name(args.plan)
+    at = moment(getattr(args, "at", None), "--from")
+    before = shelf.book.version_at(name, at or now())
+    terms = read_terms(Table(given(args), f"plan {name}"), before.terms if before else None)
+    say(shelf.write(shelf.book.schedule(now(), name, terms, at, args.expect, args.note)))
+
+
+def assign(shelf: Shelf, args: argparse.Namespace) -> None:
+    from roadpulley.plans.terms import customer_id, plan_name
+
+    customer, plan = customer_id(args.customer), "" if args.plan == "none" else plan_name(args.plan)
+    at = moment(args.at, "--from")
+    say(shelf.write(shelf.book.assign(now(), customer, plan, at, args.expect, args.note)))
+
+
+def override(shelf: Shelf, args: argparse.Namespace) -> None:
+    from roadpulley.plans.records import read_changes
+    from roadpulley.plans.terms import customer_id
+
+    customer = customer_id(args.customer)
+    changes = read_changes(Table(given(args), f"customer {customer}"))
+    at, until = moment(args.at, "--from"), moment(args.until, "--until") or 0
+    say(shelf.write(shelf.book.override(now(), customer, changes, at, until, args.expect, args.note)))
+
+
+def cancel(shelf: Shelf, args: argparse.Namespace) -> None:
+    number = int(args.number) if args.number.isdecimal() else 0
+    rows, subject = of(shelf, args.name)
+    say(shelf.write(shelf.book.call_off(now(), shelf.book.find(rows, number, subject))))
+
+
+def of(shelf: Shelf, name: str) -> tuple[Any, str]:
+    if name in shelf.book.plans:
+        return shelf.book.plans[name], f"plan {name}"
+    if name in shelf.book.customers:
+        return shelf.book.customers[name], f"customer {name}"
+    known = ", ".join(sorted(shelf.book.plans)) or "none yet"
+    raise Bad(name, "is no plan and no customer of the book", f"the plans are: {known}")
+
+
+def listed(shelf: Shelf, args: argparse.Namespace) -> None:
+    at = now()
+    for name in sorted(shelf.book.plans):
+        version = shelf.book.version_at(name, at)
+        print(f"{name:<20} {in_words(version) if version else 'does not hold yet'}")
+    print(f"{len(shelf.book.customers)} customers with a plan of their own")
+
+
+def show(shelf: Shelf, args: argparse.Namespace) -> None:
+    rows, _ = of(shelf, args.name)
+    if rows is shelf.book.customers.get(args.name):
+        held = shelf.book.holding(args.name, "", now())
+        terms = (
+            " ".join(f"{k}={v}" for k, v in vars(held.terms).items())
+            if held.terms
+            else "as its requests name"
+        )
+        print(f"{args.name}  {held.plan or 'no plan assigned'} version {held.version}, "
+              f"override {held.override or 'none'}: {terms}")  # fmt: skip
+        return
+    version = shelf.book.version_at(args.name, now())
+    print(in_words(version) if version else "does not hold yet")
+
+
+def history(shelf: Shelf, args: argparse.Namespace) -> None:
+    for version in of(shelf, args.name)[0]:
+        print(in_words(version))
+
+
+def publish(shelf: Shelf, args: argparse.Namespace) -> None:
+    doc = shelf.publish()
+    print(f"{shelf.feed_file}: {len(doc.plans)} plans and {len(doc.customers)} customers at {doc.seq}")
+
+
+def say(version: Version) -> None:
+    print(f"{version.subject}: {in_words(version)}")
+
+
+def in_words(version: Version) -> str:
+    from roadpulley.plans.book import PlanVersion
+
+    words = f"version {version.number} from {shown(version.holds_from)}"
+    if isinstance(version, PlanVersion):
+        words += ": " + " ".join(f"{k}={v}" for k, v in vars(version.terms).items())
+    elif version.assigns is not None:
+        words += f": plan {version.assigns or 'that its requests name'}"
+    else:
+        words += f" until {shown(version.until)}" if version.until else ""
+        words += ": " + (" ".join(f"{k}={v}" for k, v in version.changes) or "nothing is overridden")
+    if version.called_off:
+        words += f" (called off at {shown(version.called_off)})"
+    return words + (f"  # {version.note}" if version.note else "")
+
+
+ACTS: dict[str, tuple[Callable[[Shelf, argparse.Namespace], None], str, str]] = {
+    "list": (listed, "all plans as they hold now", ""),
+    "show": (show, "what holds now for a plan or a customer", "name"),
+    "set": (set_terms, "new terms of a plan from now on; what is not named stays", "plan"),
+    "schedule": (set_terms, "new terms of a plan from a time on", "plan"),
+    "assign": (
+        assign,
+        "another plan for a customer; `none`: the one that its requests name",
+        "customer plan",
+    ),
+    "override": (override, "single terms of one customer's own; with none named they end", "customer"),
+    "cancel": (cancel, "call off a version that has not begun", "name number"),
+    "history": (history, "all versions of a plan or a customer", "name"),
+    "publish": (publish, "write the feed anew", ""),
+}
--- a/roadpulley/cli/serve.py
+++ b/roadpulley/cli/serve.py
@@ -24,6 +24,9 @@
     )
     parser.add_argument("--config", metavar="FILE", help="as LB_CONFIG; the default is what that names")
     parser.add_argument("--workers", metavar="N or FILE", default="1", help="read again on SIGHUP if a file")
+    parser.add_argument(
+        "--plans", metavar="FILE", help="follow the feed of plans that deploy/plans.toml names"
+    )
     parser.set_defaults(run=run)
 
 
@@ -63,6 +66,11 @@
             raise Bad("--config", "is missing, and LB_CONFIG is not set", "name the gateway's configuration")
         gateway(parsed(Path(path)))
         workers(args.workers)
+        if args.plans:
+            from roadpulley.plans.settings import read_settings
+
+            read_settings(Path(args.plans))
+            os.environ["ROADPULLEY_PLANS"] = str(Path(args.plans).resolve())  # for the workers
         uvloop.run(supervise())
     except Bad as error:
         print(f"roadpulley serve: {error}", file=sys.stderr)
--- a/roadpulley/plans/book.py
+++ b/roadpulley/plans/book.py
@@ -150,6 +150,9 @@
         start = begins(now, at)
         if until and until <= start:
             raise Bad("until", f"is {until}, and it begins at {start}", "give a later time, or none")
+        if changes and not self.holding(customer, "", start).terms:
+            right = "assign one first, so that it is known what is overridden"
+            raise Bad(f"customer {customer}", "has no plan assigned at that time", right)
         for name in changes:
             if name not in FIELDS:
                 raise Bad(f"override.{name}", "is no term", f"the terms are {', '.join(FIELDS)}")
--- /dev/null
+++ b/roadpulley/plans/feed.py
@@ -0,0 +1,150 @@
+"""The feed: what gateways follow. Everything that holds now or is known to hold later, in one document.
+
+    {"format": 1, "seq": 7, "made_at": 1796135433513,
+     "plans":     {"basic": [[from, version, {terms}], ...]},
+     "customers": {"00000000b4d65521": [[from, plan, version, override, {terms} or null], ...]}}
+
+Each list is in the order of time and its first entry holds already; a gateway goes from one entry to the next
+by its own clock, so that a change holds everywhere at its time without a message. `null`: the customer has
+the plan that its requests name, as the deployment's settings or `plans` have it.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any
+
+from roadpulley.checks import Bad, Table, shown
+
+from .book import Book
+from .terms import Terms, customer_id, plan_name, read_terms, written
+
+FORMAT = 1
+MOST_BYTES = 64 * 2**20  # of a document: some 300,000 customers with terms of their own
+MOST_TIME = 2**53
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """What holds from a time on. `terms` None, of a customer: those of the plan that its requests name."""
+
+    holds_from: int
+    plan: str
+    version: int
+    override: int
+    terms: Terms | None
+
+
+@dataclass(frozen=True)
+class Document:
+    seq: int
+    made_at: int
+    plans: dict[str, tuple[Entry, ...]]
+    customers: dict[str, tuple[Entry, ...]]
+
+
+# ---- written ----
+
+
+def document(book: Book, now: int, seq: int) -> Document:
+    plans = {}
+    for name, rows in book.plans.items():
+        times = [now, *sorted({v.holds_from for v in rows if v.holds_from > now and not v.called_off})]
+        if entries := timeline(times, lambda at, name=name: of_plan(book, name, at)):
+            plans[name] = entries
+    customers = {}
+    for customer in book.customers:
+        edges = book.edges(customer, 0)
+        times = [max((t for t in edges if t <= now), default=0), *(t for t in edges if t > now)]
+        entries = timeline(times, lambda at, customer=customer: of_customer(book, customer, at))
+        if any(e.terms is not None for e in entries):
+            customers[customer] = entries
+    return Document(seq, now, plans, customers)
+
+
+def timeline(times: list[int], entry: Any) -> tuple[Entry, ...]:
+    """Entries at these times, without those that change nothing."""
+    out: list[Entry] = []
+    for at in times:
+        got: Entry | None = entry(at)
+        same = out and got is not None and (out[-1].plan, out[-1].terms) == (got.plan, got.terms)
+        if got is not None and not (same and out[-1].version == got.version):
+            out.append(got)
+    return tuple(out)
+
+
+def of_plan(book: Book, name: str, at: int) -> Entry | None:
+    version = book.version_at(name, at)
+    return Entry(max(version.holds_from, 0), name, version.number, 0, version.terms) if version else None
+
+
+def of_customer(book: Book, customer: str, at: int) -> Entry:
+    """Its own terms, where it has an assignment or an override of a plan that the book knows."""
+    assigned = book.holding(customer, "", at)
+    return Entry(at, assigned.plan, assigned.version, assigned.override, assigned.terms)
+
+
+def dump(doc: Document) -> bytes:
+    def entry(e: Entry) -> list[Any]:
+        return [e.holds_from, e.plan, e.version, e.override, written(e.terms) if e.terms else None]
+
+    raw = {
+        "format": FORMAT,
+        "seq": doc.seq,
+        "made_at": doc.made_at,
+        "plans": {name: [entry(e) for e in rows] for name, rows in sorted(doc.plans.items())},
+        "customers": {name: [entry(e) for e in rows] for name, rows in sorted(doc.customers.items())},
+    }
+    return json.dumps(raw, separators=(",", ":")).encode()
+
+
+# ---- read ----
+
+
+def load(data: bytes) -> Document:
+    """Raises Bad with the place; nothing of a document that is not whole may be used."""
+    if len(data) > MOST_BYTES:
+        raise Bad("", f"has {len(data):,} bytes", f"give a feed of at most {MOST_BYTES:,}")
+    try:
+        raw = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise Bad("", "is no JSON", "publish the feed again") from error
+    table = Table(raw)
+    if table.whole("format") != FORMAT:
+        raise Bad("format", f"is {shown(raw['format'])}", f"this program reads format {FORMAT}")
+    seq, made = table.whole("seq", most=MOST_TIME), table.whole("made_at", most=MOST_TIME)
+    plans, customers = table.table("plans"), table.table("customers")
+    table.done()
+    return Document(
+        seq,
+        made,
+        {plan_name(name, plans.at(name)): rows(plans, name, False) for name in plans.raw},
+        {customer_id(name, customers.at(name)): rows(customers, name, True) for name in customers.raw},
+    )
+
+
+def rows(table: Table, name: str, may_lack: bool) -> tuple[Entry, ...]:
+    path, value = table.at(name), table.raw[name]
+    if not isinstance(value, list) or not value:
+        raise Bad(path, f"is {shown(value)}", "give a list of entries")
+    out: list[Entry] = []
+    for number, each in enumerate(value):
+        at = f"{path}[{number}]"
+        if not isinstance(each, list) or len(each) != 5:
+            raise Bad(at, f"is {shown(each)}", "give [from, plan, version, override, terms]")
+        table = Table(dict(zip(("from", "plan", "version", "override", "terms"), each, strict=True)), at)
+        start, plan = table.whole("from", most=MOST_TIME), table.text("plan", "")
+        if out and start <= out[-1].holds_from:
+            raise Bad(f"{at}.from", f"is {start}", "give entries in the order of time")
+        if each[4] is None and not may_lack:
+            raise Bad(f"{at}.terms", "is missing", "give the plan's terms")
+        terms = None if each[4] is None else read_own(table.table("terms"))
+        out.append(Entry(start, plan, table.whole("version"), table.whole("override"), terms))
+    return tuple(out)
+
+
+def read_own(table: Table) -> Terms:
+    terms = read_terms(table, whole=True)
+    table.done()
+    return terms
--- /dev/null
+++ b/roadpulley/plans/records.py
@@ -0,0 +1,92 @@
+"""Versions as they are stored: one JSON object under one key, read strictly.
+
+plan/NAME/NUMBER          customer/ID/NUMBER          numbers of eight digits, so that keys sort by them
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from roadpulley.checks import Bad, Table
+
+from .book import CustomerVersion, PlanVersion, Version
+from .terms import FIELDS, Terms, customer_id, plan_name, read_terms, written
+
+MOST_TIME = 2**53
+PREFIXES = (b"plan/", b"customer/")
+NOTE = 200  # characters of a note
+
+
+def key(version: Version) -> bytes:
+    if isinstance(version, PlanVersion):
+        return b"plan/%b/%08d" % (version.plan.encode(), version.number)
+    return b"customer/%b/%08d" % (version.customer.encode(), version.number)
+
+
+def dump(version: Version) -> bytes:
+    raw: dict[str, Any] = {
+        "from": version.holds_from,
+        "made_at": version.made_at,
+        "note": version.note,
+        "called_off": version.called_off,
+    }
+    if isinstance(version, PlanVersion):
+        raw["terms"] = written(version.terms)
+    elif version.assigns is not None:
+        raw["assigns"] = version.assigns
+    else:
+        raw["until"], raw["changes"] = version.until, dict(version.changes)
+    return json.dumps(raw, separators=(",", ":"), sort_keys=True).encode()
+
+
+def load(at: bytes, value: bytes) -> Version:
+    """Raises Bad with the key for what is no such record."""
+    path = at.decode(errors="backslashreplace")
+    parts = path.split("/")
+    if len(parts) != 3 or parts[0] not in ("plan", "customer") or not parts[2].isdecimal():
+        raise Bad(path, "is no key of a version", "look at the store with `roadpulley store dump`")
+    kind, name, number = parts[0], parts[1], int(parts[2])
+    try:
+        table = Table(json.loads(value), path)
+    except (ValueError, RecursionError) as error:
+        raise Bad(path, "is no JSON", "look at the store with `roadpulley store verify`") from error
+    start, made = table.whole("from", most=MOST_TIME), table.whole("made_at", most=MOST_TIME)
+    note, off = table.text("note", ""), table.whole("called_off", 0, most=MOST_TIME)
+    version: Version
+    if kind == "plan":
+        terms = read_terms(table.table("terms"), whole=True)
+        version = PlanVersion(plan_name(name, path), number, start, terms, made, note, off)
+    elif table.has("assigns"):
+        plan = table.text("assigns", "")
+        if plan:
+            plan_name(plan, table.at("assigns"))
+        version = CustomerVersion(customer_id(name, path), number, start, 0, made, plan, (), note, off)
+    else:
+        until, changes = table.whole("until", 0, most=MOST_TIME), read_changes(table.table("changes"))
+        listed = tuple(sorted(changes.items()))
+        version = CustomerVersion(
+            customer_id(name, path), number, start, until, made, None, listed, note, off
+        )
+    table.done()
+    return version
+
+
+def read_changes(table: Table) -> dict[str, float | int | str]:
+    """Single terms that an override names, each in its range. Raises Bad."""
+    # Read alone, rate and burst of an override need not fit each other: the plan's own stand beside them.
+    named = {name: table.raw[name] for name in FIELDS if table.has(name)}
+    for name in table.raw:
+        if name not in FIELDS:
+            raise Bad(table.at(name), "is no term", f"the terms are {', '.join(FIELDS)}")
+    found: dict[str, float | int | str] = {}
+    for name, value in named.items():
+        fits = {"rate": {"burst": 1e9}, "burst": {"rate": 1e-9}}.get(name, {})
+        fits |= {"ceiling_rate": {"ceiling_burst": 1.0}, "ceiling_burst": {"ceiling_rate": 1.0}}.get(name, {})
+        fits = fits if value else {}
+        found[name] = getattr(read_terms(Table({name: value, **fits}, table.path)), name)
+    return found
+
+
+def same(one: Terms, other: Terms) -> bool:
+    return written(one) == written(other)
--- /dev/null
+++ b/roadpulley/plans/shelf.py
@@ -0,0 +1,67 @@
+"""The book on disk: versions in the project's store, and the feed beside it."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+from roadpulley.checks import Bad
+from roadpulley.store import Conflict, Store
+
+from . import feed, records
+from .book import Book, Stale, Version
+
+
+class Shelf:
+    """One process at a time has it (`roadpulley.store.Locked`). A version that was given back is on disk."""
+
+    def __init__(self, store: Store, feed_file: Path, now: Callable[[], int]) -> None:
+        self.store, self.feed_file, self.now, self.book = store, feed_file, now, Book()
+        for prefix in records.PREFIXES:
+            for record in store.scan(prefix):
+                self.book.take(records.load(record.key, record.value))
+
+    def write(self, version: Version) -> Version:
+        """To the store, to the book, to the gateways, in that order. Raises Stale, StoreError, OSError."""
+        at = records.key(version)
+        expect = 0  # Danger: a version that another process made would be written over
+        if version.called_off:
+            known = self.store.entry(at)
+            if known is None or known.value != records.dump(replace(version, called_off=0)):
+                raise Stale(version.subject, version.number)
+            expect = known.version
+        try:
+            self.store.put(at, records.dump(version), expect=expect)
+        except Conflict as error:
+            raise Stale(version.subject, version.number) from error
+        self.book.take(version)
+        self.publish()
+        return version
+
+    def publish(self) -> feed.Document:
+        """Replace the feed whole.
+
+        Danger: a gateway that met half a document would drop the terms of the rest; a rename shows it the old
+        one or the new. It comes after the store is synced: what gateways go by is never lost with the disk.
+        """
+        doc = feed.document(self.book, self.now(), self.store.version)
+        data = feed.dump(doc)
+        part = self.feed_file.with_name(self.feed_file.name + ".part")
+        with part.open("wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        part.replace(self.feed_file)
+        return doc
+
+    def mend(self) -> bool:
+        """Publish where the feed is behind the store: a crash came between the two. Gives whether it was."""
+        try:
+            behind = feed.load(self.feed_file.read_bytes()).seq < self.store.version
+        except (OSError, Bad):
+            behind = True
+        if behind:
+            self.publish()
+        return behind
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -60,6 +60,19 @@
                 self.say(f"beat {self.driver.oldest_ms():.0f}")
 
 
+def follow(settings: str, driver: Driver) -> None:
+    """Go by the feed of plans from now on. Raises ConfigError."""
+    from roadpulley.checks import Bad
+    from roadpulley.plans.settings import read_settings
+    from roadpulley.plans.watch import Watch
+
+    try:
+        found = read_settings(Path(settings))
+    except Bad as error:
+        raise ConfigError(str(error)) from error
+    Watch(found.feed, found.look_ms, driver, driver.timers).look()
+
+
 async def run() -> None:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
@@ -70,6 +83,8 @@
 
     def attach(driver: Driver) -> None:
         heart.driver = driver
+        if plans := os.environ.get("ROADPULLEY_PLANS"):
+            follow(plans, driver)
 
     config = load()
     listener = socket.socket(fileno=int(os.environ["ROADPULLEY_LISTEN_FD"]))
--- /dev/null
+++ b/tests/plans/test_in_service.py
@@ -0,0 +1,116 @@
+"""A change on disk reaches a gateway on sockets; crashes between the store and the feed are mended."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from pathlib import Path
+
+import pytest
+from loopback import Backend, World, in_loop, running, until
+
+from roadpulley.cli import main
+from roadpulley.core.driver import Driver
+from roadpulley.plans.book import Stale
+from roadpulley.plans.feed import load
+from roadpulley.plans.shelf import Shelf
+from roadpulley.plans.terms import Terms
+from roadpulley.plans.watch import Watch
+from roadpulley.store import Store
+
+SETTINGS = 'store = "book"\nfeed = "feed.json"\nlook_ms = 10\n'
+
+
+def plan(folder: Path, *words: str) -> int:
+    return main(["plan", "--settings", str(folder / "plans.toml"), *words])
+
+
+async def through(world: World, times: int, first: int) -> int:
+    """How many of so many requests, one after the other, are served."""
+    peer, served = await world.client(), 0
+    for number in range(first, first + times):
+        served += await world.ask(peer, id=b"%016x" % number, plan=b"basic") == b"value"
+    return served
+
+
+def test_an_upgrade_by_command_reaches_a_gateway_that_serves(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    caplog.set_level(logging.INFO)
+    (tmp_path / "plans.toml").write_text(SETTINGS)
+
+    async def scenario() -> None:
+        seen: list[Driver] = []
+        monkeypatch.setattr(Driver, "watch_lag", lambda self: seen.append(self))
+        async with running(World(Backend())) as world:
+            watch = Watch(tmp_path / "feed.json", 10.0, seen[0], seen[0].timers)
+            watch.look()
+            assert "plans stay as they are" in caplog.text  # no feed yet, told once
+            assert await through(world, 40, 0) == 2  # the deployment's own plan
+            loop = asyncio.get_running_loop()
+            assert (
+                await loop.run_in_executor(None, plan, tmp_path, "set", "basic", "--rate=1", "--burst=30")
+                == 0
+            )
+            await until(lambda: watch.follower.doc.seq)
+            assert 28 <= await through(world, 40, 100) <= 30  # 30, of which 2 are owed, and what time gives
+            (tmp_path / "feed.json").write_bytes(b'{"format": 1')
+            await until(lambda: "is no JSON" in caplog.text)
+            customer = "00000000b4d65521"
+            words = ("assign", customer, "basic"), ("override", customer, "--burst=50", "--from=+300ms")
+            for each in words:
+                assert await loop.run_in_executor(None, plan, tmp_path, *each) == 0
+            await until(lambda: seen[0].gateway.quotas.own.get(customer, None) is not None)
+            await until(
+                lambda: seen[0].gateway.quotas.own[customer].burst == 50
+            )  # by the gateway's own clock
+            assert 20 <= await through(world, 40, 200) <= 25
+            watch.close()
+
+    in_loop(scenario)
+
+
+def test_a_crash_between_store_and_feed_is_mended_and_the_second_of_two_is_told(tmp_path: Path) -> None:
+    file = tmp_path / "feed.json"
+    with Store.open(tmp_path / "book") as store:
+        shelf = Shelf(store, file, lambda: 5_000)
+        version = shelf.book.schedule(5_000, "basic", Terms(rate=1, burst=4))
+        shelf.publish = lambda: 1 / 0  # type: ignore[method-assign, assignment, return-value]
+        with pytest.raises(ZeroDivisionError):
+            shelf.write(version)
+    with Store.open(tmp_path / "book") as store:
+        shelf = Shelf(store, file, lambda: 6_000)
+        assert shelf.book.plans == {"basic": [version]}  # acknowledged by the store
+        assert shelf.mend() and not shelf.mend()
+        assert load(file.read_bytes()).plans["basic"][0].terms == version.terms
+        other = Shelf(store, file, lambda: 6_000)
+        shelf.write(shelf.book.schedule(6_000, "basic", Terms(rate=2, burst=4)))
+        with pytest.raises(Stale):
+            other.write(other.book.schedule(6_000, "basic", Terms(rate=3, burst=4)))
+
+
+@pytest.mark.parametrize(
+    ("words", "said"),
+    [
+        (("set", "Basic", "--rate=1", "--burst=2"), "plan: is 'Basic'; give 1 to 48 of"),
+        (("set", "basic", "--rate=1"), "plan basic: rate is 1 and burst 0; give both"),
+        (("set", "basic", "--rate=x"), "--rate: is 'x'; give a number"),
+        (("set", "basic", "--price=1e3"), "price: is '1e3'; give decimal digits"),
+        (("schedule", "basic", "--from=tomorrow"), "--from: is 'tomorrow'; give a time with its zone"),
+        (("override", "b4d65521", "--rate=1"), "customer: is 'b4d65521'; give 16 hexadecimal digits"),
+        (("history", "firm"), "firm: is no plan and no customer of the book; the plans are: none yet"),
+    ],
+)
+def test_bad_words_change_nothing_and_name_the_place(
+    words: tuple[str, ...], said: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    (tmp_path / "plans.toml").write_text(SETTINGS)
+    assert plan(tmp_path, *words) == 2
+    assert said in capsys.readouterr().err
+    assert load((tmp_path / "feed.json").read_bytes()).seq == 0
+
+
+def test_bad_settings_name_the_file_and_the_key(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    (tmp_path / "plans.toml").write_text(SETTINGS + "looks = 3\n")
+    assert plan(tmp_path, "list") == 2
+    assert "plans.toml: looks: is no key here; did you mean look_ms?" in capsys.readouterr().err
