Counted use: what was sent on reaches the books once and only once

Billing needs use by customer, plan version, class and hour, and a crash must neither lose nor repeat it. A gateway tallies tries as they are sent on, with their settled corrections; a thread writes batches to a spool, each with an identity for ever; the books take a batch's sums and its number in one write of the store. Closed hours get adjustments.

--- a/roadpulley/cli/__init__.py
+++ b/roadpulley/cli/__init__.py
@@ -6,9 +6,9 @@
 import sys
 from collections.abc import Sequence
 
-from . import check, dev, plan, reserve, serve, store
+from . import check, dev, plan, reserve, serve, store, usage
 
-COMMANDS = (dev, serve, check, store, plan, reserve)
+COMMANDS = (dev, serve, check, store, plan, reserve, usage)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
--- a/roadpulley/cli/plan.py
+++ b/roadpulley/cli/plan.py
@@ -36,7 +36,7 @@
         if name in ("set", "schedule", "override"):
             for term in TERMS:
                 part.add_argument(f"--{term}", metavar="N")
-        if name in ("set", "schedule", "assign", "override", "cancel"):
+        if name in ("set", "schedule", "assign", "override"):
             part.add_argument("--expect", type=int, metavar="N", help="only if that is its last version")
             part.add_argument("--note", default="", help="kept with the version")
         if name in ("schedule", "assign", "override"):
--- a/roadpulley/cli/serve.py
+++ b/roadpulley/cli/serve.py
@@ -27,6 +27,9 @@
     parser.add_argument(
         "--plans", metavar="FILE", help="follow the feed of plans that deploy/plans.toml names"
     )
+    parser.add_argument(
+        "--usage", metavar="FILE", help="count use into the spool that deploy/usage.toml names"
+    )
     parser.set_defaults(run=run)
 
 
@@ -71,6 +74,11 @@
 
             read_settings(Path(args.plans))
             os.environ["ROADPULLEY_PLANS"] = str(Path(args.plans).resolve())  # for the workers
+        if args.usage:
+            from roadpulley.usage.settings import read_settings as read_usage
+
+            read_usage(Path(args.usage))
+            os.environ["ROADPULLEY_USAGE"] = str(Path(args.usage).resolve())
         uvloop.run(supervise())
     except Bad as error:
         print(f"roadpulley serve: {error}", file=sys.stderr)
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -7,7 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 from mintford import Gateway
 from mintford import interface as api
@@ -32,10 +32,20 @@
     return b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n"
 
 
+class Meter(Protocol):
+    """Counts use. A request is one try of its client, however often it is attempted."""
+
+    def sent(self, command: Command) -> Any:
+        """It is sent on for the first time; gives what its settlement is told with, or None."""
+
+    def settled(self, counted: Any, command: Command, true: float) -> None:
+        """Its answer told its true units."""
+
+
 class Request:
     """One request that is owed a final answer."""
 
-    __slots__ = ("came_at", "command", "expires", "live", "made", "slot", "timer")
+    __slots__ = ("came_at", "command", "counted", "expires", "live", "made", "slot", "timer")
 
     def __init__(self, command: Command, slot: Slot, expires: float) -> None:
         self.command, self.slot, self.expires = command, slot, expires
@@ -43,6 +53,7 @@
         self.made = 0  # attempts so far
         self.live: dict[int, Attempt] = {}  # attempts out, by number
         self.timer: Timer | None = None  # of its end
+        self.counted: Any = None  # by the meter
 
 
 class Driver:
@@ -67,6 +78,7 @@
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
         self.events: deque[api.Event] = deque()
         self.busy = False
+        self.meter: Meter | None = None  # counts what is sent on
         self.strained = self.lagging = False  # the module turns some away at the door; it was told of a lag
         self.acts: dict[type, Callable[[Any], object]] = {
             api.Send: self.send,
@@ -199,6 +211,11 @@
             self.settle(owner)
         lag = now_ms() - sent_at
         cost = read_cost(attempt.use) if attempt.use and self.settings.offers.settles else 0.0
+        if cost > 0 and outcome is api.Outcome.OK and owner.counted is not None and self.meter is not None:
+            # As the module charges it: what one request can count, and once.
+            true = min(cost, max(self.settings.most_units, owner.command.units))
+            self.meter.settled(owner.counted, owner.command, true)
+            owner.counted = None
         self.give(api.AttemptEnded(request, number, attempt.backend, outcome, lag, finished, cost))
 
     def on_counted(self, name: str, outcome: api.Outcome, reading: float) -> None:
@@ -230,6 +247,8 @@
             self.give(api.AttemptEnded(request, number, backend, api.Outcome.IGNORED, 0.0, owner is None))
             return
         number, owner.made = owner.made, owner.made + 1
+        if not number and self.meter is not None:
+            owner.counted = self.meter.sent(owner.command)
         ended = partial(self.on_ended, owner, number, now)
         attempt = Attempt(backend, owner.command.encode, owner.expires, ended)
         self.attempts[request, number] = owner.live[number] = attempt
--- a/roadpulley/plans/follow.py
+++ b/roadpulley/plans/follow.py
@@ -17,6 +17,7 @@
         self.base = base
         self.doc = Document(0, 0, {}, {})
         self.given: dict[tuple[str, str], api.Plan | None] = {}  # what the module was told last
+        self.holds: dict[tuple[str, str], Entry] = {}
         self.due: list[tuple[int, str, str, int]] = []  # when, kind, whose, which entry
 
     def take(self, now: int, doc: Document) -> list[api.PlanChanged]:
@@ -48,6 +49,11 @@
     def next_at(self) -> float:
         return self.due[0][0] if self.due else math.inf
 
+    def versions(self, customer: str, named: str) -> tuple[str, int, int]:
+        """Plan, its version and the override that a try is counted under; 0: the deployment's settings."""
+        entry = self.holds.get(("customer", customer)) or self.holds.get(("plan", named))
+        return (entry.plan, entry.version, entry.override) if entry else (named, 0, 0)
+
     # ---- inside ----
 
     def _go_on(
@@ -71,6 +77,10 @@
 
     def _tell(self, kind: str, name: str, entry: Entry | None, out: list[api.PlanChanged]) -> None:
         plan = None
+        if entry is not None and entry.terms is not None:
+            self.holds[kind, name] = entry
+        else:
+            self.holds.pop((kind, name), None)
         if entry is not None and entry.terms is not None:
             called = name if kind == "plan" else entry.plan
             plan = entry.terms.plan(self.base.get(called) or api.Plan(called))
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -16,7 +16,7 @@
 import socket
 import sys
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -24,6 +24,9 @@
 from roadpulley.core.driver import Driver
 from roadpulley.core.settings import Config, ConfigError, parse_config
 
+if TYPE_CHECKING:
+    from roadpulley.usage.meter import Meter, Versions
+
 
 def load() -> Config:
     """The gateway's configuration with this worker's place. Raises ConfigError."""
@@ -60,8 +63,8 @@
                 self.say(f"beat {self.driver.oldest_ms():.0f}")
 
 
-def follow(settings: str, driver: Driver) -> None:
-    """Go by the feed of plans from now on. Raises ConfigError."""
+def follow(settings: str, driver: Driver) -> Versions:
+    """Go by the feed of plans from now on; gives what holds for whom. Raises ConfigError."""
     from roadpulley.checks import Bad
     from roadpulley.plans.settings import read_settings
     from roadpulley.plans.watch import Watch
@@ -70,7 +73,23 @@
         found = read_settings(Path(settings))
     except Bad as error:
         raise ConfigError(str(error)) from error
-    Watch(found.feed, found.look_ms, driver, driver.timers).look()
+    watch = Watch(found.feed, found.look_ms, driver, driver.timers)
+    watch.look()
+    return watch.follower.versions
+
+
+def count(settings: str, name: str, driver: Driver, versions: Versions | None) -> Meter:
+    """Count what is sent on from now on. Raises ConfigError."""
+    from roadpulley.checks import Bad
+    from roadpulley.usage.meter import Meter, settings_only
+    from roadpulley.usage.settings import read_settings
+
+    try:
+        meter = Meter(read_settings(Path(settings)).spool, name, driver.timers, versions or settings_only)
+    except (Bad, OSError) as error:
+        raise ConfigError(str(error)) from error
+    driver.meter = meter
+    return meter
 
 
 async def run() -> None:
@@ -78,15 +97,18 @@
     for signum in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signum, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)  # the supervisor's
+    config = load()
+    meters: list[Meter] = []
     heart = Heart(int(os.environ["ROADPULLEY_BEAT_FD"]), float(os.environ["ROADPULLEY_BEAT_S"]))
     beating = loop.create_task(heart.beat())
 
     def attach(driver: Driver) -> None:
         heart.driver = driver
-        if plans := os.environ.get("ROADPULLEY_PLANS"):
-            follow(plans, driver)
+        plans, usage = os.environ.get("ROADPULLEY_PLANS"), os.environ.get("ROADPULLEY_USAGE")
+        versions = follow(plans, driver) if plans else None
+        if usage:
+            meters.append(count(usage, f"{config.name}.{os.environ['ROADPULLEY_WORKER']}", driver, versions))
 
-    config = load()
     listener = socket.socket(fileno=int(os.environ["ROADPULLEY_LISTEN_FD"]))
     await serve(
         config,
@@ -96,6 +118,8 @@
         listener=listener,
         closing=lambda: heart.say("closes"),
     )
+    for meter in meters:
+        await meter.close()
     beating.cancel()
 
 
--- /dev/null
+++ b/tests/usage/test_books.py
@@ -0,0 +1,179 @@
+"""Use is counted once and only once, whatever crashes: drawn histories beside a plain count."""
+
+from __future__ import annotations
+
+import shutil
+from collections import Counter
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from roadpulley.checks import Bad
+from roadpulley.store import Store
+from roadpulley.usage import batches, spool, tally
+from roadpulley.usage.books import Books
+from roadpulley.usage.tally import HOUR_MS, Batch, Row, Sum, Tally
+
+WHO = "00000000000000aa"
+NOW = 498_926 * HOUR_MS
+
+
+class Crash(Exception):
+    """The process ends here."""
+
+
+class Steps:
+    """Lets so many steps on the disk happen, then the process ends; the step itself may be done or not."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.left, self.done = 10**9, True
+        for owner, name in ((spool.os, "fsync"), (Path, "replace"), (Path, "unlink"), (Books, "take")):
+            monkeypatch.setattr(owner, name, self.counted(getattr(owner, name)))
+
+    def counted(self, real: Any) -> Any:
+        def step(*args: Any, **more: Any) -> Any:
+            self.left -= 1
+            if self.left == 0 and not self.done:
+                raise Crash
+            result = real(*args, **more)
+            if self.left == 0:
+                raise Crash
+            return result
+
+        return step
+
+
+STEP = st.one_of(
+    st.tuples(st.just("count"), st.integers(0, 3), st.integers(1, 9)),
+    st.tuples(st.just("settle"), st.integers(0, 9), st.integers(0, 40)),
+    st.tuples(st.just("flush"), st.integers(0, 8), st.booleans()),
+    st.tuples(st.just("collect"), st.integers(0, 12), st.booleans()),
+    st.tuples(st.just("kill")),
+    st.tuples(st.just("again"), st.integers(0, 9)),
+)
+
+
+@given(todo=st.lists(STEP, max_size=40))
+@settings(max_examples=150, deadline=None)
+def test_what_is_billed_is_what_was_counted_less_what_a_killed_gateway_held(todo: list[Any]) -> None:
+    with TemporaryDirectory() as place, pytest.MonkeyPatch.context() as patch:
+        folder, seen = Path(place) / "spool", dict[str, bytes]()
+        folder.mkdir()
+        steps, counted, lives = Steps(patch), Counter[Row](), 1
+        gateway, sent = Tally("n0", "1"), list[tuple[Row, float]]()
+
+        def keep() -> None:
+            seen.update({f.name: f.read_bytes() for f in folder.glob("*.use")})
+
+        def flush(limit: int, done: bool) -> None:
+            steps.left, steps.done = limit or 10**9, done
+            try:
+                for batch in gateway.close(NOW):
+                    spool.write(folder, batch)
+                    gateway.written(batch.number)
+            except Crash:
+                pass  # to the gateway an error of the disk: it goes on, and writes again
+            finally:
+                steps.left = 10**9
+                keep()
+
+        def collect(limit: int, done: bool) -> None:
+            steps.left, steps.done = limit or 10**9, done
+            try:
+                with Store.open(Path(place) / "store") as store:
+                    spool.collect(folder, Books(store))
+            except Crash:
+                pass
+            finally:
+                steps.left = 10**9
+
+        for step in todo:
+            if step[0] == "count":
+                row = gateway.sent(NOW + step[1] * HOUR_MS, WHO, ("basic", 1, 0), "view", float(step[2]))
+                assert row is not None
+                counted[row] += step[2] * 1_000
+                sent.append((row, float(step[2])))
+            elif step[0] == "settle" and sent:
+                row, guess = sent.pop(step[1] % len(sent))
+                gateway.settled(NOW, row, guess, step[2] / 4)
+                counted[row] += step[2] * 250 - round(guess * 1_000)
+            elif step[0] == "flush":
+                flush(*step[1:])
+            elif step[0] == "collect":
+                collect(*step[1:])
+            elif step[0] == "again" and seen:  # a file that comes a second time
+                name = sorted(seen)[step[1] % len(seen)]
+                (folder / name).write_bytes(seen[name])
+            elif step[0] == "kill":
+                lost = [b for b in gateway.held if f"n0-{gateway.life}-{b.number:012d}.use" not in seen]
+                for rows in [gateway.rows, *(b.rows for b in lost)]:
+                    for row, s in rows.items():
+                        counted[row] -= s.units
+                lives += 1
+                gateway, sent = Tally("n0", str(lives)), []
+        flush(0, True)
+        collect(0, True)
+        with Store.open(Path(place) / "store") as store:
+            billed = {row: s.units for row, s in Books(store).rows()}
+        assert {r: u for r, u in billed.items() if u} == {r: u for r, u in counted.items() if u}
+        shutil.rmtree(folder)
+
+
+def batch(number: int, hour: int = 10, units: int = 5_000) -> Batch:
+    return Batch("n0", "a", number, NOW, {Row(WHO, "basic", 1, 0, "view", hour): Sum(1, units, 0)})
+
+
+def test_what_comes_after_an_hour_was_closed_is_a_line_of_its_own(tmp_path: Path) -> None:
+    with Store.open(tmp_path) as store:
+        books = Books(store)
+        books.take(batch(1))
+        books.close(11)
+        assert books.take(batch(2, units=-2_000)).late == 1 and books.take(batch(3, hour=11)).late == 0
+        assert [s.units for _, s in books.rows(b"row", 10, 11)] == [5_000]
+        assert [s.units for _, s in books.rows(b"adjust")] == [-2_000]
+        assert [r.hour for r, _ in books.rows(b"row", 11)] == [11]
+        with pytest.raises(Bad, match="all before 11 are closed"):
+            books.close(10)
+
+
+def test_a_gap_waits_and_a_damaged_file_is_set_aside(tmp_path: Path) -> None:
+    folder = tmp_path / "spool"
+    folder.mkdir()
+    spool.write(folder, batch(2))
+    with Store.open(tmp_path / "store") as store:
+        books = Books(store)
+        assert spool.collect(folder, books) == (0, 0, 0) and len(list(folder.iterdir())) == 1
+        spool.write(folder, batch(1))
+        (folder / "n0-b-000000000001.use").write_bytes(batches.dump(batch(1))[:-9])
+        assert spool.collect(folder, books) == (2, 0, 1)
+        assert [f.suffix for f in folder.iterdir()] == [".bad"]
+        assert sum(s.units for _, s in books.rows()) == 10_000
+
+
+def test_a_disk_that_stays_full_bounds_memory_and_the_loss_is_counted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(tally, "MOST_ROWS", 3)
+    monkeypatch.setattr(tally, "MOST_HELD", 2)
+    gateway = Tally("n0", "a")
+    rows = [gateway.sent(NOW, f"{n:016x}", ("basic", 1, 0), "view", 1.0) for n in range(12)]
+    assert [r is not None for r in rows] == [True] * 9 + [False] * 3 and gateway.dropped == 3
+    assert sum(len(b.rows) for b in gateway.held) + len(gateway.rows) == 9
+    gateway.written(2)
+    assert gateway.sent(NOW, f"{99:016x}", ("basic", 1, 0), "view", 1.0) is not None
+
+
+@given(data=st.binary(max_size=80), cut=st.integers(0, 200), flip=st.integers(0, 400))
+@settings(max_examples=200, deadline=None)
+def test_bytes_that_are_no_whole_batch_are_refused(data: bytes, cut: int, flip: int) -> None:
+    good = batches.dump(batch(1))
+    assert batches.load(good) == batch(1)
+    flipped = bytearray(good)
+    flipped[flip % len(good)] ^= 1
+    for bad in (data, good[: min(cut, len(good) - 1)], bytes(flipped), good + data if data else b""):
+        with pytest.raises(Bad):
+            batches.load(bad)
