--- a/tests/usage/test_books.py
+++ b/tests/usage/test_books.py
@@ -163,7 +163,8 @@
     rows = [gateway.sent(NOW, f"{n:016x}", ("basic", 1, 0), "view", 1.0) for n in range(12)]
     assert [r is not None for r in rows] == [True] * 9 + [False] * 3 and gateway.dropped == 3
     assert sum(len(b.rows) for b in gateway.held) + len(gateway.rows) == 9
-    gateway.written(2)
+    gateway.written(1)
+    assert [b.number for b in gateway.held] == [2]
     assert gateway.sent(NOW, f"{99:016x}", ("basic", 1, 0), "view", 1.0) is not None
 
 
