Billing periods: sealed by a digest, corrected by signed adjustments, exported as CSV

A billed hour must never change, and a correction must be in one place only. A period is closed and sealed in one write of the store; its export is the same bytes for ever, or is refused; what came late moves into a numbered, signed adjustment in one write. Shown over drawn orders of batches, closings and adjustments with reopened stores: lines, adjustments and what is still open together are what was counted.

--- a/roadpulley/cli/usage.py
+++ b/roadpulley/cli/usage.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import argparse
+import json
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import asdict
 from datetime import UTC, datetime
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -29,13 +31,20 @@
         part = parts.add_parser(name, help=words, description=words)
         if name == "show":
             part.add_argument("--customer")
+        if name in ("close", "adjust", "export", "verify"):
+            part.add_argument("period")
         if name == "close":
-            part.add_argument("hour", help="the first that stays open, as 2027-01-01T00")
+            part.add_argument("--from", dest="start", required=True, metavar="HOUR", help="as 2027-01-01T00")
+            part.add_argument(
+                "--to", dest="end", required=True, metavar="HOUR", help="the first one after it"
+            )
+        if name == "export":
+            part.add_argument("--to", type=Path, required=True, metavar="FOLDER")
         part.set_defaults(run=run, act=act)
 
 
 def run(args: argparse.Namespace) -> int:
-    """0: done; 1: batches could not be read; 2: it could not be done."""
+    """0: done; 1: a batch was damaged, or a signature does not fit; 2: it could not be done."""
     try:
         from roadpulley.store import StoreError
         from roadpulley.usage.settings import read_settings
@@ -87,15 +96,82 @@
 
 
 def close(books: Books, settings: UsageSettings, args: argparse.Namespace) -> int:
+    from roadpulley.usage.periods import Periods
+
+    now = datetime.now(UTC)
+    start, end = hour(args.start, "--from"), hour(args.end, "--to")
+    period = Periods(books).close(args.period, start, end, hour_of(now), int(now.timestamp() * 1000))
+    print(f"{period.name}: {period.lines} lines, sealed by {period.digest}")
+    return 0
+
+
+def adjust(books: Books, settings: UsageSettings, args: argparse.Namespace) -> int:
+    from roadpulley.usage.periods import Periods
+
+    periods = Periods(books)
+    now = int(datetime.now(UTC).timestamp() * 1000)
+    made = periods.adjust(periods.find(args.period), key_of(settings), now)
+    print(
+        f"adjustment {made.number} of {made.period}: {len(made.lines)} lines" if made else "nothing came late"
+    )
+    return 0
+
+
+def export(books: Books, settings: UsageSettings, args: argparse.Namespace) -> int:
+    """Each file is written whole under its name; again it gives the same bytes."""
+    from roadpulley.usage.periods import Periods, table
+
+    periods = Periods(books)
+    period = periods.find(args.period)
+    adjustments = periods.adjustments(period)
+    files = {f"{period.name}.csv": table(periods.lines(period))}
+    files |= {f"{period.name}.adjustment-{a.number}.csv": table(a.lines) for a in adjustments}
+    seals = {
+        "period": asdict(period),
+        "adjustments": [
+            {"number": a.number, "made_at": a.made_at, "signature": a.signature} for a in adjustments
+        ],
+    }
+    files[f"{period.name}.json"] = json.dumps(seals, indent=1).encode() + b"\n"
+    args.to.mkdir(parents=True, exist_ok=True)
+    for name, data in files.items():
+        part = args.to / (name + ".part")
+        part.write_bytes(data)
+        part.replace(args.to / name)
+        print(args.to / name)
+    return 0
+
+
+def verify(books: Books, settings: UsageSettings, args: argparse.Namespace) -> int:
+    from roadpulley.usage.periods import Periods, signed
+
+    periods = Periods(books)
+    period = periods.find(args.period)
+    periods.lines(period)
+    forged = [a.number for a in periods.adjustments(period) if not signed(key_of(settings), a)]
+    for number in forged:
+        print(f"adjustment {number} of {period.name} is not signed with this key")
+    print(f"{period.name}: {period.lines} lines as sealed by {period.digest}")
+    return 1 if forged else 0
+
+
+def key_of(settings: UsageSettings) -> bytes:
+    if settings.key is None:
+        raise Bad(
+            "key", "is missing in the settings", "name a file of 32 bytes or more that signs adjustments"
+        )
+    return settings.key.read_bytes()
+
+
+def hour(text: str, path: str) -> int:
     try:
-        at = datetime.strptime(args.hour, "%Y-%m-%dT%H").replace(tzinfo=UTC)
+        return hour_of(datetime.strptime(text, "%Y-%m-%dT%H").replace(tzinfo=UTC))
     except ValueError as error:
-        raise Bad("hour", f"is {args.hour!r}", "give it in UTC, as 2027-01-01T00") from error
-    if at > datetime.now(UTC):
-        raise Bad("hour", f"{args.hour} is still to come", "close hours once they are over")
-    books.close(int(at.timestamp()) // HOUR_S)
-    print(f"all hours before {args.hour} are closed")
-    return 0
+        raise Bad(path, f"is {text!r}", "give an hour in UTC, as 2027-01-01T00") from error
+
+
+def hour_of(at: datetime) -> int:
+    return int(at.timestamp()) // HOUR_S
 
 
 def hour_text(hour: int) -> str:
@@ -105,5 +181,8 @@
 ACTS: dict[str, tuple[Callable[[Books, UsageSettings, argparse.Namespace], int], str]] = {
     "collect": (collect, "take in the batches that gateways have written"),
     "show": (show, "sums by hour, customer, plan version and class"),
-    "close": (close, "end hours for billing: what comes for them later is an adjustment"),
+    "close": (close, "end a billing period and seal it: what comes for it later is an adjustment"),
+    "adjust": (adjust, "sign what came for a period after it was closed"),
+    "export": (export, "write a closed period and its adjustments as CSV, with their seals"),
+    "verify": (verify, "compare a period with its seal, and its adjustments with their signatures"),
 }
--- a/roadpulley/usage/settings.py
+++ b/roadpulley/usage/settings.py
@@ -13,13 +13,15 @@
 class UsageSettings:
     store: Path
     spool: Path
+    key: Path | None  # a file with the key that adjustments are signed with
 
 
 def read_settings(path: Path) -> UsageSettings:
     """Paths are relative to the file. Raises Bad with the file and the key."""
     try:
         table = Table(tomllib.loads(path.read_text()))
-        found = UsageSettings(path.parent / table.text("store"), path.parent / table.text("spool"))
+        store, spool, key = table.text("store"), table.text("spool"), table.text("key", "")
+        found = UsageSettings(path.parent / store, path.parent / spool, path.parent / key if key else None)
         table.done()
     except OSError as error:
         raise Bad(str(path), f"cannot be read ({error.strerror})", "name a file that is there") from error
--- /dev/null
+++ b/tests/usage/test_periods.py
@@ -0,0 +1,161 @@
+"""What is billed for a period: its sealed lines and its adjustments, together all that was counted."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from roadpulley.checks import Bad
+from roadpulley.cli import main
+from roadpulley.store import Store
+from roadpulley.usage import spool
+from roadpulley.usage.books import Books
+from roadpulley.usage.periods import Periods, line, signed, table
+from roadpulley.usage.tally import Batch, Row, Sum
+
+KEY = b"k" * 32
+WHO = ("00000000000000aa", "00000000000000bb")
+STEP = st.one_of(
+    st.tuples(st.just("batch"), st.integers(0, 11), st.integers(0, 1), st.integers(-900, 9_000)),
+    st.tuples(st.just("batch"), st.integers(0, 11), st.integers(0, 1), st.integers(-900, 9_000)),
+    st.tuples(st.just("close"), st.integers(0, 3)),
+    st.tuples(st.just("adjust"), st.integers(0, 3)),
+    st.tuples(st.just("reopen")),
+)
+
+
+def thousandths(lines: Any) -> Counter[tuple[str, str]]:
+    total: Counter[tuple[str, str]] = Counter()
+    for each in lines:
+        total[each[0], each[1]] += int(each[7].replace(".", ""))
+    return total
+
+
+@given(todo=st.lists(STEP, max_size=30))
+@settings(max_examples=120, deadline=None)
+def test_lines_and_adjustments_together_are_what_was_counted(todo: list[Any]) -> None:
+    """Four periods of three hours; batches come for any of them at any time."""
+    with TemporaryDirectory() as place:
+        store, number = Store.open(place), 0
+        counted: Counter[tuple[str, str]] = Counter()
+        exported = dict[str, bytes]()
+        for step in todo:
+            periods = Periods(Books(store))
+            if step[0] == "batch":
+                number += 1
+                row = Row(WHO[step[2]], "basic", 1, 0, "view", step[1])
+                periods.books.take(Batch("n0", "a", number, 0, {row: Sum(1, step[3], 0)}))
+                counted[str(step[1]), row.customer] += step[3]
+            elif step[0] == "close":
+                try:
+                    period = periods.close(f"p{step[1]}", 3 * step[1], 3 * step[1] + 3, 12, 1)
+                except Bad:
+                    continue
+                data = table(periods.lines(period))
+                assert exported.setdefault(period.name, data) == data
+            elif step[0] == "adjust" and f"p{step[1]}" in exported:
+                made = periods.adjust(periods.find(f"p{step[1]}"), KEY, 1)
+                assert made is None or signed(KEY, made)
+            elif step[0] == "reopen":
+                store.close()
+                store = Store.open(place)
+        periods = Periods(Books(store))
+        billed = thousandths(line(*each) for each in periods.books.rows(b"adjust"))
+        for period in periods.all():
+            assert (
+                table(periods.lines(period)) == exported[period.name]
+            )  # the same bytes, whatever came since
+            billed.update(thousandths(periods.lines(period)))
+            for number, each in enumerate(periods.adjustments(period), 1):
+                assert each.number == number and signed(KEY, each)
+                for (hour, who), units in thousandths(each.lines).items():
+                    billed[hour, who] += units
+        done = {p.start for p in periods.all()}
+        for row, total in periods.books.rows(b"row"):
+            if row.hour // 3 * 3 not in done:
+                billed[str(row.hour), row.customer] += total.units
+        assert {k: v for k, v in billed.items() if v} == {k: v for k, v in counted.items() if v}
+        store.close()
+
+
+def test_a_line_that_was_changed_stops_the_export_and_a_forged_adjustment_is_told(tmp_path: Any) -> None:
+    with Store.open(tmp_path) as store:
+        periods = Periods(Books(store))
+        row = Row(WHO[0], "basic", 1, 0, "view", 1)
+        periods.books.take(Batch("n0", "a", 1, 0, {row: Sum(1, 5_000, 0)}))
+        period = periods.close("p0", 0, 3, 12, 1)
+        assert table(periods.lines(period)).endswith(b"1,00000000000000aa,basic,1,0,view,1,5.000\r\n")
+        periods.books.take(Batch("n0", "a", 2, 0, {row: Sum(0, -1_250, 1)}))
+        made = periods.adjust(period, KEY, 7)
+        assert made is not None and made.lines[0][6:] == ("0", "-1.250") and signed(KEY, made)
+        assert periods.adjust(period, KEY, 8) is None  # once only
+        for forged in (replace(made, number=2), replace(made, lines=()), replace(made, made_at=8)):
+            assert not signed(KEY, forged)
+        assert not signed(b"x" * 32, made)
+        key = next(record.key for record in store.scan(b"use/row/"))
+        store.put(key, b"[1,9000,0]")
+        with pytest.raises(Bad, match="not those that were sealed"):
+            periods.lines(period)
+
+
+@pytest.mark.parametrize(
+    ("name", "start", "end", "said"),
+    [
+        ("p1", 2, 5, "'p1' from hour 2 to 5 meets 'p0', 0 to 3"),
+        ("p0", 3, 6, "meets 'p0'"),
+        ("P1", 3, 6, "is 'P1'; give 1 to 32"),
+        ("p1", 6, 13, "and it is 12; close it once it is over"),
+        ("p1", 6, 6, "runs from hour 6 to 6"),
+    ],
+)
+def test_a_period_that_cannot_be_is_refused(
+    name: str, start: int, end: int, said: str, tmp_path: Any
+) -> None:
+    with Store.open(tmp_path) as store:
+        periods = Periods(Books(store))
+        first = periods.close("p0", 0, 3, 12, 1)
+        assert periods.close("p0", 0, 3, 12, 99) == first  # again
+        with pytest.raises(Bad, match=said):
+            periods.close(name, start, end, 12, 1)
+        with pytest.raises(Bad, match="the closed ones are: p0"):
+            periods.find("p9")
+        with pytest.raises(Bad, match="key: has 3 bytes"):
+            periods.books.take(Batch("n0", "a", 1, 0, {Row(WHO[0], "b", 1, 0, "view", 1): Sum(1, 1, 0)}))
+            periods.adjust(first, b"abc", 1)
+
+
+def test_a_period_is_closed_corrected_exported_and_verified_by_commands(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    (tmp_path / "usage.toml").write_text('store = "books"\nspool = "spool"\nkey = "key"\n')
+    (tmp_path / "key").write_bytes(KEY)
+    (tmp_path / "spool").mkdir()
+
+    def usage(*words: str) -> int:
+        return main(["usage", "--settings", str(tmp_path / "usage.toml"), *words])
+
+    row = Row(WHO[0], "basic", 3, 2, "view", 447_000)  # in December of 2020
+    spool.write(tmp_path / "spool", Batch("n/0", "a", 1, 0, {row: Sum(2, 5_500, 0)}))
+    assert usage("collect") == 0
+    span = "--from=2020-12-01T00", "--to=2021-01-01T00"
+    assert usage("close", "2020-12", *span) == 0 == usage("export", "2020-12", "--to", str(tmp_path / "out"))
+    first = {f.name: f.read_bytes() for f in (tmp_path / "out").iterdir()}
+    assert first["2020-12.csv"].splitlines()[1:] == [b"447000,00000000000000aa,basic,3,2,view,2,5.500"]
+    spool.write(tmp_path / "spool", Batch("n/0", "a", 2, 0, {row: Sum(0, -500, 1)}))
+    assert usage("collect") == 0 == usage("adjust", "2020-12")
+    assert usage("export", "2020-12", "--to", str(tmp_path / "out")) == 0 == usage("verify", "2020-12")
+    again = {f.name: f.read_bytes() for f in (tmp_path / "out").iterdir()}
+    assert again["2020-12.csv"] == first["2020-12.csv"] and b"0,-0.500" in again["2020-12.adjustment-1.csv"]
+    (tmp_path / "key").write_bytes(b"x" * 32)
+    assert usage("verify", "2020-12") == 1
+    assert usage("close", "2021", "--from=2021-01", "--to=2022-01-01T00") == 2
+    assert "--from: is '2021-01'; give an hour in UTC" in capsys.readouterr().err
+    assert usage("show", "--customer", WHO[0]) == 0
+    assert "3+2" in capsys.readouterr().out
