Push billing files to an HTTP sink: once as it sees them, whatever crashes

Use has to reach billing once and only once. Each sealed file is put under a key of its own until the sink's receipt tells its digest and is in the store, under a lease whose fence the sink checks. Decisions are pure; httpx carries out.

--- a/roadpulley/cli/usage.py
+++ b/roadpulley/cli/usage.py
@@ -4,7 +4,10 @@
 
 import argparse
 import json
+import os
+import socket
 import sys
+import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import asdict
@@ -38,6 +41,8 @@
             part.add_argument(
                 "--to", dest="end", required=True, metavar="HOUR", help="the first one after it"
             )
+        if name == "push":
+            part.add_argument("--for", dest="seconds", type=float, default=60.0, metavar="SECONDS")
         if name == "export":
             part.add_argument("--to", type=Path, required=True, metavar="FOLDER")
         part.set_defaults(run=run, act=act)
@@ -155,6 +160,33 @@
     return 1 if forged else 0
 
 
+def push(books: Books, settings: UsageSettings, args: argparse.Namespace) -> int:
+    import httpx
+
+    from roadpulley.usage.pushing import Pushing
+
+    if not settings.sink:
+        raise Bad(
+            "sink.url", "is missing in the settings", "name the address that billing files are put under"
+        )
+    headers = {}
+    if settings.token is not None:
+        headers["Authorization"] = f"Bearer {settings.token.read_text().strip()}"
+    seconds: float = args.seconds
+    end = time.monotonic() + seconds
+
+    def sleep(ms: int) -> bool:
+        left = end - time.monotonic()
+        time.sleep(max(0.0, min(ms / 1000, left)))
+        return time.monotonic() < end
+
+    holder = f"{socket.gethostname()}:{os.getpid()}"
+    with httpx.Client(base_url=settings.sink, headers=headers, timeout=settings.timeout_s) as client:
+        done = Pushing(books, client, holder, lambda: int(time.time() * 1000), sleep).run()
+    print(f"{done.pushed} files pushed, {done.parked} parked, {done.left} left")
+    return 1 if done.left or done.parked else 0
+
+
 def key_of(settings: UsageSettings) -> bytes:
     if settings.key is None:
         raise Bad(
@@ -184,5 +216,6 @@
     "close": (close, "end a billing period and seal it: what comes for it later is an adjustment"),
     "adjust": (adjust, "sign what came for a period after it was closed"),
     "export": (export, "write a closed period and its adjustments as CSV, with their seals"),
+    "push": (push, "put closed periods and adjustments to the billing sink, each until its receipt is kept"),
     "verify": (verify, "compare a period with its seal, and its adjustments with their signatures"),
 }
--- /dev/null
+++ b/roadpulley/usage/push.py
@@ -0,0 +1,190 @@
+"""Pushing documents to a billing sink: at least once from here, once as the receiver sees it. Pure.
+
+What is sealed goes in order, one document at a time. Four things make repeats harmless and losses impossible:
+
+    the key       the same for every try of a document, from its name and digest: the sink applies it once
+    the receipt   tells the digest of what the sink has applied; only one that fits ends a document
+    the fence     a number that grows with each lease; the sink refuses a lower one than it has seen
+    the lease     taken by a conditional write to the store, so that no two exporters have one fence
+
+A document counts as exported once its receipt is in the store, and its receipt is written only after it came.
+A crash anywhere leaves either no receipt, and the document is pushed again under its key, or all of it.
+Source: Idempotency-Key as in draft-ietf-httpapi-idempotency-key-header; fencing after Kleppmann, "How to do
+distributed locking".
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+LEASE_MS = 30_000  # longer than a push may take with its answer
+RENEW_MS = 10_000  # before its end
+FIRST_WAIT_MS, LONGEST_WAIT_MS = 500, 60_000  # doubled with each failure in a row
+KEY_DIGITS = 16  # of the digest, in a key
+
+
+@dataclass(frozen=True, slots=True)
+class Document:
+    """A sealed file. `digest` is the SHA-256 of its bytes."""
+
+    name: str
+    digest: str
+
+    @property
+    def key(self) -> str:
+        return f"{self.name}:{self.digest[:KEY_DIGITS]}"
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """Of the one that may push. `fence` is never used twice."""
+
+    holder: str
+    fence: int
+    until: int
+
+
+@dataclass(frozen=True, slots=True)
+class Receipt:
+    """What the sink says that it has applied under a key."""
+
+    key: str
+    digest: str
+
+
+class Verdict(Enum):
+    """Of an answer of the sink, by its status (RFC 9110, section 15)."""
+
+    APPLIED = "applied"  # 2xx, with a receipt
+    STALE = "stale"  # 409: a higher fence has been seen
+    REFUSED = "refused"  # another 4xx: this document will never be taken as it is
+    LATER = "later"  # 5xx, 429, 408, a time-out, a broken connection, an answer that is none
+
+
+def judge(status: int | None) -> Verdict:
+    """None: no answer came."""
+    if status is None or status >= 500 or status in (408, 425, 429) or status < 200:
+        return Verdict.LATER
+    if status < 300:
+        return Verdict.APPLIED
+    return Verdict.STALE if status == 409 else Verdict.REFUSED if status >= 400 else Verdict.LATER
+
+
+# ---- actions ----
+
+
+@dataclass(frozen=True, slots=True)
+class TakeLease:
+    """Write this lease, if the one in the store is still `over`; then call `leased` with whether it was."""
+
+    lease: Lease
+    over: Lease | None
+
+
+@dataclass(frozen=True, slots=True)
+class Push:
+    """Send it with its key and fence; then call `answered`."""
+
+    document: Document
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Keep:
+    """Write the receipt, if the lease in the store is still ours; then call `kept` with whether it was."""
+
+    document: Document
+    receipt: Receipt
+    lease: Lease
+
+
+@dataclass(frozen=True, slots=True)
+class Park:
+    """The sink will not take it: write why, if the lease is ours, for people to look at; then call `kept`."""
+
+    document: Document
+    why: str
+    lease: Lease
+
+
+@dataclass(frozen=True, slots=True)
+class Wait:
+    """Call `begin` again after so many milliseconds."""
+
+    ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """Nothing is left to push."""
+
+
+Action = TakeLease | Push | Keep | Park | Wait | Done
+
+
+@dataclass
+class Exporter:
+    """One run of an exporter. All that has to last is in the store; this may be lost at any step."""
+
+    holder: str
+    lease: Lease | None = None
+    failures: int = 0
+    waiting: list[Document] = field(default_factory=list)
+
+    def begin(self, now: int, lease: Lease | None, left: list[Document]) -> Action:
+        """`lease`: the one in the store; `left`: documents with neither receipt nor reason, in order."""
+        self.waiting = list(left)
+        if not left:
+            return Done()
+        mine = self.lease is not None and lease == self.lease
+        if mine and lease is not None and now < lease.until - RENEW_MS:
+            return self._push()
+        if lease is not None and not mine and now < lease.until:
+            return Wait(lease.until - now)
+        # Danger: its own lease that ran out may have been followed by another's, whose fence is higher; a new
+        # one always has a new fence, also for the same holder.
+        self.lease = None
+        fence = lease.fence + 1 if lease else 1
+        return TakeLease(Lease(self.holder, fence, now + LEASE_MS), lease)
+
+    def leased(self, taken: Lease | None, left: list[Document]) -> Action:
+        """The lease that was written, None if another exporter was first; and what is left since then.
+
+        Danger: between `begin` and the write the one before may have kept a receipt under its old lease. What
+        is left is read again under the new one, under which nobody else can.
+        """
+        self.lease, self.waiting = taken, list(left)
+        if not left:
+            return Done()
+        return self._push() if taken else Wait(FIRST_WAIT_MS)
+
+    def answered(self, status: int | None, receipt: Receipt | None, why: str = "") -> Action:
+        """The sink's answer to the push that is out."""
+        document, verdict = self.waiting[0], judge(status)
+        assert self.lease is not None
+        if verdict is Verdict.APPLIED:
+            # Danger: a sink that took half of it, or that answers for something else, has not applied it.
+            if receipt is not None and (receipt.key, receipt.digest) == (document.key, document.digest):
+                self.failures = 0
+                return Keep(document, receipt, self.lease)
+            verdict = Verdict.LATER
+        if verdict is Verdict.REFUSED:
+            return Park(document, why or f"the sink answered {status}", self.lease)
+        if verdict is Verdict.STALE:
+            self.lease = None  # somebody else pushes
+            return Wait(LEASE_MS)
+        self.failures += 1
+        return Wait(min(LONGEST_WAIT_MS, FIRST_WAIT_MS * 2 ** min(self.failures - 1, 20)))
+
+    def kept(self, written: bool) -> Action:
+        """Whether the receipt, or why it is parked, was written under our lease."""
+        if not written:
+            self.lease = None
+            return Wait(LEASE_MS)
+        del self.waiting[0]
+        return self._push() if self.waiting else Done()
+
+    def _push(self) -> Action:
+        assert self.lease is not None
+        return Push(self.waiting[0], self.lease.fence)
--- /dev/null
+++ b/roadpulley/usage/pushing.py
@@ -0,0 +1,168 @@
+"""The exporter's shell: leases, receipts and reasons in the store, documents to the sink over HTTP.
+
+use/lease            {"holder", "fence", "until"}
+use/receipt/NAME     {"key", "digest", "fence", "at"}: the sink has it
+use/parked/NAME      {"why", "fence", "at"}: the sink will not take it; people look at it
+
+PUT {url}/{name}.csv            Idempotency-Key, Fence, Content-Digest (RFC 9530), Content-Type text/csv
+200 {"key": ..., "digest": ...}           what the sink has applied under that key: hexadecimal SHA-256
+409                                       a higher fence has been seen
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+import logging
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from hashlib import sha256
+
+import httpx
+
+from roadpulley.store import Conflict, Write
+
+from .books import Books
+from .periods import Periods, table
+from .push import Action, Document, Done, Exporter, Keep, Lease, Park, Push, Receipt, TakeLease, Wait
+
+log = logging.getLogger(__name__)
+
+LEASE = b"use/lease"
+MOST_ANSWER = 64 * 1024  # bytes of an answer that are read
+WHY = 200  # characters of a refusal that are kept
+
+
+@dataclass
+class Result:
+    pushed: int = 0
+    parked: int = 0
+    left: int = 0
+
+
+class Pushing:
+    """`sleep` waits so many milliseconds and gives whether to go on."""
+
+    def __init__(
+        self,
+        books: Books,
+        client: httpx.Client,
+        holder: str,
+        now: Callable[[], int],
+        sleep: Callable[[int], bool],
+    ) -> None:
+        self.books, self.store, self.client, self.now, self.sleep = books, books.store, client, now, sleep
+        self.exporter = Exporter(holder)
+        self.result = Result()
+
+    def run(self) -> Result:
+        """Until all is pushed or parked, or `sleep` says to stop. Raises Bad, StoreError."""
+        action: Action = self._begin()
+        while not isinstance(action, Done):
+            if isinstance(action, Wait):
+                if not self.sleep(action.ms):
+                    break
+                action = self._begin()
+            else:
+                action = self._do(action)
+        self.result.left = len(self.left())
+        return self.result
+
+    # ---- what is in the store ----
+
+    def documents(self) -> dict[str, tuple[Document, bytes]]:
+        """All sealed files, in the order of their periods."""
+        found: dict[str, tuple[Document, bytes]] = {}
+        periods = Periods(self.books)
+        for period in periods.all():
+            files = [(period.name, table(periods.lines(period)))]
+            files += [
+                (f"{period.name}.adjustment-{a.number}", table(a.lines)) for a in periods.adjustments(period)
+            ]
+            for name, data in files:
+                found[name] = Document(name, sha256(data).hexdigest()), data
+        return found
+
+    def left(self) -> list[Document]:
+        ended = (b"use/receipt/", b"use/parked/")
+        return [
+            document
+            for name, (document, _) in self.documents().items()
+            if not any(self.store.get(prefix + name.encode()) for prefix in ended)
+        ]
+
+    def lease(self) -> tuple[Lease | None, int]:
+        """And the version of its record, 0 where there is none."""
+        record = self.store.entry(LEASE)
+        return (Lease(**json.loads(record.value)), record.version) if record else (None, 0)
+
+    # ---- actions ----
+
+    def _begin(self) -> Action:
+        return self.exporter.begin(self.now(), self.lease()[0], self.left())
+
+    def _do(self, action: Action) -> Action:
+        match action:
+            case TakeLease(lease, over):
+                known, version = self.lease()
+                taken = known == over and self._write(Write(LEASE, dump(asdict(lease)), expect=version))
+                return self.exporter.leased(lease if taken else None, self.left())
+            case Push(document, fence):
+                return self.exporter.answered(*self._push(document, fence))
+            case Keep(document, receipt, lease):
+                value = {**asdict(receipt), "fence": lease.fence, "at": self.now()}
+                kept = self._under(lease, b"use/receipt/" + document.name.encode(), value)
+                self.result.pushed += kept
+                return self.exporter.kept(kept)
+            case Park(document, why, lease):
+                log.error("%s is parked: %s", document.name, why)
+                value = {"why": why, "fence": lease.fence, "at": self.now()}
+                kept = self._under(lease, b"use/parked/" + document.name.encode(), value)
+                self.result.parked += kept
+                return self.exporter.kept(kept)
+            case _:
+                raise AssertionError(action)
+
+    def _under(self, lease: Lease, key: bytes, value: object) -> bool:
+        """Write under our lease: in one batch with it, which fails if it is another's by now."""
+        known, version = self.lease()
+        same = Write(LEASE, dump(asdict(lease)), expect=version)
+        return known == lease and self._write(same, Write(key, dump(value), expect=0))
+
+    def _write(self, *writes: Write) -> bool:
+        try:
+            self.store.batch(writes)
+        except Conflict:
+            return False
+        return True
+
+    def _push(self, document: Document, fence: int) -> tuple[int | None, Receipt | None, str]:
+        data = self.documents()[document.name][1]
+        digest = base64.b64encode(bytes.fromhex(document.digest)).decode()
+        headers = {
+            "Idempotency-Key": f'"{document.key}"',
+            "Fence": str(fence),
+            "Content-Digest": f"sha-256=:{digest}:",
+            "Content-Type": "text/csv; charset=utf-8",
+        }
+        try:
+            answer = self.client.put(f"/{document.name}.csv", content=data, headers=headers)
+        except httpx.HTTPError as error:
+            log.warning("%s: %s", document.name, error)
+            return None, None, str(error)
+        return answer.status_code, read_receipt(answer.content), answer.text[:WHY]
+
+
+def read_receipt(data: bytes) -> Receipt | None:
+    """None for what is no receipt."""
+    try:
+        raw = json.loads(data[:MOST_ANSWER])
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(raw, dict) or not all(isinstance(raw.get(k), str) for k in ("key", "digest")):
+        return None
+    return Receipt(raw["key"], raw["digest"])
+
+
+def dump(value: object) -> bytes:
+    return json.dumps(value, separators=(",", ":"), sort_keys=True).encode()
--- a/roadpulley/usage/settings.py
+++ b/roadpulley/usage/settings.py
@@ -14,6 +14,9 @@
     store: Path
     spool: Path
     key: Path | None  # a file with the key that adjustments are signed with
+    sink: str  # the address that billing files are pushed under; "": none
+    token: Path | None  # a file with what the sink knows this installation by
+    timeout_s: float  # of one push with its answer
 
 
 def read_settings(path: Path) -> UsageSettings:
@@ -21,7 +24,21 @@
     try:
         table = Table(tomllib.loads(path.read_text()))
         store, spool, key = table.text("store"), table.text("spool"), table.text("key", "")
-        found = UsageSettings(path.parent / store, path.parent / spool, path.parent / key if key else None)
+        sink = table.table("sink")
+        url, token = sink.text("url", ""), sink.text("token", "")
+        if url and not url.startswith(("https://", "http://")):
+            raise Bad(sink.at("url"), f"is {url!r}", "give an address that begins with https:// or http://")
+        # Under half of a lease: a push that is still out when the lease ends could cross another exporter's.
+        timeout_s = sink.number("timeout_s", 10.0, 0.1, 15.0)
+        sink.done()
+        found = UsageSettings(
+            path.parent / store,
+            path.parent / spool,
+            path.parent / key if key else None,
+            url,
+            path.parent / token if token else None,
+            timeout_s,
+        )
         table.done()
     except OSError as error:
         raise Bad(str(path), f"cannot be read ({error.strerror})", "name a file that is there") from error
