Each gateway of a large fleet uses few backends, evenly covered and of every zone

Seen with 40 gateways before 60 backends: 3,225 connections for 5,200 attempts, handshakes cost 2 points, and each gateway met a backend once in 4.6 s, so what it learned of one was of no use. Checked: counted by gateway why requests are refused and how attempts end; descriptors and CPU are far from their limits. At fault: load.choose_subset wanted 36 of 60 backends (24 gateways for each), which is over half, and so kept all; its slices left out up to a whole slice.

Now 8 gateways use each backend, all slices together take all of the list, and each holds its part of every zone.

--- a/mintford/load.py
+++ b/mintford/load.py
@@ -16,7 +16,7 @@
 MARK_MS, MARK_MEETINGS = 4_000.0, 5.0  # a mark fades to a third in this time or in so many usual gaps
 ERROR_COST = 8.0  # how much failing always raises a backend's cost: clearly behind any healthy peer
 CHANCE = 0.25  # how far chance spreads the choice: half the cost is chosen sixteen times as often
-SUBSET, COVER = 8, 24  # backends that a gateway of a large fleet uses; gateways that each backend needs
+SUBSET, COVER = 8, 8  # backends that a gateway of a large fleet uses; gateways that each backend needs
 CROSSING = 15.0  # of its price: how much another hall adds to a cost; 0.02 a crossing: as 30% more load
 DRAWN = 12  # candidates of one choice: the work of a choice does not grow with the fleet
 NOISE = [(-math.log(1 - (i + 0.5) / 1024)) ** CHANCE for i in range(1024)]  # quantiles of the chance in it
@@ -88,13 +88,21 @@
     def choose_subset(self, ready: list[Backend]) -> list[Backend]:
         """Few enough backends to meet each often and judge it; all of them in a small fleet.
 
-        Each gateway of a round takes its own slice of one shuffled order: all backends are covered evenly.
+        Each gateway of a round takes its own slice of one shuffled order, all slices together take all of it:
+        backends are covered evenly. Every slice holds its part of each zone, so that none is lost with one.
         """
         size = max(SUBSET, math.ceil(COVER * len(ready) / max(1, self.settings.gateways)))
         turn, place = divmod(self.settings.index, max(1, len(ready) // size))
-        if len(ready) >= 2 * size:
-            ready.sort(key=lambda b: hashlib.blake2b(f"{turn}:{b.id}".encode(), digest_size=8).digest())
-        return ready[place * size : (place + 1) * size] if len(ready) >= 2 * size else ready
+        if (slices := len(ready) // size) < 2:
+            return ready
+        ready.sort(key=lambda b: hashlib.blake2b(f"{turn}:{b.id}".encode(), digest_size=8).digest())
+        zones: dict[str, list[Backend]] = {}
+        for b in ready:
+            zones.setdefault(b.entry.zone, []).append(b)
+        order = [((i + 0.5) / len(zone), name, b) for name, zone in zones.items() for i, b in enumerate(zone)]
+        order.sort(key=lambda entry: entry[:2])
+        first, last = (len(ready) * n // slices for n in (place, place + 1))
+        return [b for _, _, b in order[first:last]]
 
     # ---- health ----
 
--- /dev/null
+++ b/tests/decisions/test_subsets.py
@@ -0,0 +1,49 @@
+"""The backends that each gateway of a large fleet uses: few, evenly covered, of every zone."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from mintford import interface as api
+from mintford.rules import Gateway
+
+VIEW = api.RequestClass("view", aim=1000, deadline=3000, effect=api.Effect.SAFE)
+RULES = api.SafetyRules(1000, 0.2, 10_000, 2)
+
+
+def entries(zones: dict[str, int]) -> tuple[api.BackendEntry, ...]:
+    numbered = [zone for zone, count in zones.items() for _ in range(count)]
+    return tuple(api.BackendEntry(7 * n, z, 0, 0, api.BackendState.READY) for n, z in enumerate(numbered))
+
+
+def subset(index: int, gateways: int, listed: tuple[api.BackendEntry, ...]) -> list[api.BackendEntry]:
+    gateway = Gateway(api.Settings(index, gateways, "a", (VIEW,), (), RULES, 3), seed=index)
+    gateway.handle(0, api.BackendsChanged(api.ListScope.FULL, listed))
+    return [b.entry for b in gateway.fleet.subset]
+
+
+@pytest.mark.parametrize("gateways", [20, 40, 200])
+@pytest.mark.parametrize("zones", [{"a": 60}, {"a": 30, "b": 30}, {"a": 50, "b": 17, "c": 5}, {"a": 47}])
+def test_every_backend_is_used_by_about_as_many_gateways(gateways: int, zones: dict[str, int]) -> None:
+    listed = entries(zones)
+    chosen = [subset(n, gateways, listed) for n in range(gateways)]
+    covered = Counter(e.backend for one in chosen for e in one)
+    assert set(covered) == {e.backend for e in listed}
+    assert max(covered.values()) - min(covered.values()) <= 1  # the last round may be a part of one
+    assert max(map(len, chosen)) - min(map(len, chosen)) <= 1
+
+
+@pytest.mark.parametrize("gateways", [40, 200])
+def test_a_lost_zone_takes_no_more_than_its_part_of_any_subset(gateways: int) -> None:
+    listed = entries({"a": 40, "b": 20})
+    for n in range(gateways):
+        one = subset(n, gateways, listed)
+        lost = sum(e.zone == "b" for e in one)
+        assert abs(lost - len(one) / 3) <= 1
+
+
+def test_a_small_fleet_uses_all_of_its_backends() -> None:
+    listed = entries({"a": 9, "b": 8})
+    assert all(len(subset(n, 4, listed)) == 17 for n in range(4))
