--- a/roadpulley/core/settings.py
+++ b/roadpulley/core/settings.py
@@ -41,6 +41,17 @@
     return host, int(port)
 
 
+def whole(settings: dict[str, Any], key: str, default: int, least: int) -> int:
+    """A whole number of the settings; what stands there instead is named, with what would be right."""
+    value = settings.get(key)
+    if value is None:
+        return default
+    is_whole = isinstance(value, int) or (isinstance(value, float) and value.is_integer())
+    if isinstance(value, bool) or not is_whole or value < least:
+        raise ValueError(f"settings.{key} is {value!r}; give a whole number from {least} on")
+    return int(value)
+
+
 def parse_config(raw: dict[str, Any]) -> Config:
     try:
         settings = raw["settings"]
@@ -48,7 +59,7 @@
         workers, worker = int(raw.get("workers") or 1), int(raw.get("worker") or 0)
         if not 0 <= worker < workers:
             raise ValueError(f"worker is {worker}; give a number from 0 to {workers - 1}")
-        index, size = int(settings.get("selfIndex") or 0), int(settings.get("groupSize") or 1)
+        index, size = whole(settings, "selfIndex", 0, 0), whole(settings, "groupSize", 1, 1)
         settings = {**settings, "selfIndex": index * workers + worker, "groupSize": size * workers}
         return Config(
             name=str(raw.get("name") or ""),
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -272,3 +272,19 @@
         assert fired == ["kept"] and not timers._slots
 
     in_loop(scenario)
+
+
+@pytest.mark.parametrize("key", ["groupSize", "selfIndex"])
+@pytest.mark.parametrize("value", [-1, 0.5, "four", True, [3], float("nan")])
+def test_a_place_among_the_gateways_that_can_not_be_is_named_at_load(key: str, value: object) -> None:
+    raw = {"listen": "10.0.0.4:6379", "discovery": "10.2.0.1:8500", "settings": {key: value}}
+    with pytest.raises(ConfigError, match=rf"settings\.{key} is .*; give a whole number from"):
+        parse_config(raw)
+
+
+def test_a_fleet_of_none_is_refused_and_one_that_is_not_told_is_one() -> None:
+    raw = {"listen": "10.0.0.4:6379", "discovery": "10.2.0.1:8500", "settings": {"groupSize": 0}}
+    with pytest.raises(ConfigError, match="groupSize is 0"):
+        parse_config(raw)
+    assert parse_config({**raw, "settings": {"groupSize": None}}).settings.gateways == 1
+    assert parse_config({**raw, "settings": {"groupSize": 40.0, "selfIndex": 41}}).settings.gateways == 40
