Operators' calls, figures, drains, and a listening socket that outlives the process

Ruled out: configuration and memory (the new process reads both and holds 13 of 80 MB).

Change: roadpulley/operations: a lifecycle as a pure table with one stance for the edge, the operators' address, figures counted where the thing happens; the listener named by LB_ACCEPT_FD; a command that has begun is waited for in a drain; a head may take 2.4 s. What comes after the front must have noticed a drain is refused by the module (DoorChanged).

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -197,6 +197,13 @@
     lag: float
 
 
+@dataclass(slots=True)
+class DoorChanged:
+    """Whether new requests are taken; those that are open go on either way."""
+
+    open: bool
+
+
 @dataclass(slots=True)
 class PlanChanged:
     """From now on a plan has other terms, or one customer its own (None: again those of its plan)."""
@@ -220,6 +227,7 @@
     | CounterReplied
     | TimerFired
     | LoopLagged
+    | DoorChanged
     | PlanChanged
     | PeerSpoke
 )
--- a/mintford/load.py
+++ b/mintford/load.py
@@ -15,6 +15,7 @@
 LEASE_MS = 15_000.0  # a backend that is met seldom is remembered no longer than a lease
 MARK_MS, MARK_MEETINGS = 4_000.0, 5.0  # a mark fades to a third in this time or in so many usual gaps
 ERROR_COST = 8.0  # how much failing always raises a backend's cost: clearly behind any healthy peer
+AVOIDED = 0.5  # a mark of failing from which a backend is counted as avoided: it costs five times as much
 CHANCE = 0.25  # how far chance spreads the choice: half the cost is chosen sixteen times as often
 SUBSET, COVER = 8, 8  # backends that a gateway of a large fleet uses; gateways that each backend needs
 CROSSING = 15.0  # of its price: how much another hall adds to a cost; 0.02 a crossing: as 30% more load
@@ -161,6 +162,10 @@
                     b.marks[name] = (level + (bad - level) * BAD, now)
         b.slow, b.bad, b.faded_at = slow, self.mark(now, b, "all"), now
 
+    def avoided(self, now: float) -> int:
+        """Those that are not ready, and those that fail so often that others are taken before them."""
+        return sum(1 for b in self.backends.values() if not b.ready or self.mark(now, b, "all") >= AVOIDED)
+
     # ---- choice ----
 
     def cheapest(self, now: float, marks: Sequence[str], among: list[Backend]) -> Backend | None:
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -31,6 +31,7 @@
         self.own = OwnStrain(settings, chance)
         self.shedding = Shedding(self.fleet, self.attempts, self.own, chance)
         self.created = -1.0  # the time of the first event
+        self.door_open = True  # new requests are taken
         self.handlers: dict[type, Callable[[float, Any, api.Actions], object]] = {
             api.RequestArrived: self.on_request,
             api.AttemptEnded: self.on_ended,
@@ -38,6 +39,7 @@
             api.CounterReplied: self.on_counted,
             api.BackendsChanged: self.on_list,
             api.LoopLagged: lambda _, event, __: self.own.lagged(event.lag),
+            api.DoorChanged: self.on_door,
             api.PlanChanged: lambda now, event, _: changes.take_in(self.quotas, now, event),
             api.RequestLapsed: lambda _, event, __: self.attempts.requests.pop(event.request, None),
         }  # peers' messages and begun answers change no decision
@@ -58,6 +60,10 @@
             handler(now, event, out)
         return out
 
+    def avoided(self, now: float) -> int:
+        """How many backends of the list get no requests now, or next to none."""
+        return self.fleet.avoided(now)
+
     def turn_away(self, request_class: str) -> float | None:
         """The time to come back for a request that is refused at the door, None for one that is let in."""
         return self.own.turn_away(request_class)
@@ -75,12 +81,17 @@
         request = self.attempts.requests[event.request] = Request(
             event, kind, c, now, self.attempts.gone(kind, left, event.repeat)
         )
+        if not self.door_open:  # clients are to ask another gateway, which a refusal lets them do at once
+            return self.attempts.finish(request, out)
         worth = kind.importance / max(self.own.top_importance, 1e-9)
         if self.quotas.refresh(now, c, request.units, request.id, out, worth):
             self.attempts.watch(now, request, now + 2 * self.settings.count_wait, out)
         else:
             self.admit(now, request, out)
 
+    def on_door(self, now: float, event: api.DoorChanged, out: api.Actions) -> None:
+        self.door_open = event.open
+
     def on_counted(self, now: float, event: api.CounterReplied, out: api.Actions) -> None:
         waiting, counted = self.quotas.counted(now, event)
         request = self.attempts.requests.get(waiting)
--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -21,8 +21,12 @@
 from .core.counter import Counter
 from .core.discovery import Discovery, DiscoveryError, read_list
 from .core.driver import Driver
-from .core.settings import Config, ConfigError, load_config
+from .core.settings import Address, Config, ConfigError, load_config
+from .core.tallies import Tallies
 from .edges.clients import ClientServer, Terms
+from .operations.address import OperatorAddress
+from .operations.life import Life
+from .operations.lifecycle import Event, Lifecycle, Times
 
 log = logging.getLogger("roadpulley")
 
@@ -53,12 +57,14 @@
             self()
 
 
-def reload(load: Callable[[], Config], discovery: Discovery, counter: Counter | None) -> None:
+def reload(load: Callable[[], Config], discovery: Discovery, counter: Counter | None, life: Life) -> None:
     """Take up the addresses that the configuration names now; all else stays as it was at the start."""
     try:
         config = load()
     except ConfigError as error:
+        life.configurations[1] += 1
         return log.error("not reloaded, the old configuration stands: %s", error)
+    life.configurations[0] += 1
     log.info("reloaded")
     if config.discovery != discovery.address:
         discovery.move(config.discovery)
@@ -77,6 +83,23 @@
     return max(STILL_COMING_S, longest + LAST_ANSWER_S - aim), longest + LAST_ANSWER_S
 
 
+def inherited() -> socket.socket | None:
+    """The listening socket that the platform holds for every process of this gateway. Raises ConfigError."""
+    told = os.environ.get("LB_ACCEPT_FD")
+    if not told:
+        return None
+    right = "give the number of a descriptor that is a listening TCP socket over IPv4"
+    try:
+        found = socket.socket(fileno=int(told))
+    except (ValueError, OSError) as error:
+        raise ConfigError(f"LB_ACCEPT_FD is {told!r} ({error}); {right}") from error
+    listens = found.family == socket.AF_INET and found.type == socket.SOCK_STREAM
+    if not listens or not found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        found.detach()
+        raise ConfigError(f"LB_ACCEPT_FD is {told}, which does not listen; {right}")
+    return found
+
+
 async def serve(
     config: Config,
     stop: asyncio.Event,
@@ -86,14 +109,17 @@
     attach: Callable[[Driver], object] | None = None,
     listener: socket.socket | None = None,
     closing: Callable[[], None] | None = None,
+    succeeded: bool = False,
 ) -> None:
     """Serve until `stop` is set, then drain. `ready` is told the port once clients may come.
 
     A `listener` that is given is bound already; `closing` is called once nothing more is accepted. A call
-    of `again` brings a new configuration from `load`; `attach` is handed the driver before that.
+    of `again` brings a new configuration from `load`; `attach` is handed the driver before that. `succeeded`:
+    when this process is stopped, another one accepts from the same listener.
     """
     loop = asyncio.get_running_loop()
     timers = Timers(loop)
+    tallies = Tallies()
     memory = int(config.memory_mb * MEMORY_SHARE * 2**20)
     backends = Backends(
         loop,
@@ -103,6 +129,7 @@
         config.settings.rules.drain_grace,
         int(config.sockets * BACKEND_SHARE),
         memory,
+        tallies,
     )
     counter = Counter(loop, timers, config.counter, config.settings.count_wait) if config.counter else None
     driver = Driver(config.settings, config.seed, timers, backends, counter, config.max_open)
@@ -113,7 +140,6 @@
         version = known.version
         driver.members(ListScope.SAVED, known.members)
     discovery = Discovery(config.discovery, version, driver.members)
-    watch = loop.create_task(discovery.run())
     server = ClientServer(
         loop,
         timers,
@@ -121,9 +147,14 @@
         Terms(config.settings, config.workers),
         int(config.sockets * CLIENT_SHARE),
         memory,
+        tallies,
     )
+    keep, last = drain_times(config.settings)
+    life = Life(Lifecycle(Times(keep * 1000, last * 1000), succeeded), timers, driver, server)
+    operators = await operators_at(config.admin, loop, life) if config.admin else None
+    watch = loop.create_task(discovery.run())
     if again is not None and load is not None:
-        again.ready(partial(reload, load, discovery, counter))
+        again.ready(partial(reload, load, discovery, counter, life))
     port = server.listen(*config.listen, listener)
     driver.watch_lag()
     if attach is not None:
@@ -131,6 +162,7 @@
     gc.collect()
     gc.freeze()  # what was loaded stays: no pause to look at it again
     gc.set_threshold(*GC_THRESHOLDS)
+    life.give(Event.READY)
     log.info("%s serves at %s:%d", config.name, config.listen[0], port)
     if ready is not None:
         ready(port)
@@ -140,25 +172,38 @@
     if watch.done():
         stopped.cancel()
         watch.result()  # it never ends but by a fault: better a crash that is seen than a list that is stale
-    log.info("draining")
-    started = loop.time()
-    keep, last = drain_times(config.settings)
-    await asyncio.sleep(keep)
-    server.drain()
+    life.give(Event.STOP)
+    await life.left.wait()
     if closing is not None:
         closing()
-    try:
-        async with asyncio.timeout_at(started + last):
-            await server.empty.wait()
-    except TimeoutError:
+    empty = loop.create_task(server.empty.wait())
+    ended = loop.create_task(life.ended.wait())
+    await asyncio.wait({empty, ended}, return_when=asyncio.FIRST_COMPLETED)
+    life.give(Event.EMPTY if empty.done() else Event.TIME)
+    for task in (empty, ended):
+        task.cancel()
+    if driver.requests:
         log.warning("%d requests open at the end", len(driver.requests))
         driver.fail_all()
         await asyncio.sleep(CLOSING_S)
-    log.info("drained")
     watch.cancel()
     backends.close()
     if counter is not None:
         counter.close()
+    if operators is not None:
+        operators.close()
+
+
+async def operators_at(address: Address, loop: asyncio.AbstractEventLoop, life: Life) -> OperatorAddress:
+    """Listen for operators from now on. Raises ConfigError where the address can't be had."""
+    operators = OperatorAddress(loop, life.answer)
+    try:
+        await operators.listen(address)
+    except OSError as error:
+        host, port = address
+        raise ConfigError(f"admin is {host}:{port}, where nobody can listen ({error.strerror}); "
+                          "give a free address of this machine") from error  # fmt: skip
+    return operators
 
 
 async def run(path: str) -> None:
@@ -168,7 +213,8 @@
     # Danger: without a handler SIGHUP ends the process, and all requests that are open in it.
     loop.add_signal_handler(signal.SIGHUP, again)
     load = partial(load_config, path)
-    await serve(load(), stop, again=again, load=load)
+    config, listener = load(), inherited()
+    await serve(config, stop, again=again, load=load, listener=listener, succeeded=listener is not None)
 
 
 def main() -> int:
--- a/roadpulley/cli/check.py
+++ b/roadpulley/cli/check.py
@@ -74,8 +74,8 @@
     top = Table(raw)
     top.text("name", "")
     top.text("seed", "0")
-    for key in ("listen", "discovery", "counter"):
-        address(top, key, required=key != "counter")
+    for key in ("listen", "discovery", "counter", "admin"):
+        address(top, key, required=key not in ("counter", "admin"))
     limits = top.table("limits")
     limits.number("cores", 1.0, 0.01)
     limits.whole("memory_mb", 64, 16)
--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -22,6 +22,7 @@
 from .clock import Timer, Timers, now_ms
 from .resp import Malformed, parse_answer
 from .settings import Address
+from .tallies import Tallies
 
 log = logging.getLogger(__name__)
 
@@ -160,6 +161,8 @@
         except OSError:
             return self.end(Outcome.CONNECT)  # the last byte did not leave
         self.unsent = self.unsent[sent:]
+        if not self.unsent:
+            self.pool.tallies.relayed += 1
         if bool(self.unsent) != self.writing:
             self.writing = not self.writing
             if self.writing:
@@ -280,7 +283,9 @@
         drain_grace: float,
         most: int,
         memory: int,
+        tallies: Tallies | None = None,
     ) -> None:
+        self.tallies = tallies or Tallies()
         self.loop, self.timers, self.connect_timeout = loop, timers, connect_timeout
         self.idle_ms, self.drain_grace, self.most = keepalive * IDLE_SHARE, drain_grace, most
         self.most_held, self.held = memory, 0  # bytes of answers that are not whole, of all connections
--- a/roadpulley/core/settings.py
+++ b/roadpulley/core/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -23,6 +24,7 @@
     listen: Address
     discovery: Address
     counter: Address | None
+    admin: Address | None  # where operators call
     seed: int
     sockets: int
     memory_mb: int
@@ -41,6 +43,24 @@
     return host, int(port)
 
 
+def read_admin(configured: Any) -> Address | None:
+    """Where operators call: what the process was told, else what the configuration says; neither: nowhere.
+
+    The process first: two processes of one gateway may share a file, and never this address.
+    """
+    told = os.environ.get("LB_ADMIN")
+    key, text = ("LB_ADMIN", told) if told else ("admin", configured)
+    if not text:
+        return None
+    try:
+        host, port = parse_address(text)
+        if host and port <= 65535:
+            return host, port
+    except ValueError:
+        pass
+    raise ValueError(f"{key} is {text!r}; give HOST:PORT, such as 127.0.0.1:19000")
+
+
 def whole(settings: dict[str, Any], key: str, default: int, least: int) -> int:
     """A whole number of the settings; what stands there instead is named, with what would be right."""
     value = settings.get(key)
@@ -66,6 +86,7 @@
             listen=parse_address(raw["listen"]),
             discovery=parse_address(raw["discovery"]),
             counter=parse_address(raw["counter"]) if raw.get("counter") else None,
+            admin=read_admin(raw.get("admin")),
             seed=int(str(raw.get("seed") or "0"), 16),
             sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
             memory_mb=int((raw.get("limits") or {}).get("memory_mb") or 64),
--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -18,6 +18,7 @@
 from roadpulley.core.clock import Timer, Timers, now_ms
 from roadpulley.core.command import Command
 from roadpulley.core.resp import CommandReader, Malformed, bulk
+from roadpulley.core.tallies import Tallies
 
 log = logging.getLogger(__name__)
 
@@ -29,7 +30,9 @@
 TAKEN_AT_ONCE = 32  # so that those taken in are also read between
 TAKEN_OF_SHARED = 2  # so that a rush does not all go to the worker that woke first
 SWEEP_MS, SUMMARY_MS = 250.0, 1_000.0
-WHOLE_MS = 2_000.0  # from connecting, or from its first byte, until a command has to be whole
+# From connecting, or from its first byte, until a command has to be whole. A client may take 2 s for a head,
+# and one that never ends it is owed an end within 3 s of connecting; a sweep comes between.
+WHOLE_MS = 2_400.0
 SLOW_MS = 5_000.0  # how long a client may leave answers unread without taking any
 SPARE_MS = 2_000.0  # unused for this long: may be closed when room is short
 IDLE_MS = 30_000.0  # unused for this long: closed
@@ -49,6 +52,7 @@
     rb"(c=([^,=]{1,64}),t=([^,=]{1,64}),d=)(\d{1,12})((?:,k=([!-+\--~]{1,64}))?"
     rb",units=(\d{1,12}),spread=(\d{1,6}),first=(\d{1,6})(,r=1)?)"
 )
+NAMED = re.compile(rb"(?:^|,)c=([^,=]{1,64})(?:,|$)")
 MOST_TERMS = 4_096  # combinations of class, plan, units and set that are remembered as right
 LONGEST_WAIT = 2.0  # times the class's deadline, which the client's whole patience does not exceed
 
@@ -159,17 +163,20 @@
 class Slot:
     """The place of one command among the answers of its connection."""
 
-    __slots__ = ("answered", "connection", "reply", "request", "size")
+    __slots__ = ("answered", "connection", "kind", "reply", "request", "size")
 
     def __init__(self, connection: ClientConnection, size: int = 0) -> None:
         self.connection, self.size = connection, size
         self.reply: bytes | None = None
         self.request: str | None = None  # the id of a request that is still open
+        self.kind: str | None = None  # the class it names, where that is known
         self.answered = False
 
     def answer(self, reply: bytes) -> None:
         if not self.answered:
             self.answered, self.reply, self.request = True, reply, None
+            if self.kind is not None:
+                self.connection.server.tallies.answered(self.kind, reply)
             self.connection.pump()
 
 
@@ -234,7 +241,7 @@
                 self._write()
         finally:
             self.pumping = False
-        if not self.slots and not self.unsent and (self.closing or self.server.draining):
+        if not self.slots and not self.unsent and (self.closing or (self.server.draining and self.at_rest)):
             self.close()
         self._throttle()
 
@@ -317,18 +324,23 @@
         self.slots.append(slot)
         verb = args[0].upper()
         if verb in VERBS:
-            if self.server.handler.strained and (reply := self.server.turn_away(args)):
+            if self.server.handler.strained and (away := self.server.turn_away(args)):
+                slot.kind, reply = away
                 return slot.answer(reply)
             try:
                 command = self.server.terms.parse(args)
             except ValueError as error:
                 self.server.refused[str(error)] += 1
+                slot.kind = self.server.named(args)
                 return slot.answer(b"-ERR %b\r\n" % str(error).encode())
             self.server.asked(self)
-            slot.request = command.id
+            slot.request, slot.kind = command.id, command.request_class
             self.server.handler.on_command(command, slot)
         elif verb == b"PING":
-            slot.answer(bulk(args[1]) if len(args) > 1 else b"+PONG\r\n")
+            if not self.server.says_yes:
+                slot.answer(b"-ERR takes no clients now\r\n")
+            else:
+                slot.answer(bulk(args[1]) if len(args) > 1 else b"+PONG\r\n")
         elif verb in HARMLESS:
             slot.answer(b"+OK\r\n")
         elif verb == b"QUIT":
@@ -343,11 +355,16 @@
     def idle(self) -> bool:
         return not self.slots and not self.unsent and not self.closed
 
+    @property
+    def at_rest(self) -> bool:
+        """Nothing is open here, and no command has begun to come."""
+        return self.idle and not self.reader.held
+
     def retire(self) -> bool:
         """Close unless something is open here, also what has come and was not read yet."""
         if self.idle and self.reading:
             self._readable()
-        if self.idle:
+        if self.idle and not (self.server.draining and self.reader.held):
             self.close()
         return self.closed
 
@@ -357,6 +374,8 @@
         Danger: one just taken in has its first command under way; closed now, its client could not know
         whether that was read.
         """
+        if self.closed or not self.server.draining:
+            return
         if self in self.server.silent and (due := self.used_at + FIRST_MS) > now_ms():
             self.server.timers.at(due, self.leave)
         else:
@@ -400,8 +419,12 @@
         terms: Terms,
         most: int,
         memory: int,
+        tallies: Tallies | None = None,
     ) -> None:
         self.loop, self.timers, self.handler, self.terms, self.most = loop, timers, handler, terms, most
+        self.tallies = tallies or Tallies()
+        for name in terms.classes:
+            self.tallies.know(name.decode())
         self.most_unsent, self.unsent = memory, 0  # bytes of answers that are not taken yet, of all clients
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
         self.view = memoryview(self.buffer)
@@ -410,6 +433,7 @@
         self.refused: Tally[str] = Tally()  # since the last line of the log, by reason
         self.told_at = 0.0
         self.draining = self.accepting = self.shared = False
+        self.says_yes = True  # to PING
         self.listener: socket.socket | None = None
         self.waiting: Timer | None = None  # to accept again
         self.empty = asyncio.Event()
@@ -464,6 +488,8 @@
             connection = ClientConnection(self, accepted)
             self.connections[connection] = self.silent[connection] = None
             self.empty.clear()
+            if self.draining:
+                connection.leave()
 
     def make_room(self) -> bool:
         """Give up a connection that nobody is using; one that never asked goes first."""
@@ -485,11 +511,18 @@
             del self.connections[connection]
             self.connections[connection] = None
 
-    def turn_away(self, args: list[bytes]) -> bytes | None:
-        """The refusal of a request that is not worth reading whole just now, if it is one seen before."""
+    def turn_away(self, args: list[bytes]) -> tuple[str, bytes] | None:
+        """Class and refusal of a request that is not worth reading whole just now, if seen before."""
         plain = PLAIN.fullmatch(args[3]) if len(args) > 3 else None
         known = self.terms.right.get((args[0], *plain.group(2, 3, 7, 8, 9))) if plain else None
-        return self.handler.turn_away(known[0].name) if known else None
+        reply = self.handler.turn_away(known[0].name) if known else None
+        return (known[0].name, reply) if known and reply else None
+
+    def named(self, args: list[bytes]) -> str | None:
+        """The class that a wrong request names, if it is or was one."""
+        found = NAMED.search(args[3]) if len(args) > 3 else None
+        name = found[1].decode(errors="replace") if found else ""
+        return name if name in self.tallies.answers else None
 
     def forget(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
@@ -514,15 +547,21 @@
             self.told_at = now
         self.timers.at(now + SWEEP_MS, self.sweep)
 
-    def drain(self) -> None:
-        """Accept nothing more, and close each connection as soon as it has its answers."""
-        if self.listener is not None:
+    def stand(self, says_yes: bool, accepts: bool, keeps: bool) -> None:
+        """What this server is to its clients from now on.
+
+        `says_yes`: to PING. `accepts`: not to accept is final. `keeps`: connections at rest; where they are
+        not kept, each is closed as soon as it has its answers.
+        """
+        self.says_yes = says_yes
+        if not accepts and self.listener is not None:
             if len(self.connections) < self.most and not self.shared:
                 self._accept()
             self._pause()
             # What still waits at one that is shared is taken by the others; at one's own it is refused.
             self.listener.close()
             self.listener = None
-        self.draining = True
-        for connection in list(self.connections):
-            connection.leave()
+        self.draining = not keeps
+        if not keeps:
+            for connection in list(self.connections):
+                connection.leave()
--- a/tests/edges/test_clients.py
+++ b/tests/edges/test_clients.py
@@ -486,7 +486,7 @@
                 await until(lambda: len(seen[0].connections) == 3)
                 for connection in seen[0].silent:
                     connection.used_at = now_ms()  # however slowly this test got here
-                seen[0].drain()
+                seen[0].stand(says_yes=True, accepts=False, keeps=False)
                 assert await used.receive() is None
                 assert await world.ask(young) == b"value"
                 assert await young.receive() is None
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -6,7 +6,7 @@
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
-from typing import Any
+from typing import Any, TypeVar
 
 import hiredis
 import uvloop
@@ -178,8 +178,11 @@
         return await peer.receive()
 
 
+W = TypeVar("W", bound=World)
+
+
 @asynccontextmanager
-async def running(world: World) -> AsyncIterator[World]:
+async def running(world: W) -> AsyncIterator[W]:
     servers = [*world.backends, world.counter, world.discovery]
     for server in servers:
         await server.start()
--- /dev/null
+++ b/tests/operations/test_in_service.py
@@ -0,0 +1,195 @@
+"""Drains and figures on sockets: a gateway in the loop, clients, and an operator."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import Counter as Tally
+
+import pytest
+from loopback import LOCAL, Backend, Reply, World, in_loop, request, running, until
+
+from roadpulley.operations import address as operators
+
+
+def free_port() -> int:
+    with socket.create_server((LOCAL, 0)) as free:
+        return int(free.getsockname()[1])
+
+
+class Operated(World):
+    """A world whose gateway has an operators' address."""
+
+    def __init__(self, *backends: Backend) -> None:
+        super().__init__(*backends)
+        self.admin = free_port()
+
+    def config(self) -> dict[str, object]:
+        return {**super().config(), "admin": f"{LOCAL}:{self.admin}"}
+
+    async def call(self, line: bytes) -> bytes:
+        reader, writer = await asyncio.open_connection(LOCAL, self.admin)
+        writer.write(line + b"\n")
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+    async def figures(self) -> dict[str, int]:
+        *lines, end = (await self.call(b"METRICS")).decode().split()
+        assert end == "END"
+        return {name.removeprefix("edge_lb."): int(value) for name, value in (x.split("=") for x in lines)}
+
+
+class Gate:
+    """A backend's script that answers while it is open."""
+
+    def __init__(self) -> None:
+        self.open = asyncio.Event()
+        self.reply: bytes = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+    async def __call__(self, command: list[bytes]) -> Reply:
+        await self.open.wait()
+        return self.reply
+
+
+def test_a_paused_gateway_says_no_serves_the_last_moments_and_closes_what_rests() -> None:
+    async def scenario() -> None:
+        gate = Gate()
+        async with running(Operated(Backend(gate))) as world:
+            busy, idle, front = [await world.client() for _ in range(3)]
+            for peer in (busy, idle, front):
+                peer.send(b"PING")
+                assert await peer.receive() == b"PONG"
+            busy.send(*request(b"open", name=b"wipe"))
+            await until(lambda: world.backends[0].got)
+            assert await world.call(b"PAUSE") == b"OK paused\n"
+            assert await world.call(b"STATUS") == b"ERR paused\n"
+            assert await idle.receive() is None
+            late = await world.client()
+            late.send(b"PING")
+            assert "takes no clients" in str(await late.receive())
+            assert await late.receive() is None
+            last = await world.client()
+            last.send(*request(b"last"))
+            await until(lambda: len(world.backends[0].got) == 2)
+            gate.open.set()
+            assert await busy.receive() == b"value" and await busy.receive() is None
+            assert await last.receive() == b"value" and await last.receive() is None
+
+    in_loop(scenario)
+
+
+def test_a_resume_takes_clients_at_once_and_calls_that_repeat_are_harmless() -> None:
+    async def scenario() -> None:
+        async with running(Operated(Backend())) as world:
+            for _ in range(2):
+                assert await world.call(b"PAUSE") == b"OK paused\n"
+            for _ in range(2):
+                assert await world.call(b"RESUME") == b"OK serving\n"
+            peer = await world.client()
+            assert await world.ask(peer) == b"value"
+            peer.send(b"PING")  # the connection is kept again
+            assert await peer.receive() == b"PONG"
+
+    in_loop(scenario)
+
+
+def test_what_comes_long_after_a_pause_is_refused_by_the_module(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("roadpulley.operations.lifecycle.NOTICED_MS", 0.0)
+
+    async def scenario() -> None:
+        async with running(Operated(Backend())) as world:
+            await world.call(b"PAUSE")
+            peer = await world.client()
+            assert str(await world.ask(peer)).startswith("BUSY")
+            assert await peer.receive() is None
+            assert not world.backends[0].got
+
+    in_loop(scenario)
+
+
+def test_a_command_that_has_begun_to_come_is_waited_for_in_a_drain() -> None:
+    """Closed in its middle it would be turned back unheard."""
+
+    async def scenario() -> None:
+        async with running(Operated(Backend())) as world:
+            peer = await world.client()
+            assert await world.ask(peer) == b"value"
+            peer.writer.write(b"*4\r\n$8\r\nAPI.")
+            await peer.writer.drain()
+            other = await world.client()
+            assert await world.ask(other, id=b"other") == b"value"  # what was written before it has come
+            await world.call(b"PAUSE")
+            assert await other.receive() is None
+            rest = b"READ\r\n$16\r\n00000000b4d65521\r\n$4\r\nlate\r\n"
+            listed = request()[3]
+            peer.writer.write(rest + b"$%d\r\n%b\r\n" % (len(listed), listed))
+            assert await peer.receive() == b"value"
+            assert await peer.receive() is None
+
+    in_loop(scenario)
+
+
+def test_figures_are_what_clients_counted() -> None:
+    async def scenario() -> None:
+        gate = Gate()
+        gate.open.set()
+        async with running(Operated(Backend(gate))) as world:
+            seen: Tally[str] = Tally()
+            peer = await world.client()
+
+            async def ask(id: bytes, **given: object) -> None:
+                got = await world.ask(peer, id=id, **given)
+                seen["served" if got == b"value" else str(got).split()[0]] += 1
+
+            for number in range(5):
+                await ask(b"v%d" % number)
+            for number in range(4):  # a burst of two
+                await ask(b"q%d" % number, plan=b"basic", customer=b"00000000b4d65522")
+            await ask(b"unknown", plan=b"gold")
+            gate.reply = b"-ERR failed\r\n"
+            await ask(b"w", name=b"wipe")
+            found = await world.figures()
+            view = [found[f"operations.view.{name}"] for name in ("fulfilled", "throttled", "faulted")]
+            wipe = [found[f"operations.wipe.{name}"] for name in ("fulfilled", "throttled", "faulted")]
+            assert view == [seen["served"], seen["BUSY"], 1] and wipe == [0, 0, 1]
+            assert seen["served"] == 7 and seen["BUSY"] == 2 and seen["ERR"] == 2
+            assert found["relayed"] == len(world.backends[0].got) and found["open_requests"] == 0
+            assert found["registry_entries"] == 1 and found["cfg_accepted"] == found["cfg_invalid"] == 0
+
+    in_loop(scenario)
+
+
+def test_callers_that_never_finish_do_not_keep_others_out() -> None:
+    async def scenario() -> None:
+        async with running(Operated(Backend())) as world:
+            silent = [await asyncio.open_connection(LOCAL, world.admin) for _ in range(40)]
+            silent[0][1].write(b"STAT")
+            assert await world.call(b"STATUS") == b"OK serving\n"
+            assert (await world.call(b"x" * 5000)).startswith(b"ERR unknown call; the calls are STATUS")
+            for _, writer in silent:
+                writer.close()
+            assert operators.MOST_CALLERS < len(silent)
+
+    in_loop(scenario)
+
+
+def test_what_is_open_and_what_is_avoided_is_asked_when_it_is_read() -> None:
+    async def scenario() -> None:
+        gate = Gate()
+        async with running(Operated(Backend(gate), Backend(gate))) as world:
+            peer = await world.client()
+            peer.send(*request(name=b"wipe"))
+            await until(lambda: world.backends[0].got or world.backends[1].got)
+            assert (await world.figures())["open_requests"] == 1
+            hosts = world.hosts()
+            world.discovery.change(2, {**hosts[0], "health": "draining"})
+            while (await world.figures())["out_of_rotation"] != 1:
+                pass
+            assert (await world.figures())["registry_entries"] == 2
+            gate.open.set()
+            assert await peer.receive() == b"value"
+            assert (await world.figures())["open_requests"] == 0
+
+    in_loop(scenario)
--- /dev/null
+++ b/tests/operations/test_inherited.py
@@ -0,0 +1,124 @@
+"""A listening socket that outlives processes: taken over under load, and refused where it is none."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from loopback import LOCAL, Backend, Peer, World, in_loop, request
+
+ROOT = Path(__file__).parents[2]
+
+
+async def start(config: Path, listener: socket.socket) -> asyncio.subprocess.Process:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "roadpulley",
+        cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(config), "LB_ACCEPT_FD": str(listener.fileno())},
+        pass_fds=[listener.fileno()],
+        stderr=asyncio.subprocess.PIPE,
+    )
+    assert process.stderr is not None
+    while b"serves at" not in (line := await process.stderr.readline()):
+        assert line, "it ended"
+    return process
+
+
+def test_a_new_process_takes_over_and_every_request_is_answered(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        backend = Backend()
+        world = World(backend)
+        servers = [backend, world.counter, world.discovery]
+        for server in servers:
+            await server.start()
+        listener = socket.create_server((LOCAL, 0))
+        port = listener.getsockname()[1]
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
+        processes = [await start(config, listener)]
+        answers: list[object] = []
+        going = True
+
+        async def client(name: int) -> None:
+            """Asks on and on; goes on where a connection was closed between two requests."""
+            number = 0
+            while going:
+                peer = Peer(*await asyncio.open_connection(LOCAL, port))
+                while going:
+                    peer.send(*request(b"%d-%d" % (name, number)))
+                    got = await peer.receive()
+                    if got is None:
+                        break
+                    answers.append(got)
+                    number += 1
+                    await asyncio.sleep(0.002)
+                peer.close()
+
+        clients = [asyncio.create_task(client(name)) for name in range(2)]
+        try:
+            for _ in range(2):  # two upgrades in a row
+                processes.append(await start(config, listener))
+                processes[-2].send_signal(signal.SIGTERM)
+                assert await processes[-2].wait() == 0
+                after = len(answers)
+                while len(answers) < after + 20:  # the socket still listens, and the new one takes what comes
+                    await asyncio.sleep(0.002)
+            going = False
+            await asyncio.gather(*clients)
+            assert set(answers) == {b"value"}
+        finally:
+            for task in clients:
+                task.cancel()
+            for process in processes:
+                if process.returncode is None:
+                    process.kill()
+                await process.wait()
+            listener.close()
+            for server in servers:
+                await server.stop()
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("what", ["word", "closed", "file", "unlistening"])
+def test_a_descriptor_that_does_not_listen_is_named_in_one_line(tmp_path: Path, what: str) -> None:
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({**World().config(), "listen": f"{LOCAL}:1"}))
+    with open(config) as file, socket.socket() as unlistening:
+        told = {"word": "five", "closed": "77", "file": file.fileno()}.get(what, unlistening.fileno())
+        run = subprocess.run(
+            [sys.executable, "-m", "roadpulley"],
+            cwd=ROOT,
+            env={**os.environ, "LB_CONFIG": str(config), "LB_ACCEPT_FD": str(told)},
+            pass_fds=[file.fileno(), unlistening.fileno()],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+    assert run.returncode == 2 and run.stderr.count("\n") == 1
+    assert "LB_ACCEPT_FD is " in run.stderr and "a listening TCP socket over IPv4" in run.stderr
+
+
+@pytest.mark.parametrize("told", ["here", ":19000", "127.0.0.1:99999", 5])
+def test_an_operators_address_that_can_not_be_is_named_in_one_line(tmp_path: Path, told: object) -> None:
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({**World().config(), "listen": f"{LOCAL}:1", "admin": told}))
+    run = subprocess.run(
+        [sys.executable, "-m", "roadpulley"],
+        cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(config)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert run.returncode == 2 and run.stderr.count("\n") == 1
+    assert "admin is " in run.stderr and "give HOST:PORT" in run.stderr
