SIGHUP takes a whole configuration, judged strictly, or leaves the old one whole

Change: core/judging.py (from 'roadpulley check') judges the file, and that it has every key of the settings that stand; then one switch reaches the edge's terms, driver, backends, counter, discovery, the lifecycle's times and the module (SettingsChanged). A request keeps its class as an object, and its number of attempts unless fewer are allowed now. A changed plan goes by the rule of plan changes; health, leases and what is out stay.

--- a/mintford/changes.py
+++ b/mintford/changes.py
@@ -30,6 +30,21 @@
             change(quotas, now, c, plan)
 
 
+def retune(quotas: Quotas, now: float, old: api.Settings, new: api.Settings) -> None:
+    """Other settings: each plan that they change has its new terms; one that they drop has no requests more.
+
+    Danger: a plan that another source has changed in service is not to be set back by settings as before.
+    """
+    before = {plan.name: plan for plan in old.plans}
+    quotas.settings = new
+    quotas.dearest = max((p.price for p in new.plans), default=1.0)
+    for plan in new.plans:
+        if before.pop(plan.name, None) != plan:
+            take_in(quotas, now, api.PlanChanged(plan))
+    for name in before:
+        quotas.plans.pop(name, None)
+
+
 def change(quotas: Quotas, now: float, c: Customer, plan: api.Plan) -> None:
     quotas.fill(now, c)  # what time gave back until now, at the old rate
     more, old, old_ceiling = plan.burst - c.plan.burst, c.plan, c.ceiling
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -197,6 +197,13 @@
     lag: float
 
 
+@dataclass(slots=True)
+class SettingsChanged:
+    """From now on these settings hold; requests that are open keep the class that they came with."""
+
+    settings: Settings
+
+
 @dataclass(slots=True)
 class DoorChanged:
     """Whether new requests are taken; those that are open go on either way."""
@@ -228,6 +235,7 @@
     | TimerFired
     | LoopLagged
     | DoorChanged
+    | SettingsChanged
     | PlanChanged
     | PeerSpoke
 )
--- a/mintford/load.py
+++ b/mintford/load.py
@@ -63,6 +63,12 @@
         self.floor = 0.0  # always allowed out
         self.crossing = 1 + CROSSING * settings.offers.price_crossing  # what another hall adds to a cost
 
+    def retune(self, now: float, settings: api.Settings) -> None:
+        self.settings, self.crossing = settings, 1 + CROSSING * settings.offers.price_crossing
+        for b in self.backends.values():
+            b.rules, b.here, b.away = settings.rules, settings.zone, b.entry.zone != settings.zone
+        self.listed(now, api.BackendsChanged(api.ListScope.CHANGES, ()))
+
     # ---- the list ----
 
     def listed(self, now: float, event: api.BackendsChanged) -> None:
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -40,6 +40,7 @@
             api.BackendsChanged: self.on_list,
             api.LoopLagged: lambda _, event, __: self.own.lagged(event.lag),
             api.DoorChanged: self.on_door,
+            api.SettingsChanged: self.on_settings,
             api.PlanChanged: lambda now, event, _: changes.take_in(self.quotas, now, event),
             api.RequestLapsed: lambda _, event, __: self.attempts.requests.pop(event.request, None),
         }  # peers' messages and begun answers change no decision
@@ -81,6 +82,7 @@
         request = self.attempts.requests[event.request] = Request(
             event, kind, c, now, self.attempts.gone(kind, left, event.repeat)
         )
+        request.most = self.settings.max_attempts
         if not self.door_open:  # clients are to ask another gateway, which a refusal lets them do at once
             return self.attempts.finish(request, out)
         worth = kind.importance / max(self.own.top_importance, 1e-9)
@@ -92,6 +94,16 @@
     def on_door(self, now: float, event: api.DoorChanged, out: api.Actions) -> None:
         self.door_open = event.open
 
+    def on_settings(self, now: float, event: api.SettingsChanged, out: api.Actions) -> None:
+        """Every section goes by the new settings; what was learned and what is owed stays."""
+        changes.retune(self.quotas, now, self.settings, event.settings)
+        self.settings = event.settings
+        self.classes = {c.name: c for c in event.settings.classes}
+        self.attempts.settings = event.settings
+        self.own.retune(event.settings)
+        self.shedding.retune()
+        self.fleet.retune(now, event.settings)
+
     def on_counted(self, now: float, event: api.CounterReplied, out: api.Actions) -> None:
         waiting, counted = self.quotas.counted(now, event)
         request = self.attempts.requests.get(waiting)
@@ -182,7 +194,8 @@
 
     def another(self, now: float, request: Request, out: api.Actions, price: float) -> bool:
         """Send a further attempt if one can be in time and in the budget; what never ran is not charged."""
-        in_time = now + self.fleet.typical < request.aim_at and request.attempts < self.settings.max_attempts
+        most = min(request.most, self.settings.max_attempts)
+        in_time = now + self.fleet.typical < request.aim_at and request.attempts < most
         backend = None
         if in_time and self.attempts.retries >= price:
             backend = self.fleet.pick(now, request.marks, request.may_go)
--- a/mintford/shedding.py
+++ b/mintford/shedding.py
@@ -25,12 +25,16 @@
     """Of this gateway's own loop: how much a request must be worth to be let in."""
 
     def __init__(self, settings: api.Settings, chance: random.Random) -> None:
-        self.settings, self.random = settings, chance
-        self.classes = {c.name: c for c in settings.classes}
-        self.top_importance = max((c.importance for c in settings.classes), default=1.0)
+        self.random = chance
+        self.retune(settings)
         self.lag, self.strain = 0.0, 0.0  # own lag of late; its excess, summed up
         self.level = 0.0  # how much a request must be worth to be let in
 
+    def retune(self, settings: api.Settings) -> None:
+        self.settings = settings
+        self.classes = {c.name: c for c in settings.classes}
+        self.top_importance = max((c.importance for c in settings.classes), default=1.0)
+
     def lagged(self, lag: float) -> None:
         """Raise the level while the loop lags, lower it while it does not: by sum and by present excess."""
         looks = max(1.0, lag / LOOK_MS)  # that were missed: a slow loop must not slow this down too
@@ -60,6 +64,10 @@
 
     def __init__(self, fleet: Fleet, attempts: Attempts, own: OwnStrain, chance: random.Random) -> None:
         self.fleet, self.attempts, self.own, self.random = fleet, attempts, own, chance
+        self.retune()
+
+    def retune(self) -> None:
+        own = self.own
         even = own.settings.offers.worst_class / KEPT_UNTIL if own.top_importance else 1.0
         self.most_kept = KEPT * max(0.0, 1 - even)
         self.waits = {kind.name: self.most_wait(kind) for kind in own.settings.classes}
--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -21,7 +21,7 @@
 from .core.counter import Counter
 from .core.discovery import Discovery, DiscoveryError, read_list
 from .core.driver import Driver
-from .core.settings import Address, Config, ConfigError, load_config
+from .core.settings import Address, Config, ConfigError, load_again, load_config
 from .core.tallies import Tallies
 from .edges.clients import ClientServer, Terms
 from .operations.address import OperatorAddress
@@ -57,19 +57,54 @@
             self()
 
 
-def reload(load: Callable[[], Config], discovery: Discovery, counter: Counter | None, life: Life) -> None:
-    """Take up the addresses that the configuration names now; all else stays as it was at the start."""
-    try:
-        config = load()
-    except ConfigError as error:
-        life.configurations[1] += 1
-        return log.error("not reloaded, the old configuration stands: %s", error)
-    life.configurations[0] += 1
-    log.info("reloaded")
-    if config.discovery != discovery.address:
-        discovery.move(config.discovery)
-    if counter is not None and config.counter is not None:
-        counter.move(config.counter)
+class Retuning:
+    """One gateway's configuration in service: another takes its place whole, or not at all."""
+
+    def __init__(
+        self,
+        config: Config,
+        load: Callable[[Config], Config],
+        life: Life,
+        discovery: Discovery,
+        counter: Counter | None,
+    ) -> None:
+        self.config, self.load, self.life = config, load, life
+        self.discovery, self.counter = discovery, counter
+
+    def __call__(self) -> None:
+        try:
+            config = self.load(self.config)
+        except ConfigError as error:
+            self.life.configurations[1] += 1
+            return log.error("not reloaded, the old configuration stands: %s", error)
+        self.take(config)
+        self.life.configurations[0] += 1
+        log.info("reloaded: classes %s", ", ".join(c.name for c in config.settings.classes))
+
+    def take(self, config: Config) -> None:
+        """In one turn of the loop: no request is judged by a mixture.
+
+        The address for clients, the operators' and the limits belong to the process and stay.
+        """
+        standing, self.config = self.config, config
+        if config.listen != standing.listen or config.admin != standing.admin:
+            log.warning("listen and admin are taken up at a restart only")
+        driver, settings = self.life.driver, config.settings
+        if config.told != standing.told:
+            self.life.server.retune(Terms(settings, config.workers))
+            driver.backends.retune(config.connect_timeout, config.keepalive, settings.rules.drain_grace)
+            driver.retune(settings, config.max_open)
+            self.life.machine.times = times(settings)
+        if config.discovery != self.discovery.address:
+            self.discovery.move(config.discovery)
+        if self.counter is not None and config.counter is not None:
+            self.counter.wait = settings.count_wait
+            self.counter.move(config.counter)
+
+
+def times(settings: Settings) -> Times:
+    keep, last = drain_times(settings)
+    return Times(keep * 1000, last * 1000)
 
 
 def drain_times(settings: Settings) -> tuple[float, float]:
@@ -105,7 +140,7 @@
     stop: asyncio.Event,
     ready: Callable[[int], None] | None = None,
     again: Reload | None = None,
-    load: Callable[[], Config] | None = None,
+    load: Callable[[Config], Config] | None = None,
     attach: Callable[[Driver], object] | None = None,
     listener: socket.socket | None = None,
     closing: Callable[[], None] | None = None,
@@ -114,8 +149,8 @@
     """Serve until `stop` is set, then drain. `ready` is told the port once clients may come.
 
     A `listener` that is given is bound already; `closing` is called once nothing more is accepted. A call
-    of `again` brings a new configuration from `load`; `attach` is handed the driver before that. `succeeded`:
-    when this process is stopped, another one accepts from the same listener.
+    of `again` brings a new configuration from `load`, which is given the one that stands; `attach` is handed
+    the driver before that. `succeeded`: when this process is stopped, another accepts from the listener.
     """
     loop = asyncio.get_running_loop()
     timers = Timers(loop)
@@ -149,12 +184,11 @@
         memory,
         tallies,
     )
-    keep, last = drain_times(config.settings)
-    life = Life(Lifecycle(Times(keep * 1000, last * 1000), succeeded), timers, driver, server)
+    life = Life(Lifecycle(times(config.settings), succeeded), timers, driver, server)
     operators = await operators_at(config.admin, loop, life) if config.admin else None
     watch = loop.create_task(discovery.run())
     if again is not None and load is not None:
-        again.ready(partial(reload, load, discovery, counter, life))
+        again.ready(Retuning(config, load, life, discovery, counter))
     port = server.listen(*config.listen, listener)
     driver.watch_lag()
     if attach is not None:
@@ -212,8 +246,8 @@
         loop.add_signal_handler(signum, stop.set)
     # Danger: without a handler SIGHUP ends the process, and all requests that are open in it.
     loop.add_signal_handler(signal.SIGHUP, again)
-    load = partial(load_config, path)
-    config, listener = load(), inherited()
+    load = partial(load_again, path)
+    config, listener = load_config(path), inherited()
     await serve(config, stop, again=again, load=load, listener=listener, succeeded=listener is not None)
 
 
--- a/roadpulley/cli/serve.py
+++ b/roadpulley/cli/serve.py
@@ -12,8 +12,9 @@
 import uvloop
 
 from roadpulley.checks import Bad
+from roadpulley.core.judging import gateway
 
-from .check import gateway, parsed
+from .check import parsed
 
 MOST_WORKERS = 256
 
@@ -67,7 +68,7 @@
     try:
         if not path:
             raise Bad("--config", "is missing, and LB_CONFIG is not set", "name the gateway's configuration")
-        gateway(parsed(Path(path)))
+        gateway(parsed(Path(path))).done()
         workers(args.workers)
         if args.plans:
             from roadpulley.plans.settings import read_settings
--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -298,6 +298,10 @@
         self.spoilt: Tally[str] = Tally()  # answers, likewise
         self.timers.at(now_ms() + SWEEP_MS, self.sweep)
 
+    def retune(self, connect_timeout: float, keepalive: float, drain_grace: float) -> None:
+        self.connect_timeout, self.idle_ms = connect_timeout, keepalive * IDLE_SHARE
+        self.drain_grace = drain_grace
+
     # ---- the list ----
 
     def update(self, backend: int, address: Address, state: BackendState) -> None:
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -45,12 +45,12 @@
 class Request:
     """One request that is owed a final answer."""
 
-    __slots__ = ("came_at", "command", "counted", "expires", "live", "made", "slot", "timer")
+    __slots__ = ("came_at", "command", "counted", "expires", "live", "made", "most", "slot", "timer")
 
     def __init__(self, command: Command, slot: Slot, expires: float) -> None:
         self.command, self.slot, self.expires = command, slot, expires
         self.came_at = expires - command.wait
-        self.made = 0  # attempts so far
+        self.made, self.most = 0, 1  # attempts so far; allowed when it came
         self.live: dict[int, Attempt] = {}  # attempts out, by number
         self.timer: Timer | None = None  # of its end
         self.counted: Any = None  # by the meter
@@ -143,6 +143,11 @@
         wait = self.gateway.turn_away(request_class)
         return None if wait is None else busy(wait)
 
+    def retune(self, settings: api.Settings, max_open: int) -> None:
+        """Other settings hold from the next event on; open requests keep what they came with."""
+        self.settings, self.max_open = settings, max_open
+        self.give(api.SettingsChanged(settings))
+
     def members(self, scope: api.ListScope, members: tuple[Member, ...]) -> None:
         if scope is not api.ListScope.CHANGES:
             listed = {m.entry.backend for m in members}
@@ -171,6 +176,7 @@
             command.repeat,
         )
         owner = self.requests[command.id] = Request(command, slot, expires)
+        owner.most = self.settings.max_attempts
         owner.timer = self.timers.at(owner.expires, partial(self.on_expired, owner))
         self.give(event)
 
@@ -242,7 +248,7 @@
     def send(self, action: api.Send) -> None:
         request, backend, timeout = action.request, action.backend, action.timeout
         now, owner = now_ms(), self.requests.get(request)
-        if owner is None or owner.made >= self.settings.max_attempts:
+        if owner is None or owner.made >= min(owner.most, self.settings.max_attempts):
             number = owner.made if owner else 0
             self.give(api.AttemptEnded(request, number, backend, api.Outcome.IGNORED, 0.0, owner is None))
             return
--- /dev/null
+++ b/roadpulley/core/judging.py
@@ -0,0 +1,153 @@
+"""Judges a gateway's configuration before anything of it is taken: the bad key, and what would be right.
+
+Imported when there is something to judge: at `roadpulley check` and at SIGHUP, not at the start.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from mintford import interface as api
+from mintford.reading import FIELDS
+from roadpulley.checks import Bad, Table, shown
+
+from .discovery import STATES
+from .settings import parse_address
+
+MOST_PRECEDENT = 12  # levels of tables within tables
+
+
+def gateway(raw: object) -> Table:
+    """Judge what a gateway is told; gives the table, for the caller to ask what else is in it. Raises Bad."""
+    top = Table(raw)
+    top.text("name", "")
+    top.text("seed", "0")
+    for key in ("listen", "discovery", "counter", "admin"):
+        address(top, key, required=key not in ("counter", "admin"))
+    limits = top.table("limits")
+    limits.number("cores", 1.0, 0.01)
+    limits.whole("memory_mb", 64, 16)
+    limits.whole("sockets", 1024, 64)
+    limits.done()
+    hosts(top.table("known"))
+    if not top.has("settings"):
+        raise Bad("settings", "is missing", "give the table of classes, packages and rules")
+    settings(top.table("settings"))
+    return top
+
+
+def address(t: Table, key: str, required: bool = True) -> None:
+    text = t.text(key, *(() if required else ("",)))
+    if not text and not required:
+        return
+    try:
+        _, port = parse_address(text)
+        good = 0 <= port <= 65535
+    except ValueError:
+        good = False
+    if not good:
+        raise Bad(t.at(key), f"is {text!r}", "give HOST:PORT, such as 127.0.0.1:6379")
+
+
+def hosts(known: Table) -> None:
+    known.whole("seq", 0)
+    known.take("whole", True, "give true or false")
+    for host in known.tables("hosts"):
+        host.text("host")
+        host.text("health", ..., STATES)
+        address(host, "dial")
+        host.number("born_ms", 0.0, 0)
+
+
+def settings(t: Table) -> None:
+    """Only what a gateway reads is judged: the platform's settings hold more."""
+    gateways = t.whole("groupSize", 1, 1)
+    t.whole("selfIndex", 0, 0, gateways - 1)
+    caps = t.table("caps")
+    caps.whole("maxAttempts", 1, 1, 100)
+    caps.whole("maxOpen", 10_000, 1)
+    caps.number("connectTimeout", 250.0, 1)
+    caps.number("keepalive", 15_000.0, 1)
+    rules = t.table("rules")
+    for key in ("drainGrace", "startCapacity", "warmWithin", "fallMultiple"):
+        rules.number(key, 0.0, 0)
+    info = t.table("familyInfo")
+    info.number("countWait", 0.0, 0)
+    info.number("unitsTop", 1.0, 0.001)
+    info.number("countFee", 0.0, 0)
+    offers(t)
+    classes, plans = t.tables("classes"), t.tables("packages")
+    for kind in classes:
+        request_class(kind)
+    for plan in plans:
+        plan.text("name")
+        for key in (
+            "rate",
+            "mostAtOnce",
+            "beyondEarns",
+            "overrunCost",
+            "neverOverRate",
+            "hardBurst",
+            "capSlack",
+        ):
+            plan.number(key, 0.0, 0)
+        plan.whole("open", 0)
+    for key, tables in (("classes", classes), ("packages", plans)):
+        distinct(t.at(key), [each.raw["name"] for each in tables])
+
+
+def offers(t: Table) -> None:
+    """What the deployment tells and charges beyond its rules."""
+    prices, telemetry = t.table("prices"), t.table("telemetry")
+    for key in ("waste", "lateFail", "crossZone", "probe"):
+        prices.number(key, 0.0, 0)
+    how = telemetry.text("how", "none", ("answers", "probe", "none"))
+    names = telemetry.take("names", [], "give a list of names")
+    if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+        raise Bad(telemetry.at("names"), f"is {names!r}", f"give a list of {', '.join(FIELDS)}")
+    if how != "none" and not names:
+        raise Bad(telemetry.at("names"), "is empty", "name what the reports hold, or say how = none")
+
+
+def request_class(t: Table) -> None:
+    t.text("name")
+    deadline = t.number("deadline", ..., 1, 3_600_000)
+    t.number("aim", deadline, 1, deadline)
+    t.text("effect", ..., [e.value for e in api.Effect])
+    t.text("group", "all", [g.value for g in api.Group])
+    t.number("repeatWindow", 0.0, 0)
+    t.number("importance", 0.0, 0)
+
+
+def distinct(path: str, names: list[str]) -> None:
+    if not names:
+        raise Bad(path, "is empty", "give one at least")
+    twice = next((name for name in names if names.count(name) > 1), None)
+    if twice is not None:
+        raise Bad(path, f"names {twice!r} twice", "give each name once")
+
+
+# ---- beside the configuration that stands ----
+
+
+def complete(new: Any, standing: Any, path: str = "settings", level: int = 0) -> None:
+    """Raises Bad for a key that the standing settings have and the new ones lack.
+
+    What a deployment tells is known from what it has told: a file that is short of a key is cut or half
+    edited, and a default in its place would change a rule unseen. Of tables in an array (classes, packages),
+    each needs the keys that all the standing ones have.
+    """
+    if level > MOST_PRECEDENT or not isinstance(standing, dict):
+        return
+    if not isinstance(new, dict):
+        raise Bad(path, f"is {shown(new)}", "give a table")
+    for key, old in standing.items():
+        at = f"{path}.{key}"
+        if key not in new:
+            raise Bad(at, "is missing", f"give it, as in the configuration that stands ({shown(old)})")
+        if isinstance(old, list) and old and all(isinstance(each, dict) for each in old):
+            needed = dict.fromkeys(set.intersection(*(set(each) for each in old)))
+            for number, each in enumerate(new[key] if isinstance(new[key], list) else ()):
+                complete(each, needed, f"{at}[{number}]", level + 1)
+        else:
+            complete(new[key], old, at, level + 1)
--- a/roadpulley/core/settings.py
+++ b/roadpulley/core/settings.py
@@ -34,6 +34,7 @@
     max_open: int
     workers: int  # that share this gateway's address and place; each is a gateway of its own to the module
     known: dict[str, Any]  # the list of backends as this gateway last had it, in discovery's form
+    told: dict[str, Any]  # the settings as they came
 
 
 def parse_address(text: str) -> Address:
@@ -76,6 +77,7 @@
     try:
         settings = raw["settings"]
         caps = settings.get("caps") or {}
+        told = settings
         workers, worker = int(raw.get("workers") or 1), int(raw.get("worker") or 0)
         if not 0 <= worker < workers:
             raise ValueError(f"worker is {worker}; give a number from 0 to {workers - 1}")
@@ -96,11 +98,29 @@
             max_open=int(caps.get("maxOpen") or 10_000),
             workers=workers,
             known=raw.get("known") or {},
+            told=told,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise ConfigError(f"{type(error).__name__}: {error}") from error
 
 
+def load_again(path: str, standing: Config) -> Config:
+    """A configuration to take the place of one that stands: judged whole. Raises ConfigError."""
+    from roadpulley.checks import Bad
+
+    from .judging import complete, gateway
+
+    try:
+        raw = json.loads(Path(path).read_text())
+        gateway(raw)
+        complete(raw["settings"], standing.told)
+        if standing.counter is not None and not raw.get("counter"):
+            raise Bad("counter", "is missing", "give HOST:PORT, as in the configuration that stands")
+        return parse_config(raw)
+    except (OSError, ValueError, Bad, RecursionError) as error:
+        raise ConfigError(f"{path}: {error}") from error
+
+
 def load_config(path: str) -> Config:
     try:
         return parse_config(json.loads(Path(path).read_text()))
--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -421,10 +421,9 @@
         memory: int,
         tallies: Tallies | None = None,
     ) -> None:
-        self.loop, self.timers, self.handler, self.terms, self.most = loop, timers, handler, terms, most
+        self.loop, self.timers, self.handler, self.most = loop, timers, handler, most
         self.tallies = tallies or Tallies()
-        for name in terms.classes:
-            self.tallies.know(name.decode())
+        self.retune(terms)
         self.most_unsent, self.unsent = memory, 0  # bytes of answers that are not taken yet, of all clients
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
         self.view = memoryview(self.buffer)
@@ -547,6 +546,12 @@
             self.told_at = now
         self.timers.at(now + SWEEP_MS, self.sweep)
 
+    def retune(self, terms: Terms) -> None:
+        """Other terms from the next request on. What was counted of a class that is dropped stays."""
+        self.terms = terms
+        for name in terms.classes:
+            self.tallies.know(name.decode())
+
     def stand(self, says_yes: bool, accepts: bool, keeps: bool) -> None:
         """What this server is to its clients from now on.
 
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -11,7 +11,8 @@
 
 from roadpulley.checks import Bad
 from roadpulley.cli import main
-from roadpulley.cli.check import deploy, gateway, judge
+from roadpulley.cli.check import deploy, judge
+from roadpulley.core.judging import gateway
 from roadpulley.testbed import terms
 from roadpulley.testbed.scenario import shipped
 
@@ -101,7 +102,7 @@
 )
 def test_a_bad_key_is_named_by_its_path_with_what_would_be_right(path: str, value: Any, words: str) -> None:
     with pytest.raises(Bad) as caught:
-        gateway(changed(path, value))
+        gateway(changed(path, value)).done()
     named = path if not path.endswith("[1].name") else "settings.classes"
     assert caught.value.path == named and words in str(caught.value)
 
--- /dev/null
+++ b/tests/operations/test_retuning.py
@@ -0,0 +1,263 @@
+"""A configuration that takes another's place: whole, or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import BASIC, KEYED, RULES, SAFE, UNSAFE, World, settings
+from loopback import SETTINGS, Backend, Reply, in_loop, request, until
+from loopback import World as Sockets
+
+from mintford import interface as api
+from roadpulley.__main__ import Reload, serve
+from roadpulley.core.settings import Config, ConfigError, load_again, load_config, parse_config
+
+STANDING: dict[str, Any] = {
+    "listen": "127.0.0.1:6379",
+    "discovery": "127.0.0.1:8500",
+    "counter": "127.0.0.1:6400",
+    "settings": SETTINGS,
+}
+
+
+def judged(tmp_path: Path, text: str) -> Config:
+    file = tmp_path / "config.json"
+    file.write_text(text)
+    return load_again(str(file), parse_config(STANDING))
+
+
+def test_a_file_cut_at_any_byte_is_turned_down(tmp_path: Path) -> None:
+    text = json.dumps(STANDING)
+    for length in range(len(text)):
+        with pytest.raises(ConfigError):
+            judged(tmp_path, text[:length])
+    assert judged(tmp_path, text) == parse_config(STANDING)
+
+
+def paths(table: Any, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    if isinstance(table, dict):
+        return [found for key in table for found in [(*path, key), *paths(table[key], (*path, key))]]
+    if isinstance(table, list):
+        return [found for number, each in enumerate(table) for found in paths(each, (*path, number))]
+    return []
+
+
+# Not in every class or plan that stands, so not known to be needed.
+OPTIONAL = {"importance", "repeatWindow", "rate", "mostAtOnce", "overrunCost"}
+
+
+@pytest.mark.parametrize("path", [p for p in paths(STANDING) if p[-1] not in OPTIONAL], ids=str)
+def test_a_file_short_of_a_key_is_turned_down_and_the_key_is_named(
+    tmp_path: Path, path: tuple[Any, ...]
+) -> None:
+    raw = copy.deepcopy(STANDING)
+    table: Any = raw
+    for key in path[:-1]:
+        table = table[key]
+    del table[path[-1]]
+    with pytest.raises(ConfigError, match=path[-1]):
+        judged(tmp_path, json.dumps(raw))
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        ("classes.0.deadline", -5),
+        ("classes.0.deadline", 0),
+        ("classes.0.deadline", "4000"),
+        ("classes.1.effect", "perhaps"),
+        ("classes.2.name", "view"),
+        ("classes", []),
+        ("caps.maxAttempts", 0),
+        ("caps.maxAttempts", True),
+        ("caps.maxOpen", 0),
+        ("packages.1.rate", float("nan")),
+        ("rules", []),
+        ("familyInfo.countWait", None),
+    ],
+)
+def test_a_value_that_can_not_be_is_turned_down_and_named(tmp_path: Path, path: str, value: Any) -> None:
+    raw = copy.deepcopy(STANDING)
+    *steps, last = [int(step) if step.isdigit() else step for step in path.split(".")]
+    table: Any = raw["settings"]
+    for step in steps:
+        table = table[step]
+    table[last] = value
+    key = "classes" if path == "classes.2.name" else str(last)
+    with pytest.raises(ConfigError, match=rf"settings.*{key}"):
+        judged(tmp_path, json.dumps(raw))
+
+
+def test_a_configuration_of_other_classes_and_unknown_keys_is_taken(tmp_path: Path) -> None:
+    raw = copy.deepcopy(STANDING)
+    raw["settings"]["classes"] = [{"name": "new", "aim": 5, "deadline": 9.0, "effect": "pure", "shiny": 1}]
+    raw["settings"]["novel"] = {"a": 1}
+    assert [c.name for c in judged(tmp_path, json.dumps(raw)).settings.classes] == ["new"]
+
+
+# ---- on sockets ----
+
+
+class Served:
+    """A gateway with a file of its own, read again when a test says so."""
+
+    def __init__(self, world: Sockets, folder: Path) -> None:
+        self.world, self.file, self.again = world, folder / "config.json", Reload()
+        self.raw: dict[str, Any] = {}
+
+    def write(self, **changes: Any) -> None:
+        raw = {**self.raw, "settings": {**copy.deepcopy(SETTINGS), **changes}}
+        self.file.write_text(json.dumps(raw))
+
+    async def run(self, scenario: Any) -> None:
+        world = self.world
+        servers = [*world.backends, world.counter, world.discovery]
+        for server in servers:
+            await server.start()
+        self.raw = world.config()
+        self.write()
+        ready: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        config = load_config(str(self.file))
+        task = asyncio.create_task(
+            serve(
+                config,
+                world.stop,
+                ready.set_result,
+                again=self.again,
+                load=lambda old: load_again(str(self.file), old),
+            )
+        )
+        world.port = await ready
+        await until(lambda: world.discovery.watches)
+        try:
+            await scenario()
+        finally:
+            for peer in world.peers:
+                peer.close()
+            world.stop.set()
+            await task
+            for server in servers:
+                await server.stop()
+
+
+VIEW, KEYED_RAW, WIPE = SETTINGS["classes"]
+
+
+def test_a_class_is_added_dropped_and_comes_back_with_another_effect(tmp_path: Path) -> None:
+    """A request keeps what it came with: the keyed one may be sent again though its class no longer may."""
+
+    async def scenario() -> None:
+        first, answered = asyncio.Event(), asyncio.Event()
+
+        async def script(command: list[bytes]) -> Reply:
+            if command[2] == b"old":
+                if not first.is_set():
+                    first.set()
+                    await answered.wait()
+                    return b"-ERR failed\r\n"  # it may have run
+            return b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+        served = Served(Sockets(Backend(script), Backend(script)), tmp_path)
+        world = served.world
+
+        def keyed(id: bytes) -> tuple[bytes, ...]:
+            verb, customer, _, listed = request(id, name=b"keyed")
+            return verb, customer, id, listed + b",k=%b" % id
+
+        async def play() -> None:
+            old, peer = await world.client(), await world.client()
+            old.send(*keyed(b"old"))
+            await first.wait()
+            served.write(classes=[VIEW, {**WIPE, "name": "new"}])
+            served.again()
+            assert await world.ask(peer, id=b"n", name=b"new") == b"value"
+            peer.send(*keyed(b"dropped"))
+            assert str(await peer.receive()) == "ERR unknown class"
+            served.write(classes=[VIEW, {**KEYED_RAW, "effect": "side_effect"}])
+            served.again()
+            answered.set()
+            assert await old.receive() == b"value"
+            assert sum(command[2] == b"old" for b in world.backends for command in b.got) == 2
+
+        await served.run(play)
+
+    in_loop(scenario)
+
+
+def test_a_broken_file_leaves_everything_and_two_signals_at_once_are_harmless(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    async def scenario() -> None:
+        served = Served(Sockets(Backend()), tmp_path)
+        world = served.world
+
+        async def play() -> None:
+            peer = await world.client()
+            served.write(classes=[{**VIEW, "deadline": 0}])
+            served.again()
+            assert await world.ask(peer, id=b"1", name=b"wipe") == b"value"
+            served.write(classes=[VIEW])
+            served.again()
+            served.again()
+            assert str(await world.ask(peer, id=b"2", name=b"wipe")) == "ERR unknown class"
+            assert await world.ask(peer, id=b"3") == b"value"
+
+        await served.run(play)
+
+    in_loop(scenario)
+    assert "settings.classes[0].deadline: is 0; give a number from 1" in caplog.text
+
+
+# ---- in the module ----
+
+
+def test_quotas_health_and_what_is_out_survive_other_settings() -> None:
+    world = World()
+    quotas = world.gateway.quotas
+    world.ask()
+    before = quotas.customers["c"].store
+    out = dict(world.gateway.attempts.out)
+    world.give(api.SettingsChanged(settings(classes=(SAFE,), max_attempts=1)))
+    assert quotas.customers["c"].store == before and world.gateway.attempts.out == out
+    assert world.gateway.fleet.settings.max_attempts == 1 == world.gateway.settings.max_attempts
+
+
+def test_a_plan_that_another_source_changed_is_not_set_back_by_settings_as_before() -> None:
+    world = World()
+    dearer = api.Plan("basic", rate=5, burst=9)
+    world.give(api.PlanChanged(dearer))
+    world.give(api.SettingsChanged(settings(classes=(SAFE,))))
+    assert world.gateway.quotas.plans["basic"] == dearer
+    world.give(api.SettingsChanged(settings(plans=(api.Plan("basic", rate=7, burst=9),))))
+    assert world.gateway.quotas.plans["basic"].rate == 7 and "firm" not in world.gateway.quotas.plans
+
+
+def test_the_rules_of_cold_backends_are_those_that_hold_now() -> None:
+    world = World()
+    rules = api.SafetyRules(RULES.drain_grace, 0.5, RULES.warm_within, 4)
+    world.give(api.SettingsChanged(settings(rules=rules)))
+    assert {b.rules for b in world.gateway.fleet.backends.values()} == {rules}
+
+
+def test_what_came_before_keeps_its_attempts_and_never_gets_more() -> None:
+    for then, now, most in ((3, 1, 1), (1, 3, 1)):
+        world = World(max_attempts=then, classes=(SAFE, KEYED, UNSAFE), plans=(BASIC,), may_count=False)
+        world.ask()
+        request_id = "r1"
+        request = world.gateway.attempts.requests[request_id]
+        world.give(api.SettingsChanged(settings(max_attempts=now, may_count=False)))
+        assert min(request.most, world.gateway.settings.max_attempts) == most
+        number = 0
+        while (request_id, number) in world.gateway.attempts.out:
+            attempt = world.gateway.attempts.out[request_id, number]
+            world.give(
+                api.AttemptEnded(request_id, number, attempt.backend.id, api.Outcome.FAILED, 5.0, False)
+            )
+            number += 1
+        assert number == most
+
