The processes of an upgrade hand over ceilings, leases and health on a link

Need: two processes of one gateway each filled the whole of a hard ceiling's own part, and the new one began with guessed leases and no view of backends.

Ceilings are divided exactly; a successor that serves makes SIGTERM mean 'leave at once', without one the process serves on as before. Found by a test on processes: the new one took the path over before the old one had gone, so that after its death the next found nobody; it listens only once the old one has gone.

--- a/mintford/ceilings.py
+++ b/mintford/ceilings.py
@@ -33,7 +33,8 @@
         """`seconds`: since this gateway's start; `unit`: the largest request."""
         self.shared = share(plan, even, unit) if counted and even < 1 else 0.0
         own = (1 - self.shared) * even
-        self.own_rate, self.own_burst = own * plan.ceiling_rate, own * plan.ceiling_burst
+        self.whole = own * plan.ceiling_rate, own * plan.ceiling_burst  # of this gateway
+        self.own_rate, self.own_burst = self.whole  # of this process, which may be one of two
         self.pool_rate, self.pool_burst = self.shared * plan.ceiling_rate, self.shared * plan.ceiling_burst
         # Danger: a restarted gateway does not know what it sent before. Counted as empty at its start, its
         # part can never be spent twice; and of the shared part nothing is there that no total has shown.
@@ -42,6 +43,12 @@
         # of the shared part it never takes again.
         self.unused = self.pool_burst
 
+    def take_part(self, part: float, kept: float) -> None:
+        """Stand for a part of this gateway, and keep so much of what is there."""
+        self.own_rate, self.own_burst = part * self.whole[0], part * self.whole[1]
+        self.own, self.unused = self.own * kept, self.unused * kept
+        self.pool = min(self.pool, self.unused)
+
     def inherit(self, old: Ceiling) -> None:
         """Stand in for another plan's: what is owed to that stays owed, here and in the shared part."""
         self.own = self.own_burst - (old.own_burst - old.own)
--- a/mintford/changes.py
+++ b/mintford/changes.py
@@ -31,10 +31,8 @@
 
 
 def retune(quotas: Quotas, now: float, old: api.Settings, new: api.Settings) -> None:
-    """Other settings: each plan that they change has its new terms; one that they drop has no requests more.
-
-    Danger: a plan that another source has changed in service is not to be set back by settings as before.
-    """
+    """Other settings: each plan that they change has its new terms; what they drop has no requests more."""
+    # Danger: a plan that another source has changed in service is not to be set back by settings as before.
     before = {plan.name: plan for plan in old.plans}
     quotas.settings = new
     quotas.dearest = max((p.price for p in new.plans), default=1.0)
@@ -61,5 +59,6 @@
     # Danger: what was sent on under no ceiling was counted nowhere. As after a restart, nothing of a new one
     # is there until time has given it.
     c.ceiling = Ceiling(plan, c.even, counted, 0.0, c.unit)
+    c.ceiling.take_part(quotas.part, 1.0)
     if old.ceiling_rate:
         c.ceiling.inherit(old_ceiling)
--- /dev/null
+++ b/mintford/handover.py
@@ -0,0 +1,49 @@
+"""One gateway as two processes: what one gives the other, and what each may let out meanwhile.
+
+Ceilings are exact: rates, bursts and what is in them are divided. Leases need not be: to the counter the two
+are two gateways that spend for one customer; the new one goes on from the readings of the old one.
+"""
+
+from __future__ import annotations
+
+from . import interface as api
+from .load import Fleet
+from .quotas import Customer, Quotas
+
+
+def take_part(quotas: Quotas, fleet: Fleet, now: float, part: float) -> api.Estate:
+    """From now on this process has such a part of its gateway; gives what it holds no more."""
+    given, kept = [], min(1.0, part / quotas.part) if quotas.part else 1.0
+    for c in quotas.customers.values():
+        quotas.fill(now, c)
+        lease = {name: getattr(c, name) for name in api.LEASE}
+        lease["store"] += c.unsaid  # this process will tell that, and the other read it
+        amounts = max(0.0, c.tokens) * (1 - kept), c.ceiling.own * (1 - kept), c.ceiling.unused * (1 - kept)
+        given.append(api.Holding(c.key, c.named, round(1 / c.even), lease, *amounts))
+        c.tokens -= amounts[0]
+        c.ceiling.take_part(part, kept)
+    quotas.part = part
+    seen = (api.Seen(b.id, b.started, b.marks) for b in fleet.backends.values() if b.marks)
+    return api.Estate(quotas.since, tuple(given), tuple(seen), fleet.typical, fleet.recent)
+
+
+def inherit(quotas: Quotas, fleet: Fleet, now: float, estate: api.Estate) -> None:
+    """Go on from what the other process held; of a customer known here only the ceiling's rest is new."""
+    # Danger: who is not named was not met since then: its ceiling has filled since then, and for no longer.
+    quotas.since = estate.since
+    for held in estate.customers:
+        c = quotas.customers.get(held.customer)
+        if c is None:
+            plan = quotas.plan_of(held.customer, held.plan)
+            c = Customer(held.customer, plan, held.spread, now, now, quotas.settings)
+            c.named, quotas.customers[held.customer] = held.plan, c
+            c.ceiling.take_part(quotas.part, 0.0)
+            for name, value in held.lease.items():
+                setattr(c, name, value)
+            c.tokens = held.tokens
+        c.ceiling.own, c.ceiling.unused = c.ceiling.own + held.own, c.ceiling.unused + held.unused
+    for seen in estate.backends:
+        if (b := fleet.backends.get(seen.backend)) and b.started == seen.started:
+            b.marks.update(seen.marks)
+    if estate.typical and not fleet.samples:
+        fleet.typical, fleet.samples, fleet.recent, fleet.recent_at = estate.typical, 1.0, estate.recent, now
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 
 class Effect(Enum):
@@ -204,6 +205,60 @@
     settings: Settings
 
 
+# What a process knows of a customer's store; the names are those of mintford.quotas.Customer.
+LEASE = (
+    "store", "part", "lease_end", "read_at", "heard", "mine", "others", "left", "tail", "ended", "totals",
+    "unsure", "asked", "asked_at", "wants_told", "telling", "wanted", "wants",
+)  # fmt: skip
+
+
+@dataclass(slots=True)
+class Holding:
+    """What one process of a gateway held for a customer: what it knew, and the amounts that it gives."""
+
+    customer: str
+    plan: str
+    spread: int
+    lease: dict[str, Any]  # by the names in LEASE
+    tokens: float  # of the lease
+    own: float  # of the gateway's own part of the ceiling
+    unused: float  # of its shared part: what this gateway may still take
+
+
+@dataclass(slots=True)
+class Seen:
+    """What one process has seen of a backend: levels of its marks, and when they were set."""
+
+    backend: int
+    started: float
+    marks: dict[str, tuple[float, float]]
+
+
+@dataclass(slots=True)
+class Estate:
+    """What one process of a gateway gives the other."""
+
+    since: float  # whoever is not named has not been met since then
+    customers: tuple[Holding, ...]
+    backends: tuple[Seen, ...]
+    typical: float
+    recent: float
+
+
+@dataclass(slots=True)
+class PartChanged:
+    """From now on this process stands for such a part of its gateway; a HandOver tells what it gives up."""
+
+    part: float
+
+
+@dataclass(slots=True)
+class Inherited:
+    """The other process of this gateway has given this."""
+
+    estate: Estate
+
+
 @dataclass(slots=True)
 class DoorChanged:
     """Whether new requests are taken; those that are open go on either way."""
@@ -235,6 +290,8 @@
     | TimerFired
     | LoopLagged
     | DoorChanged
+    | PartChanged
+    | Inherited
     | SettingsChanged
     | PlanChanged
     | PeerSpoke
@@ -291,5 +348,12 @@
     enable: bool = True
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Count | FollowList
+@dataclass(slots=True)
+class HandOver:
+    """What this process holds no more, for the other one of its gateway."""
+
+    estate: Estate
+
+
+Action = Send | Cancel | Refuse | Fail | SetTimer | Count | FollowList | HandOver
 Actions = list[Action]
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -138,6 +138,7 @@
         self.own: dict[str, api.Plan] = {}  # of customers with terms of their own
         self.customers: dict[str, Customer] = {}
         self.calls: dict[str, deque[Call]] = {}  # by name
+        self.part = 1.0  # of this gateway, that this process stands for
         self.counter_room = 1.0  # the part of refreshes that a crowded counter leaves room for
         self.starting = STARTING / max(1, settings.gateways)  # at most, and soon more; 1: that is over
         self.since, self.tidied_at = 0.0, 0.0  # the first event; the last tidying
@@ -158,6 +159,7 @@
             plan = self.plan_of(event.customer, event.plan)
             c = Customer(event.customer, plan, event.spread, now, self.since, self.settings)
             c.named = event.plan
+            c.ceiling.take_part(self.part, self.part)
             self.customers[event.customer] = c
         self.fill(now, c)
         fade = math.exp((c.asked_at - now) / WANTS_MS)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from . import changes
+from . import changes, handover
 from . import interface as api
 from .attempts import RETRY_CALM, RETRY_SHARE, RETRY_STORE, Attempt, Attempts, Request
 from .guards import END_MS, NEVER_RAN
@@ -42,6 +42,8 @@
             api.LoopLagged: lambda _, event, __: self.own.lagged(event.lag),
             api.DoorChanged: self.on_door,
             api.SettingsChanged: self.on_settings,
+            api.PartChanged: self.on_part,
+            api.Inherited: lambda now, event, _: handover.inherit(self.quotas, self.fleet, now, event.estate),
             api.PlanChanged: lambda now, event, _: changes.take_in(self.quotas, now, event),
             api.RequestLapsed: lambda _, event, __: self.attempts.requests.pop(event.request, None),
         }  # peers' messages change no decision
@@ -96,7 +98,6 @@
         self.door_open = event.open
 
     def on_settings(self, now: float, event: api.SettingsChanged, out: api.Actions) -> None:
-        """Every section goes by the new settings; what was learned and what is owed stays."""
         changes.retune(self.quotas, now, self.settings, event.settings)
         self.settings = event.settings
         self.classes = {c.name: c for c in event.settings.classes}
@@ -105,6 +106,9 @@
         self.shedding.retune()
         self.fleet.retune(now, event.settings)
 
+    def on_part(self, now: float, event: api.PartChanged, out: api.Actions) -> None:
+        out.append(api.HandOver(handover.take_part(self.quotas, self.fleet, now, event.part)))
+
     def on_counted(self, now: float, event: api.CounterReplied, out: api.Actions) -> None:
         waiting, counted = self.quotas.counted(now, event)
         request = self.attempts.requests.get(waiting)
@@ -118,10 +122,8 @@
             self.check(now, request, out)
 
     def on_began(self, now: float, event: api.AnswerBegan, out: api.Actions) -> None:
-        """The first bytes of a value are on their way to the client: no other attempt, and no other end.
-
-        Danger: how long the rest takes is also the client's doing, and says nothing of the backend.
-        """
+        """The first bytes of a value are on their way: no other attempt, and no other end of the request."""
+        # Danger: how long the rest takes is also the client's doing, and says nothing of the backend.
         attempt = self.attempts.out.get((event.request, event.attempt))
         if attempt is None or attempt.begun:
             return
--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -11,6 +11,7 @@
 import sys
 from collections.abc import Callable
 from functools import partial
+from typing import TYPE_CHECKING
 
 import uvloop
 
@@ -28,6 +29,9 @@
 from .operations.life import Life
 from .operations.lifecycle import Event, Lifecycle, Times
 
+if TYPE_CHECKING:
+    from .operations.link import Link
+
 log = logging.getLogger("roadpulley")
 
 CLIENT_SHARE, BACKEND_SHARE = 0.5, 0.25  # of the descriptors; the rest is headroom
@@ -144,13 +148,14 @@
     attach: Callable[[Driver], object] | None = None,
     listener: socket.socket | None = None,
     closing: Callable[[], None] | None = None,
-    succeeded: bool = False,
+    link: bool = False,
 ) -> None:
     """Serve until `stop` is set, then drain. `ready` is told the port once clients may come.
 
     A `listener` that is given is bound already; `closing` is called once nothing more is accepted. A call
     of `again` brings a new configuration from `load`, which is given the one that stands; `attach` is handed
-    the driver before that. `succeeded`: when this process is stopped, another accepts from the listener.
+    the driver before that. `link`: another process may accept from the
+    listener beside this one; what both stand for is handed over.
     """
     loop = asyncio.get_running_loop()
     timers = Timers(loop)
@@ -184,7 +189,8 @@
         memory,
         tallies,
     )
-    life = Life(Lifecycle(times(config.settings), succeeded), timers, driver, server)
+    life = Life(Lifecycle(times(config.settings)), timers, driver, server)
+    ends = await linked(config, driver, life) if link else None
     operators = await operators_at(config.admin, loop, life) if config.admin else None
     watch = loop.create_task(discovery.run())
     if again is not None and load is not None:
@@ -197,6 +203,8 @@
     gc.freeze()  # what was loaded stays: no pause to look at it again
     gc.set_threshold(*GC_THRESHOLDS)
     life.give(Event.READY)
+    if ends is not None:
+        await ends.serves()
     log.info("%s serves at %s:%d", config.name, config.listen[0], port)
     if ready is not None:
         ready(port)
@@ -220,6 +228,8 @@
         log.warning("%d requests open at the end", len(driver.requests))
         driver.fail_all()
         await asyncio.sleep(CLOSING_S)
+    if ends is not None:
+        await ends.close()
     watch.cancel()
     backends.close()
     if counter is not None:
@@ -228,6 +238,18 @@
         operators.close()
 
 
+async def linked(config: Config, driver: Driver, life: Life) -> Link:
+    """The link to the process before and after this one, with what the first gave."""
+    from .operations.link import Link
+
+    def succeeded(serves: bool) -> None:
+        life.give(Event.SUCCEEDED if serves else Event.ALONE)
+
+    link = Link(f"{config.name}@{config.listen[0]}:{config.listen[1]}", driver, succeeded)
+    await link.inherit()
+    return link
+
+
 async def operators_at(address: Address, loop: asyncio.AbstractEventLoop, life: Life) -> OperatorAddress:
     """Listen for operators from now on. Raises ConfigError where the address can't be had."""
     operators = OperatorAddress(loop, life.answer)
@@ -248,7 +270,7 @@
     loop.add_signal_handler(signal.SIGHUP, again)
     load = partial(load_again, path)
     config, listener = load_config(path), inherited()
-    await serve(config, stop, again=again, load=load, listener=listener, succeeded=listener is not None)
+    await serve(config, stop, again=again, load=load, listener=listener, link=listener is not None)
 
 
 def main() -> int:
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -83,6 +83,7 @@
         self.meter: Meter | None = None  # counts what is sent on
         self.look_due, self.behind = math.inf, 0.0  # the next look at the lag; that of the last one
         self.strained = self.lagging = False  # the module turns some away at the door; it was told of a lag
+        self.hand_over: Callable[[api.Estate], object] = lambda _: None  # to this gateway's other process
         self.acts: dict[type, Callable[[Any], object]] = {
             api.Send: self.send,
             api.Cancel: self.cancel,
@@ -91,6 +92,7 @@
             api.SetTimer: self.set_timer,
             api.Count: self.count,
             api.FollowList: lambda _: None,  # the list is always followed
+            api.HandOver: lambda action: self.hand_over(action.estate),
         }
 
     # ---- events ----
--- a/roadpulley/operations/lifecycle.py
+++ b/roadpulley/operations/lifecycle.py
@@ -19,12 +19,14 @@
 | serving  | PAUSE         | paused                                                                    |
 | paused   | RESUME        | serving                                                                   |
 | serving  | STOP          | leaving if a successor takes what comes; else stopping: nobody has its place |
+| stopping | SUCCEEDED     | leaving                                                                   |
 | paused   | STOP          | leaving: nobody is sent here                                              |
 | stopping | its time      | leaving                                                                   |
 | leaving  | EMPTY         | ended                                                                     |
 | leaving  | its last time | ended; what is open then is failed                                        |
 
-All else changes nothing: calls that repeat are harmless.
+SUCCEEDED and ALONE say whether a successor serves, in any state. All else changes nothing: calls that repeat
+are harmless.
 """
 
 from __future__ import annotations
@@ -52,6 +54,8 @@
     PAUSE = "pause"
     RESUME = "resume"
     STOP = "stop"  # SIGTERM
+    SUCCEEDED = "succeeded"  # another process of this gateway takes clients
+    ALONE = "alone"  # it has gone
     EMPTY = "empty"  # no client is connected
     TIME = "time"  # it is `due`
 
@@ -78,9 +82,8 @@
 class Lifecycle:
     """The only owner of what this process is to its clients."""
 
-    def __init__(self, times: Times, succeeded: bool = False) -> None:
-        """`succeeded`: whoever stops this process has started another one at the same listening socket."""
-        self.times, self.succeeded = times, succeeded
+    def __init__(self, times: Times) -> None:
+        self.times, self.succeeded = times, False  # another process takes what comes
         self.state, self.since = State.STARTING, 0.0
         self.paused = False  # also while starting and leaving
         self.stopped_at = math.inf
@@ -105,6 +108,8 @@
         if event is Event.PAUSE or event is Event.RESUME:
             if state in (State.STARTING, State.SERVING, State.PAUSED):
                 self.paused = event is Event.PAUSE
+        if event is Event.SUCCEEDED or event is Event.ALONE:
+            self.succeeded = event is Event.SUCCEEDED
         if event is Event.STOP and self.stopped_at == math.inf:
             self.stopped_at = now
         after = {
@@ -114,6 +119,7 @@
             (State.SERVING, Event.STOP): State.LEAVING if self.succeeded else State.STOPPING,
             (State.PAUSED, Event.RESUME): State.SERVING,
             (State.PAUSED, Event.STOP): State.LEAVING,
+            (State.STOPPING, Event.SUCCEEDED): State.LEAVING,
             (State.STOPPING, Event.TIME): State.LEAVING if passed else state,
             (State.LEAVING, Event.EMPTY): State.ENDED,
             (State.LEAVING, Event.TIME): State.ENDED if passed else state,
--- a/setup.py
+++ b/setup.py
@@ -15,6 +15,7 @@
     "mintford/ceilings.py",
     "mintford/changes.py",
     "mintford/guards.py",
+    "mintford/handover.py",
     "mintford/load.py",
     "mintford/quotas.py",
     "mintford/rules.py",
