--- a/roadpulley/testbed/installation.py
+++ b/roadpulley/testbed/installation.py
@@ -88,6 +88,7 @@
         self.seen: dict[str, Seen] = {}  # by the group of nodes that drops repeats
         self.gateways: dict[str, GatewayProcess] = {}
         self.relays: dict[str, Relay] = {}
+        self.ports: list[Port] = []
         self.tasks: set[asyncio.Task[None]] = set()
         self.failed: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         self.started_at = 0.0  # of the load
@@ -120,6 +121,11 @@
         made = self.relays[name] = Relay(name, origin, self.origins, target)
         return made
 
+    def new_port(self) -> Port:
+        """For an operators' address; kept until the end."""
+        self.ports.append(Port())
+        return self.ports[-1]
+
     def relays_to(self, other: str) -> list[Relay]:
         return [r for name, r in self.relays.items() if name.endswith(f">{other}")]
 
@@ -176,7 +182,13 @@
             "known": self.discovery.catalogue.whole(lambda host: self.dial(name, host)),
             "settings": self.deployment.settings(index, self.scenario.gateways),
         }
-        process = GatewayProcess(name, self.folder, config, port, self.ledger, self.scenario.workers)
+        listener = None
+        if not self.scenario.workers:
+            config["admin"] = self.new_port().address
+            if any(fault.kind == "upgrade" for fault in self.scenario.faults):
+                listener = port.listener()
+        workers = self.scenario.workers
+        process = GatewayProcess(name, self.folder, config, port, self.ledger, workers, listener)
         self.gateways[name] = process
         relay = self.relay(f"clients>{name}", "", lambda: port.number)
         await relay.listen()
@@ -304,8 +316,8 @@
         servers: list[Server] = [self.counter, self.discovery]
         for server in servers:
             await server.stop()
-        for gateway in self.gateways.values():
-            gateway.port.free()
+        for port in [*self.ports, *(gateway.port for gateway in self.gateways.values())]:
+            port.free()
         if self.kept is not None:
             self.kept.cleanup()
 
--- a/roadpulley/testbed/processes.py
+++ b/roadpulley/testbed/processes.py
@@ -11,6 +11,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 from collections import deque
 from pathlib import Path
@@ -56,7 +57,10 @@
         port: Port,
         ledger: Ledger,
         workers: str = "",
+        listener: socket.socket | None = None,
     ) -> None:
+        """`listener`: outlives the process, which inherits it; so do those that take its place."""
+        self.listener, self.path = listener, folder / f"{name}.json"
         self.name, self.folder, self.config, self.port, self.ledger = name, folder, config, port, ledger
         self.args = ["roadpulley.cli", "serve", "--workers", workers] if workers else ["roadpulley"]
         self.process: asyncio.subprocess.Process | None = None
@@ -79,17 +83,28 @@
         assert self.process is not None
         return self.process.pid
 
+    async def start_beside(self) -> asyncio.subprocess.Process:
+        """Start the next process while this one serves; gives the one before, for the caller to stop."""
+        before = self.process
+        assert before is not None
+        await self.start()
+        return before
+
     async def start(self) -> None:
         self.called = self.killed = False
         self.starts += 1
-        path = self.folder / f"{self.name}.json"
+        path = self.path
         path.write_text(json.dumps({**self.config, "seed": f"{self.seed():016x}"}))
         parent = os.getpid()
+        shared = {"TMPDIR": str(self.folder)}
+        if self.listener is not None:
+            shared["LB_ACCEPT_FD"] = str(self.listener.fileno())
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
             *self.args,
-            env={**os.environ, "LB_CONFIG": str(path), "LB_NAME": self.name},
+            env={**os.environ, **shared, "LB_CONFIG": str(path), "LB_NAME": self.name},
+            pass_fds=[self.listener.fileno()] if self.listener is not None else [],
             stdin=asyncio.subprocess.DEVNULL,
             stdout=asyncio.subprocess.DEVNULL,
             stderr=asyncio.subprocess.PIPE,
@@ -110,7 +125,8 @@
                 log.flush()
                 self.lines.append(line.decode(errors="replace").rstrip())
         code = await process.wait()
-        how = "killed" if self.killed else "finished" if self.called else "crashed"
+        replaced = process is not self.process
+        how = "killed" if self.killed else "finished" if self.called or replaced else "crashed"
         if not self.stopped:
             self.ledger.ended.append(Ended(self.name, now_ms(), how))
         if how == "crashed" and not self.crashed.done():
@@ -159,6 +175,8 @@
         """End it whatever state it is in."""
         self.called = self.stopped = True
         self.resume()
+        if self.listener is not None:
+            self.listener.close()
         if self.process is not None and not await self.ended(0):
             try:
                 os.killpg(self.process.pid, signal.SIGKILL)  # its workers with it
--- a/roadpulley/testbed/scenario.py
+++ b/roadpulley/testbed/scenario.py
@@ -17,7 +17,7 @@
 FOLDER = Path(__file__).parent / "scenarios"
 # What each kind of fault names, and whether it ends by itself after `for`.
 LINK_FAULTS = {"delay", "cut", "half-open", "reset", "drip", "garbage", "blackhole"}
-GATEWAY_FAULTS = {"kill", "hang", "restart"}
+GATEWAY_FAULTS = {"kill", "hang", "restart", "pause", "retune", "upgrade"}
 NODE_FAULTS = {"node-hang", "node-slow", "node-kill", "node-start", "node-drain", "node-replace"}
 COUNTER_FAULTS = {"counter-lost", "counter-slow", "counter-full"}
 KINDS = {
@@ -34,6 +34,8 @@
     | COUNTER_FAULTS
     | {
         "hang",
+        "pause",
+        "retune",
         "node-hang",
         "node-slow",
         "rush",
@@ -184,6 +186,9 @@
         "node": node_names(scenario.nodes) + [f.by for f in scenario.faults if f.by],
         "plan": list(terms.DEPLOYMENTS[scenario.deployment].shares),
     }
+    operated = {fault.kind for fault in scenario.faults} & {"pause", "retune", "upgrade"}
+    if scenario.workers and operated:
+        raise Bad("workers", f"is {scenario.workers!r}", f"leave it out: {min(operated)} is for one process")
     for number, fault in enumerate(scenario.faults):
         path = f"fault[{number}]"
         what = KINDS.get(fault.kind)
@@ -216,6 +221,8 @@
         raise Bad(f"{path}.for", f"is {fault.seconds:g}", "give seconds, over 0 and up to 2")
     if fault.seconds and fault.kind not in LASTING | {"restart", "kill", "node-drain"}:
         raise Bad(f"{path}.for", f"is {fault.seconds:g}", f"leave it out: {fault.kind} does not last")
+    if fault.kind in ("pause", "retune") and not fault.seconds:
+        raise Bad(f"{path}.for", "is missing", f"give the seconds after which {fault.kind} is over")
     if fault.direction not in ("there", "back", "both"):
         raise Bad(f"{path}.direction", f"is {fault.direction!r}", "give one of back, both, there")
     if fault.kind == "half-open" and fault.direction == "both":
--- a/roadpulley/testbed/timeline.py
+++ b/roadpulley/testbed/timeline.py
@@ -11,6 +11,7 @@
 
 from roadpulley.core.clock import now_ms
 
+from . import operator
 from .ledger import LinkFault
 from .node import Node
 from .processes import GatewayProcess
@@ -110,11 +111,50 @@
                 process.resume()
 
             return resume
+        if fault.kind == "pause":
+            return await self.pause(process)
+        if fault.kind == "retune":
+            return self.retune(process)
+        if fault.kind == "upgrade":
+            task = self.world.spawn(self.upgrade(process))
+            self.restarting.add(task)
+            task.add_done_callback(self.restarting.discard)
+            return None
         task = self.world.spawn(self.restart(process, fault))
         self.restarting.add(task)
         task.add_done_callback(self.restarting.discard)
         return None
 
+    async def pause(self, process: GatewayProcess) -> Heal:
+        """An operator drains it; the front learns it by the next PING."""
+        gate = next(g for g in self.world.front.gates if g.name == process.name)
+        await operator.told(process, "PAUSE")
+        leaving = self.world.spawn(self.world.front.leave(gate))
+
+        async def resume() -> None:
+            await leaving
+            await operator.told(process, "RESUME")
+            self.world.front.back(gate)
+
+        return resume
+
+    def retune(self, process: GatewayProcess) -> Heal:
+        """Other settings, then half a file, which has to change nothing; at the end the first settings."""
+        before = process.config["settings"]
+        operator.retune(process, operator.retuned(before))
+
+        async def back() -> None:
+            operator.retune(process, process.config["settings"], cut=True)
+            while not (await operator.figures(process))["edge_lb.cfg_invalid"]:
+                await asyncio.sleep(operator.LOOK_S)
+            operator.retune(process, before)
+
+        return back
+
+    async def upgrade(self, process: GatewayProcess) -> None:
+        await operator.upgrade(process, self.world.new_port().address)
+        self.world.say(f"upgraded: {process.name}")
+
     async def restart(self, process: GatewayProcess, fault: Fault) -> None:
         """Planned (SIGTERM, and SIGKILL for what does not end in time) or by force; under the same name."""
         gate = next(g for g in self.world.front.gates if g.name == process.name)
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import sys
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -37,7 +38,8 @@
             "worker": int(os.environ["ROADPULLEY_WORKER"]),
             "workers": int(os.environ["ROADPULLEY_WORKERS"]),
         }
-        return parse_config({**raw, **place})
+        # An operators' address belongs to one process; which worker would hear a call is chance.
+        return replace(parse_config({**raw, **place}), admin=None)
     except (OSError, ValueError, TypeError) as error:
         raise ConfigError(f"{path}: {error}") from error
 
--- a/tests/testbed/test_scenarios.py
+++ b/tests/testbed/test_scenarios.py
@@ -105,6 +105,25 @@
     assert {s.node for s in o.ledger.started if s.at > 0} == {"t4"}, "it came back cold"
 
 
+def drain(o: Outcome) -> None:
+    assert not o.ledger.ended and o.stats.all.ends["unanswered"] == 0
+    sent = sorted(a.first_at for a in o.ledger.attempts if a.gateway == "n1")
+    gaps = [later - earlier for earlier, later in zip(sent, sent[1:], strict=False)]
+    assert max(gaps) > 1_000, "nobody was sent there"
+    assert sent[-1] > sent[gaps.index(max(gaps))] + 1_000, "and then they were again"
+
+
+def retuning(o: Outcome) -> None:
+    assert not o.ledger.ended and o.stats.all.ends["unanswered"] == 0
+    assert {a.gateway for a in o.ledger.attempts} == {"n0", "n1", "n2"}
+
+
+def upgrade(o: Outcome) -> None:
+    assert sorted(e.gateway for e in o.ledger.ended) == ["n0", "n0", "n1", "n2"]
+    assert {e.how for e in o.ledger.ended} == {"finished"}
+    assert o.stats.all.ends["unanswered"] == 0
+
+
 SHOWS: dict[str, Callable[[Outcome], None]] = {
     "calm": calm,
     "rolling-restart": rolling_restart,
@@ -115,6 +134,9 @@
     "plan-rush": plan_rush,
     "gateway-killed": gateway_killed,
     "transfers": transfers,
+    "drain": drain,
+    "retuning": retuning,
+    "upgrade": upgrade,
 }
 
 
