Gateways that lose their watches at once call discovery again apart

At fault: the fixed waits in Discovery.run. Ruled out: the number of calls (at most four each).

Change: a wait is drawn between half and one and a half times itself, by the gateway's seed.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import os
+import random
 import signal
 import socket
 import sys
@@ -179,7 +180,7 @@
         known = read_list(config.known)
         version = known.version
         driver.members(ListScope.SAVED, known.members)
-    discovery = Discovery(config.discovery, version, driver.members)
+    discovery = Discovery(config.discovery, version, driver.members, random.Random(config.seed))
     server = ClientServer(
         loop,
         timers,
--- a/roadpulley/core/discovery.py
+++ b/roadpulley/core/discovery.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import logging
+import random
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -22,6 +23,7 @@
 SILENT_S = 4.5  # an empty line comes every 2 s
 CONNECT_S = 1.0
 BACKOFF_S = (0.1, 1.0)  # the first wait before a new watch, and the longest
+JITTER = 0.5  # of a wait, either way. Danger: gateways that lost their watches at once would call as one
 LONGEST_LINE = 16 * 1024 * 1024
 STATES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
 
@@ -73,7 +75,10 @@
 class Discovery:
     """Follows the list from a version on and reports each change."""
 
-    def __init__(self, address: Address, version: int | None, listener: Listener) -> None:
+    def __init__(
+        self, address: Address, version: int | None, listener: Listener, chance: random.Random | None = None
+    ) -> None:
+        self.chance = chance or random.Random()
         self.address, self.version, self.listener = address, version, listener
         self._heard = False  # anything on the last watch
         self._moved = asyncio.Event()
@@ -86,6 +91,9 @@
         self.address, self.version = address, None
         self._moved.set()
 
+    def pause(self, wait: float) -> float:
+        return wait * self.chance.uniform(1 - JITTER, 1 + JITTER)
+
     async def run(self) -> None:
         wait = BACKOFF_S[0]
         while True:
@@ -100,8 +108,9 @@
                     wait = BACKOFF_S[0]
                     continue
                 wait = BACKOFF_S[0] if self._heard else min(BACKOFF_S[1], wait * 2)
-                log.info("watch %s; again in %.1f s", watch.result(), wait)
-                await asyncio.wait({moved}, timeout=wait)
+                pause = self.pause(wait)
+                log.info("watch %s; again in %.2f s", watch.result(), pause)
+                await asyncio.wait({moved}, timeout=pause)
             finally:
                 watch.cancel()
                 moved.cancel()
--- a/tests/core/test_discovery.py
+++ b/tests/core/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import Any
 
 import pytest
@@ -195,3 +196,13 @@
             await watch.watched(2)
 
     in_loop(scenario)
+
+
+def test_gateways_that_lose_their_watches_at_once_call_again_apart() -> None:
+    """In step they would overwhelm discovery, which turns callers away then."""
+    clients = [module.Discovery((LOCAL, 1), 1, lambda *_: None, random.Random(seed)) for seed in range(48)]
+    for wait in module.BACKOFF_S:
+        pauses = sorted(client.pause(wait) for client in clients)
+        assert wait * (1 - module.JITTER) <= pauses[0] and pauses[-1] <= wait * (1 + module.JITTER)
+        in_step = max(sum(at <= other < at + wait / 10 for other in pauses) for at in pauses)
+        assert in_step <= 16, "a third of them within a tenth of the wait"
