What an old process has not told the counter goes to its successor

Need: units sent on and not yet told were lost with the old process; the other gateways spend them once more.

Change: Holding.unsaid, given at the end; the new process charges itself and tells the counter. Leases left over go too.

Result: a test with a counter that fails before the end (fails without it).

--- a/mintford/handover.py
+++ b/mintford/handover.py
@@ -1,8 +1,5 @@
-"""One gateway as two processes: what one gives the other, and what each may let out meanwhile.
-
-Ceilings are exact: rates, bursts and what is in them are divided. Leases need not be: to the counter the two
-are two gateways that spend for one customer; the new one goes on from the readings of the old one.
-"""
+"""One gateway as two processes. Ceilings are exact: rates, bursts and what is in them are divided. To the
+counter the two are two gateways; the new one goes on from the readings of the old one."""
 
 from __future__ import annotations
 
@@ -13,14 +10,15 @@
 
 def take_part(quotas: Quotas, fleet: Fleet, now: float, part: float) -> api.Estate:
     """From now on this process has such a part of its gateway; gives what it holds no more."""
-    given, kept = [], min(1.0, part / quotas.part) if quotas.part else 1.0
+    given, kept = [], min(1.0, part / (quotas.part or part or 1.0))
     for c in quotas.customers.values():
         quotas.fill(now, c)
         lease = {name: getattr(c, name) for name in api.LEASE}
-        lease["store"] += c.unsaid  # this process will tell that, and the other read it
-        amounts = max(0.0, c.tokens) * (1 - kept), c.ceiling.own * (1 - kept), c.ceiling.unused * (1 - kept)
+        lease["store"] += c.unsaid  # this process will tell that, and the other read it; but not at its end
+        held = max(0.0, c.tokens), c.ceiling.own, c.ceiling.unused
+        amounts = (*(amount * (1 - kept) for amount in held), 0.0 if part else c.unsaid)
         given.append(api.Holding(c.key, c.named, round(1 / c.even), lease, *amounts))
-        c.tokens -= amounts[0]
+        c.tokens, c.unsaid = c.tokens - amounts[0], c.unsaid - amounts[3]
         c.ceiling.take_part(part, kept)
     quotas.part = part
     seen = (api.Seen(b.id, b.started, b.marks) for b in fleet.backends.values() if b.marks)
@@ -28,7 +26,7 @@
 
 
 def inherit(quotas: Quotas, fleet: Fleet, now: float, estate: api.Estate) -> None:
-    """Go on from what the other process held; of a customer known here only the ceiling's rest is new."""
+    """Go on from what the other process held; of a customer that is known here, the amounts alone."""
     # Danger: who is not named was not met since then: its ceiling has filled since then, and for no longer.
     quotas.since = estate.since
     for held in estate.customers:
@@ -40,7 +38,9 @@
             c.ceiling.take_part(quotas.part, 0.0)
             for name, value in held.lease.items():
                 setattr(c, name, value)
-            c.tokens = held.tokens
+            c.tokens = 0.0
+        c.tokens += held.tokens
+        quotas.charge(c, held.unsaid)
         c.ceiling.own, c.ceiling.unused = c.ceiling.own + held.own, c.ceiling.unused + held.unused
     for seen in estate.backends:
         if (b := fleet.backends.get(seen.backend)) and b.started == seen.started:
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -223,6 +223,7 @@
     tokens: float  # of the lease
     own: float  # of the gateway's own part of the ceiling
     unused: float  # of its shared part: what this gateway may still take
+    unsaid: float = 0.0  # sent on, and for the other process to tell the counter
 
 
 @dataclass(slots=True)
--- a/roadpulley/operations/handover.py
+++ b/roadpulley/operations/handover.py
@@ -85,6 +85,7 @@
         number(raw["tokens"]),
         number(raw["own"]),
         number(raw["unused"]),
+        number(raw["unsaid"]),
     )
 
 
--- a/tests/operations/test_handover.py
+++ b/tests/operations/test_handover.py
@@ -136,6 +136,25 @@
     assert len(pair.sent) == HARD.ceiling_burst
 
 
+def test_what_the_old_process_had_not_told_the_counter_the_new_one_tells() -> None:
+    """Else the other gateways would never know of it, and spend it once more."""
+    pair = Pair(counted=True)
+    assert pair.counter is not None
+    pair.pass_time(10_000)
+    pair.flood(pair.old, 3)
+    pair.meet()
+    pair.counter.fails = api.Outcome.CONNECT  # nothing more is told by the old one
+    pair.flood(pair.old, 2)
+    unsaid = pair.old.gateway.quotas.customers["c"].unsaid
+    assert unsaid > 0
+    pair.counter.fails = None
+    before = pair.new.gateway.quotas.customers["c"].store
+    pair.leave(told=True)
+    c = pair.new.gateway.quotas.customers["c"]
+    assert c.unsaid == pytest.approx(unsaid) and c.store == pytest.approx(before - unsaid)
+    assert pair.old.gateway.quotas.customers["c"].unsaid == 0
+
+
 def test_a_successor_that_dies_leaves_the_old_one_the_whole_rate() -> None:
     pair = Pair(counted=False)
     pair.pass_time(10_000)
