Requests with values of up to 4 MiB: room first, held once, sent on without a copy

Need: values of up to 4 MiB pass both ways; requests stopped at 64 KiB ('length of an argument').

Change: core/budget.py grants room in the order of asking, for all of a value at once; CommandReader waits for it; what is sent is the encoded head and one view of the value, also for a second attempt. A value may come in pieces for 30 s, with 2.4 s of silence at most.

--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -88,6 +88,7 @@
     over: bool = False
     # Told that a long value begins; gives where it goes, None if nobody wants it any more.
     begin: Callable[[Attempt, int, Source], Sink | None] | None = None
+    body: memoryview | None = None  # what goes behind the encoded command
     passes_on: bool = False  # a long value of it is or was under way to the client
     use: bytes = b""  # figures on use that came with its answer
 
@@ -114,6 +115,7 @@
         self.paused = False  # by the sink
         self.heard_at = 0.0
         self.unsent = memoryview(b"")
+        self.body: memoryview | None = None  # to be sent after that
         self.up = self.closed = self.writing = False
         self.idle_since = 0.0
         self.age: float | None = None  # idle until its last request; None: that was its first
@@ -160,6 +162,7 @@
             self.pool.release(self)
             return attempt.end(Outcome.IGNORED if now >= attempt.expires else Outcome.CONNECT)
         self.unsent = memoryview(attempt.encode(max(1, int(attempt.expires - now))))
+        self.body = attempt.body
         self._flush()
 
     def _flush(self) -> None:
@@ -170,6 +173,8 @@
         except OSError:
             return self.end(Outcome.CONNECT)  # the last byte did not leave
         self.unsent = self.unsent[sent:]
+        if not self.unsent and self.body is not None:
+            self.unsent, self.body = self.body, None  # never empty between: the last byte has not left
         if not self.unsent:
             self.pool.tallies.relayed += 1
         if bool(self.unsent) != self.writing:
--- a/roadpulley/core/command.py
+++ b/roadpulley/core/command.py
@@ -60,6 +60,7 @@
     spread: int
     first: int
     repeat: bool
+    long: memoryview | None = None  # a long body with its end, which goes behind what is encoded
 
     def encode(self, wait: int) -> bytes:
         """The command with the time left that a backend is told."""
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -283,7 +283,7 @@
             owner.counted = self.meter.sent(owner.command)
         ended = partial(self.on_ended, owner, number, now)
         attempt = Attempt(backend, owner.command.encode, owner.expires, ended)
-        attempt.begin = partial(self.on_begun, owner, number)
+        attempt.begin, attempt.body = partial(self.on_begun, owner, number), owner.command.long
         self.attempts[request, number] = owner.live[number] = attempt
         if 0 < timeout < owner.expires - now:
             give_up = partial(self.backends.give_up, attempt, api.Outcome.TIMED_OUT)
--- a/roadpulley/core/resp.py
+++ b/roadpulley/core/resp.py
@@ -12,6 +12,8 @@
 from typing import NamedTuple
 
 LARGEST_VALUE = 64 * 1024
+LARGEST_BODY = 4 * 1024 * 1024  # the value of a request; over LARGEST_VALUE only once room is granted
+BODY_ARGUMENT = 4  # its place
 LARGEST_COMMAND = LARGEST_VALUE + 4 * 1024  # all of its arguments together
 MOST_ARGUMENTS = 16
 LARGEST_ANSWER = 4 * 1024 * 1024
@@ -23,8 +25,8 @@
 FAST_COMMAND = 1024  # bytes in which a whole command is looked for, to be cut at once
 HEADERS = [b"$%d" % length for length in range(512)]
 COUNT = re.compile(rb"\*(\d{1,6})\r\n")
-LENGTH = re.compile(rb"\$(\d{1,6})\r\n")
-BEGUN = {COUNT: re.compile(rb"\*(?:\d{0,6}|\d{1,6}\r)"), LENGTH: re.compile(rb"\$(?:\d{0,6}|\d{1,6}\r)")}
+LENGTH = re.compile(rb"\$(\d{1,7})\r\n")
+BEGUN = {COUNT: re.compile(rb"\*(?:\d{0,6}|\d{1,6}\r)"), LENGTH: re.compile(rb"\$(?:\d{0,7}|\d{1,7}\r)")}
 SERVED = re.compile(rb"\*3\r\n\$(\d{1,7})\r\n")
 NOTHING = b"*3\r\n$0\r\n"  # how an answer with an empty value begins
 SERVED_BEGUN = re.compile(rb"\*(?:3(?:\r(?:\n(?:\$(?:\d{0,7}|\d{1,7}\r))?)?)?)?")
@@ -43,13 +45,29 @@
 class CommandReader:
     """Cuts a client's bytes into commands: arrays of bulk strings."""
 
-    __slots__ = ("_args", "_at", "_buffer", "_left", "_size", "_total")
+    __slots__ = ("_args", "_at", "_body", "_buffer", "_left", "_size", "_total", "wants")
 
     def __init__(self) -> None:
         self._buffer, self._at = bytearray(), 0  # what is before `_at` has been taken
         self._args: list[bytes] = []  # of the command that has begun
         self._left, self._size = 0, -1  # arguments to come; length of the next one, -1 before its header
         self._total = 0
+        self._body: bytearray | None = None  # a long one that is granted, and its end with it
+        self.wants = 0  # bytes of a long body: nothing is read until `grant`
+
+    def grant(self) -> None:
+        """The long body that it wants may come."""
+        self._body, self.wants = bytearray(), 0
+
+    @property
+    def long(self) -> bool:
+        """Whether a long body is under way."""
+        return self._body is not None
+
+    def take_body(self) -> bytearray | None:
+        """The long body of the command that `next` has given, with its end; None where it had none."""
+        body, self._body = self._body, None
+        return body
 
     def feed(self, data: bytes | memoryview) -> None:
         if self._at:
@@ -60,10 +78,15 @@
     @property
     def held(self) -> int:
         """Bytes that are kept of a command that is not whole; 0 between commands."""
-        return len(self._buffer) - self._at + self._total + (1 if self._left else 0)
+        body = len(self._body) if self._body is not None else 0
+        return len(self._buffer) - self._at + self._total + body + (1 if self._left else 0)
 
     def next(self) -> list[bytes] | None:
         """The next whole command, if there is one."""
+        if self.wants:
+            return None
+        if self._body is not None:
+            return self._long()
         if not self._left and self._size < 0 and (args := self._cut()):
             return args
         while True:
@@ -76,6 +99,11 @@
                         raise Malformed("number of arguments")
                     self._left, self._args, self._total = number, [], 0
                     continue
+                if number > LARGEST_VALUE and self._left == 1 and len(self._args) == BODY_ARGUMENT:
+                    if number > LARGEST_BODY:
+                        raise Malformed("length of an argument")
+                    self.wants = self._size = number
+                    return None
                 self._total += number
                 if number > LARGEST_VALUE or self._total > LARGEST_COMMAND:
                     raise Malformed("length of an argument")
@@ -92,6 +120,19 @@
                 args, self._args, self._total = self._args, [], 0
                 return args
 
+    def _long(self) -> list[bytes] | None:
+        """The arguments before a long body, once that has come with its end."""
+        assert self._body is not None
+        rest = self._size + 2 - len(self._body)
+        self._body += memoryview(self._buffer)[self._at : self._at + rest]
+        self._at = min(len(self._buffer), self._at + rest)
+        if len(self._body) < self._size + 2:
+            return None
+        if not self._body.endswith(b"\r\n"):
+            raise Malformed("end of an argument")
+        args, self._args, self._total, self._left, self._size = self._args, [], 0, 0, -1
+        return args
+
     def _cut(self) -> list[bytes] | None:
         """A command of four arguments in its plainest form; None where only the long way can tell."""
         data = bytes(self._buffer[self._at : self._at + FAST_COMMAND])
--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -15,9 +15,10 @@
 from typing import Protocol
 
 from mintford import interface as api
+from roadpulley.core.budget import Budget
 from roadpulley.core.clock import Timer, Timers, now_ms
 from roadpulley.core.command import Command, Sink, Source
-from roadpulley.core.resp import CommandReader, Malformed, bulk
+from roadpulley.core.resp import LARGEST_BODY, CommandReader, Malformed, bulk
 from roadpulley.core.tallies import Tallies
 
 log = logging.getLogger(__name__)
@@ -25,6 +26,7 @@
 MOST_WAITING = 32  # commands of one connection that may wait for their answers before it is read no further
 MOST_HELD = 128 * 1024  # bytes of these commands, likewise
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread, likewise
+BODY_MS = 30_000.0  # for all of a long body, and for the room that it needs
 LEAST_WATER, MOST_WATER = 4 * 1024, 64 * 1024  # of a long value that may wait here, however many there are
 READ_BYTES = 32 * 1024
 BACKLOG = 1024  # connections that wait to be taken in, at no cost in descriptors
@@ -72,9 +74,11 @@
         self.most_units, self.gateways = settings.most_units, settings.gateways // workers
         self.right: dict[tuple[bytes, ...], tuple[api.RequestClass, str, float, int, int]] = {}
 
-    def parse(self, args: list[bytes]) -> Command:
+    def parse(self, args: list[bytes], body: bytearray | None = None) -> Command:
         """Raises ValueError, with the reason, for what is not a request of a known class, plan and size.
 
+        `body`: a long fifth argument with its end, which is not among the others.
+
         Danger: this is the only check. Unknown plans have no quota, negative units fill a bucket and take
         from the counter's total for all gateways, and a customer is kept with the first plan it came with.
         """
@@ -85,7 +89,7 @@
             before, named, title, left, after, key, *rest, repeat = plain.groups()
             known = self.right.get((verb, named, title, *rest))
             if known is not None and (key or known[0].effect is not api.Effect.KEYED):
-                return self.command(args, known, float(left), before, after, repeat is not None)
+                return self.command(args, known, float(left), before, after, repeat is not None, body)
         given: dict[bytes, bytes] = {}
         for item in listed.split(b","):
             name, equals, value = item.partition(b"=")
@@ -114,7 +118,7 @@
             if len(self.right) >= MOST_TERMS:
                 self.right.clear()
             self.right[verb, named, title, *rest] = known
-        return self.command(args, known, wait, before, after, given.get(b"r") == b"1")
+        return self.command(args, known, wait, before, after, given.get(b"r") == b"1", body)
 
     def command(
         self,
@@ -124,6 +128,7 @@
         before: bytes,
         after: bytes,
         repeat: bool,
+        body: bytearray | None,
     ) -> Command:
         """The request, once its class, plan, units and set are known to be right."""
         kind, plan, units, spread, first = known
@@ -138,8 +143,8 @@
             b"$%d\r\n%b\r\n$16\r\n%b\r\n$%d\r\n%b\r\n" % (len(verb), verb, customer, len(request), request),
             before,
             after,
-            bulk(args[4]) if len(args) > 4 else b"",
-            len(args),
+            b"$%d\r\n" % (len(body) - 2) if body else bulk(args[4]) if len(args) > 4 else b"",
+            len(args) + (body is not None),
             request.decode("ascii"),
             f"{number:016x}",
             kind.name,
@@ -149,6 +154,7 @@
             spread,
             first,
             repeat,
+            memoryview(body) if body else None,
         )
 
 
@@ -167,7 +173,7 @@
 class Slot:
     """The place of one command among the answers of its connection."""
 
-    __slots__ = ("answered", "connection", "kind", "long", "reply", "request", "size")
+    __slots__ = ("answered", "connection", "granted", "kind", "long", "reply", "request", "size")
 
     def __init__(self, connection: ClientConnection, size: int = 0) -> None:
         self.connection, self.size = connection, size
@@ -175,6 +181,7 @@
         self.request: str | None = None  # the id of a request that is still open
         self.kind: str | None = None  # the class it names, where that is known
         self.answered = False
+        self.granted = 0  # bytes of the budget that its body holds
         self.long: LongReply | None = None  # its answer, where that comes in pieces
 
     def begin(self, length: int, source: Source) -> Sink:
@@ -190,8 +197,14 @@
             self.answered, self.reply, self.request = True, reply, None
             if self.kind is not None:
                 self.connection.server.tallies.answered(self.kind, reply)
+            if self.granted:
+                self.give_back()
             self.connection.pump()
 
+    def give_back(self) -> None:
+        granted, self.granted = self.granted, 0
+        self.connection.server.bodies.give_back(granted)
+
 
 class LongReply:
     """A long value on its way to a client, a piece at a time; what waits for the client is bounded."""
@@ -240,6 +253,8 @@
         if slot.long is None:
             return  # the client has gone
         slot.long, slot.request = None, None
+        if slot.granted:
+            slot.give_back()
         connection.long -= 1
         connection.server.long -= 1
         if slot.kind is not None:
@@ -275,6 +290,8 @@
         self.slots: deque[Slot] = deque()
         self.held = 0  # bytes of the commands in `slots`
         self.long = 0  # long values under way
+        self.granted = 0  # bytes of the budget, for a long body that is not whole
+        self.granted_at = 0.0
         self.unsent = bytearray()
         self.reading = self.writing = self.closing = self.closed = self.pumping = self.unread = False
         self.used_at = self.moved_at = now_ms()  # moved: answers were last taken by the client
@@ -330,6 +347,7 @@
         # Danger: a long value that breaks takes its connection along. What was read behind it would be lost,
         # what was not is sent again by the client.
         full = len(self.slots) >= MOST_WAITING or self.held > MOST_HELD or self.long > 0
+        full = full or self.reader.wants > 0
         return self.closing or self.closed or full or len(self.unsent) > MOST_UNREAD
 
     def _take(self) -> None:
@@ -338,8 +356,14 @@
             while not self._stuck():
                 args = self.reader.next()
                 if args is None:
+                    if self.reader.wants and self._ask():
+                        continue
                     self.unread = False
-                    if not self.reader.held:
+                    if self.reader.wants or self.reader.long:
+                        # A long body has its time from its last piece, and in all.
+                        if not self.reader.wants:
+                            self.due = min(now_ms() + WHOLE_MS, self.granted_at + BODY_MS)
+                    elif not self.reader.held:
                         self.due = None
                     elif self.due is None:
                         self.due = now_ms() + WHOLE_MS
@@ -349,6 +373,28 @@
         except Malformed as error:
             self.refuse_protocol(str(error))
 
+    def _ask(self) -> bool:
+        """Ask for the room that a long body needs; whether it is granted at once."""
+        size = self.reader.wants
+        try:
+            granted = self.server.bodies.ask(self, size, self._granted)
+        except ValueError:
+            raise Malformed("length of an argument") from None
+        if granted:
+            self._grant(size)
+        else:
+            self.due = now_ms() + BODY_MS
+        return granted
+
+    def _grant(self, size: int) -> None:
+        self.granted, self.granted_at = size, now_ms()
+        self.reader.grant()
+
+    def _granted(self) -> None:
+        self._grant(self.reader.wants)
+        self.unread = True
+        self.pump()
+
     def _write(self) -> None:
         """Write the answers that are due, in the order of the commands."""
         due: list[bytes] = []
@@ -415,7 +461,9 @@
         self.server.refused[reason] += 1
 
     def command(self, args: list[bytes]) -> None:
-        slot = Slot(self, sum(map(len, args)))
+        body = self.reader.take_body()
+        slot = Slot(self, sum(map(len, args)) + (len(body) if body else 0))
+        slot.granted, self.granted = self.granted, 0
         self.held += slot.size
         self.slots.append(slot)
         verb = args[0].upper()
@@ -424,7 +472,7 @@
                 slot.kind, reply = away
                 return slot.answer(reply)
             try:
-                command = self.server.terms.parse(args)
+                command = self.server.terms.parse(args, body)
             except ValueError as error:
                 self.server.refused[str(error)] += 1
                 slot.kind = self.server.named(args)
@@ -451,6 +499,11 @@
     def idle(self) -> bool:
         return not self.slots and not self.unsent and not self.closed
 
+    @property
+    def waits_for_bytes(self) -> bool:
+        """A command has begun and it is its client's turn, or it waits for room."""
+        return self.reading or self.reader.wants > 0
+
     @property
     def at_rest(self) -> bool:
         """Nothing is open here, and no command has begun to come."""
@@ -482,7 +535,7 @@
         if self.unsent and now - self.moved_at > (LONG_SLOW_MS if self.long else SLOW_MS):
             self.server.refused["answers left unread"] += 1
             self.close()
-        elif self.due is not None and now > self.due and not self.closing and self.reading:
+        elif self.due is not None and now > self.due and not self.closing and self.waits_for_bytes:
             self.refuse_protocol("command not whole in time")
             self.pump()
         elif self.idle and now - self.used_at > IDLE_MS:
@@ -500,8 +553,14 @@
         slots, self.slots, self.unsent = self.slots, deque(), bytearray()
         self.server.long -= self.long
         self.long = 0
+        self.server.bodies.leave(self)
+        if self.granted:
+            self.server.bodies.give_back(self.granted)
+            self.granted = 0
         for slot in slots:
             slot.answered, slot.long = True, None
+            if slot.granted:
+                slot.give_back()
             if slot.request is not None:
                 self.server.handler.on_client_gone(slot.request)
 
@@ -523,6 +582,7 @@
         self.tallies = tallies or Tallies()
         self.retune(terms)
         self.long = 0  # long values under way
+        self.bodies = Budget(max(LARGEST_BODY, memory // 2))
         self.most_unsent, self.unsent = memory, 0  # bytes of answers that are not taken yet, of all clients
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
         self.view = memoryview(self.buffer)
--- /dev/null
+++ b/tests/edges/test_long_bodies.py
@@ -0,0 +1,172 @@
+"""Requests with long values: read under a budget, sent on without copies, and never half."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from loopback import Backend, Reply, World, in_loop, request, running
+
+from roadpulley.core.resp import LARGEST_BODY, LARGEST_VALUE, CommandReader, Malformed
+from roadpulley.edges import clients
+
+MIB = 1024 * 1024
+SERVED: bytes = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+
+def body_of(length: int) -> bytes:
+    return (b"%015d\n" * (length // 16 + 1) % tuple(range(length // 16 + 1)))[:length]
+
+
+def written(id: bytes, body: bytes) -> bytes:
+    args = request(id, name=b"wipe", body=body)
+    return b"*5\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(arg), arg) for arg in args)
+
+
+@pytest.mark.parametrize("length", [LARGEST_VALUE, LARGEST_VALUE + 1, MIB + 3, LARGEST_BODY])
+def test_a_long_value_reaches_the_backend_whole(length: int) -> None:
+    async def scenario() -> None:
+        body = body_of(length)
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+            for id in (b"1", b"2"):
+                assert await world.ask(peer, id=id, name=b"wipe", body=body) == b"value"
+            assert [command[4] for command in world.backends[0].got] == [body, body]
+
+    in_loop(scenario)
+
+
+def test_a_second_attempt_sends_it_again() -> None:
+    async def scenario() -> None:
+        body, replies = body_of(MIB), [b"-ERR failed\r\n", SERVED]
+
+        async def script(command: list[bytes]) -> Reply:
+            return replies.pop(0)
+
+        async with running(World(Backend(script), Backend(script))) as world:
+            peer = await world.client()
+            verb, customer, id, listed, _ = request(b"k1", name=b"keyed", body=body)
+            peer.send(verb, customer, id, listed + b",k=k1", body)
+            assert await peer.receive() == b"value"
+            got = [command[4] for backend in world.backends for command in backend.got]
+            assert got == [body, body]
+
+    in_loop(scenario)
+
+
+def test_more_at_once_than_there_is_room_for_come_one_after_another(monkeypatch: pytest.MonkeyPatch) -> None:
+    servers: list[clients.ClientServer] = []
+    listen = clients.ClientServer.listen
+
+    def seen(self: clients.ClientServer, *args: object) -> int:
+        servers.append(self)
+        return listen(self, *args)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(clients.ClientServer, "listen", seen)
+
+    async def scenario() -> None:
+        body, most = body_of(3 * MIB), 0
+        async with running(World(Backend(), memory_mb=32)) as world:
+            (server,) = servers
+            assert server.bodies.most < 2 * len(body)
+
+            async def ask(number: int) -> None:
+                nonlocal most
+                peer = await world.client()
+                peer.writer.write(written(b"%d" % number, body))
+                assert await peer.receive() == b"value"
+                most = max(most, server.bodies.held)
+
+            await asyncio.gather(*(ask(number) for number in range(8)))
+            assert len(world.backends[0].got) == 8
+            assert server.bodies.held == 0 and not server.bodies.waiting
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("then", ["stalls", "leaves"])
+def test_one_that_does_not_go_on_gives_its_room_back(monkeypatch: pytest.MonkeyPatch, then: str) -> None:
+    monkeypatch.setattr(clients, "WHOLE_MS", 100.0)
+    monkeypatch.setattr(clients, "SWEEP_MS", 20.0)
+
+    async def scenario() -> None:
+        body = body_of(3 * MIB)
+        async with running(World(Backend(), memory_mb=32)) as world:
+            slow, next_ = await world.client(), await world.client()
+            slow.writer.write(written(b"slow", body)[:MIB])
+            await slow.writer.drain()
+            next_.writer.write(written(b"next", body))
+            if then == "leaves":
+                slow.close()
+            else:
+                assert "protocol error" in str(await slow.receive())
+                assert await slow.receive() is None
+            assert await next_.receive() == b"value"
+
+    in_loop(scenario)
+
+
+def test_a_value_in_many_pieces_over_time_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What is bounded is the silence between its pieces, not the time for all of it."""
+    monkeypatch.setattr(clients, "WHOLE_MS", 200.0)
+    monkeypatch.setattr(clients, "SWEEP_MS", 20.0)
+
+    async def scenario() -> None:
+        whole = written(b"1", body_of(100_000))
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+            for at in range(0, len(whole), 10_000):
+                peer.writer.write(whole[at : at + 10_000])
+                await asyncio.sleep(0.05)
+            assert await peer.receive() == b"value"
+
+    in_loop(scenario)
+
+
+def test_the_longest_is_told_by_its_header_and_a_wrong_end_by_its_bytes() -> None:
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            for wrong in (
+                written(b"1", b"x").replace(b"$1\r\nx\r\n", b"$%d\r\n" % (LARGEST_BODY + 1)),
+                written(b"1", body_of(100_000))[:-2] + b"XX",
+                written(b"1", b"x").replace(b"$16\r\n", b"$%d\r\n" % (LARGEST_VALUE + 1)),
+            ):
+                peer = await world.client()
+                peer.writer.write(wrong)
+                assert "protocol error" in str(await peer.receive())
+                assert await peer.receive() is None
+            assert not world.backends[0].got
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("step", [1_000, 65_537])
+def test_the_reader_gives_a_long_command_and_the_next_at_any_cut(step: int) -> None:
+    body = body_of(LARGEST_VALUE + 10)
+    stream = written(b"1", body) + written(b"2", b"short")
+    reader, got = CommandReader(), list[list[bytes]]()
+    bodies: list[bytes] = []
+    for at in range(0, len(stream), step):
+        reader.feed(stream[at : at + step])
+        while True:
+            args = reader.next()
+            if args is not None:
+                got.append(args)
+                if (long := reader.take_body()) is not None:
+                    bodies.append(bytes(long))
+            elif reader.wants:
+                assert reader.wants == len(body) and reader.next() is None
+                reader.grant()
+            else:
+                break
+    assert [args[2] for args in got] == [b"1", b"2"] and got[1][4] == b"short"
+    assert bodies == [body + b"\r\n"] and reader.held == 0
+
+
+def test_only_the_last_argument_may_be_long() -> None:
+    reader = CommandReader()
+    reader.feed(b"*5\r\n$%d\r\n" % (LARGEST_VALUE + 1))
+    with pytest.raises(Malformed):
+        reader.next()
+
+
