The request path pays nothing for long values: no call object an attempt, one test of a connection

Suspected and removed: a partial made for each attempt, and a second local in what is tested six times a request.

--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -83,12 +83,13 @@
     encode: Callable[[int], bytes]
     expires: float  # when the client gives up
     ended: Callable[[Attempt, Outcome, bytes], None]
-    connection: Connection | None = None
-    timer: Timer | None = None  # of its time-out
-    over: bool = False
+    key: tuple[str, int] = ("", 0)  # its request, and its number among that one's attempts
     # Told that a long value begins; gives where it goes, None if nobody wants it any more.
     begin: Callable[[Attempt, int, Source], Sink | None] | None = None
     body: memoryview | None = None  # what goes behind the encoded command
+    connection: Connection | None = None
+    timer: Timer | None = None  # of its time-out
+    over: bool = False
     passes_on: bool = False  # a long value of it is or was under way to the client
     use: bytes = b""  # figures on use that came with its answer
 
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -209,12 +209,11 @@
         self.give_up(owner, api.Outcome.CANCELLED)
         self.settle(owner)
 
-    def on_begun(
-        self, owner: Request, number: int, attempt: Attempt, length: int, source: Source
-    ) -> Sink | None:
+    def on_begun(self, attempt: Attempt, length: int, source: Source) -> Sink | None:
         """A long value begins: it is the answer, whole or broken, however long it takes."""
-        request = owner.command.id
-        if self.requests.get(request) is not owner or owner.begun:
+        request, number = attempt.key
+        owner = self.requests.get(request)
+        if owner is None or owner.live.get(number) is not attempt or owner.begun:
             return None
         owner.begun = True
         if owner.timer is not None:
@@ -282,9 +281,9 @@
         if not number and self.meter is not None:
             owner.counted = self.meter.sent(owner.command)
         ended = partial(self.on_ended, owner, number, now)
-        attempt = Attempt(backend, owner.command.encode, owner.expires, ended)
-        attempt.begin, attempt.body = partial(self.on_begun, owner, number), owner.command.long
-        self.attempts[request, number] = owner.live[number] = attempt
+        key, command = (request, number), owner.command
+        attempt = Attempt(backend, command.encode, owner.expires, ended, key, self.on_begun, command.long)
+        self.attempts[key] = owner.live[number] = attempt
         if 0 < timeout < owner.expires - now:
             give_up = partial(self.backends.give_up, attempt, api.Outcome.TIMED_OUT)
             attempt.timer = self.timers.at(now + timeout, give_up)
--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -346,9 +346,15 @@
     def _stuck(self) -> bool:
         # Danger: a long value that breaks takes its connection along. What was read behind it would be lost,
         # what was not is sent again by the client.
-        full = len(self.slots) >= MOST_WAITING or self.held > MOST_HELD or self.long > 0
-        full = full or self.reader.wants > 0
-        return self.closing or self.closed or full or len(self.unsent) > MOST_UNREAD
+        return (
+            self.closing
+            or self.closed
+            or self.long > 0
+            or self.held > MOST_HELD
+            or len(self.slots) >= MOST_WAITING
+            or len(self.unsent) > MOST_UNREAD
+            or self.reader.wants > 0
+        )
 
     def _take(self) -> None:
         """Take what commands the bytes read so far hold."""
