An idle backend connection lets go of the long value it has sent

Ruled out: the budget (its held never passed 8.4 MiB), the reader's buffers (32 KiB each). At fault: Connection._flush in core/backends.py kept 'unsent[sent:]', an empty view of the whole value, until the next request on that connection.

Change: nothing unsent is an empty view of nothing. Tests of the hard cases: figures in a burst and with clients that leave, a request that crosses a close, a head in single bytes.

--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -35,6 +35,7 @@
 SWEEP_MS = 1_000.0
 CUTOFF_MARGIN_MS = 50.0  # before the end of the grace for new work to a draining backend
 READ_BYTES = 64 * 1024
+NOTHING = memoryview(b"")
 STALLED_MS = 5_000.0  # a long value of which nothing has come for this long, though it is read, is broken
 REST_MS = 5.0  # before a connection is used again: what follows its last answer uncalled for shows by then
 
@@ -115,7 +116,7 @@
         self.sink: Sink | None = None
         self.paused = False  # by the sink
         self.heard_at = 0.0
-        self.unsent = memoryview(b"")
+        self.unsent = NOTHING
         self.body: memoryview | None = None  # to be sent after that
         self.up = self.closed = self.writing = False
         self.idle_since = 0.0
@@ -177,6 +178,8 @@
         if not self.unsent and self.body is not None:
             self.unsent, self.body = self.body, None  # never empty between: the last byte has not left
         if not self.unsent:
+            # Danger: an empty view of a long value keeps all of it, as long as this connection is idle.
+            self.unsent = NOTHING
             self.pool.tallies.relayed += 1
         if bool(self.unsent) != self.writing:
             self.writing = not self.writing
--- a/tests/edges/test_long_bodies.py
+++ b/tests/edges/test_long_bodies.py
@@ -80,6 +80,8 @@
             await asyncio.gather(*(ask(number) for number in range(8)))
             assert len(world.backends[0].got) == 8
             assert server.bodies.held == 0 and not server.bodies.waiting
+            connections = server.handler.backends.connections  # type: ignore[attr-defined]
+            assert connections and all(c.unsent.obj == b"" for c in connections), "none keeps a value"
 
     in_loop(scenario)
 
--- a/tests/operations/test_in_service.py
+++ b/tests/operations/test_in_service.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 from collections import Counter as Tally
+from typing import Any
 
 import pytest
-from loopback import LOCAL, Backend, Reply, World, in_loop, request, running, until
+from loopback import LOCAL, Backend, Peer, Reply, World, encode, in_loop, request, running, until
 
+from roadpulley.edges import clients
+from roadpulley.edges.clients import ClientServer
 from roadpulley.operations import address as operators
+from roadpulley.operations.life import OUTCOMES
 
 
 def free_port() -> int:
@@ -193,3 +198,96 @@
             assert (await world.figures())["open_requests"] == 0
 
     in_loop(scenario)
+
+
+def test_figures_stay_true_when_clients_leave() -> None:
+    async def scenario() -> None:
+        gate = Gate()
+        async with running(Operated(Backend(gate))) as world:
+            stays, leaves = await world.client(), await world.client()
+            leaves.send(*request(b"leaves", name=b"wipe"))
+            await until(lambda: world.backends[0].got)
+            leaves.close()
+            while (await world.figures())["open_requests"]:
+                pass
+            gate.open.set()
+            assert await world.ask(stays, id=b"stays", name=b"wipe") == b"value"
+            found = await world.figures()
+            assert found["operations.wipe.fulfilled"] == 1 and found["relayed"] == 2
+            assert found["operations.wipe.throttled"] == found["operations.wipe.faulted"] == 0
+
+    in_loop(scenario)
+
+
+def test_figures_come_in_the_middle_of_a_burst() -> None:
+    """A caller is answered before what came with it is worked off, and not after."""
+
+    async def scenario() -> None:
+        async with running(Operated(Backend())) as world:
+            peers = [await world.client() for _ in range(20)]
+            for number, peer in enumerate(peers):
+                for serial in range(100):
+                    peer.send(*request(b"%d-%d" % (number, serial)))
+            answered = 0
+
+            async def drain(peer: Peer) -> None:
+                nonlocal answered
+                for _ in range(100):
+                    assert await peer.receive() is not None
+                    answered += 1
+
+            burst = asyncio.gather(*map(drain, peers))
+            found = await world.figures()
+            assert answered < 2_000 and found["registry_entries"] == 1
+            await burst
+            after = await world.figures()
+            assert sum(after[f"operations.view.{name}"] for name in OUTCOMES) == 2_000
+
+    in_loop(scenario)
+
+
+def test_a_request_that_came_as_its_connection_is_closed_is_served(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It lies unread in the kernel when the drain closes what rests; closed over, it would be turned back."""
+    servers: list[ClientServer] = []
+    listen = ClientServer.listen
+
+    def seen(self: ClientServer, *args: Any) -> int:
+        servers.append(self)
+        return listen(self, *args)
+
+    monkeypatch.setattr(ClientServer, "listen", seen)
+
+    async def scenario() -> None:
+        async with running(Operated(Backend())) as world:
+            own = socket.create_connection((LOCAL, world.port))
+            peer = Peer(*await asyncio.open_connection(sock=own))
+            assert await world.ask(peer) == b"value"
+            fd = peer.writer.get_extra_info("socket").fileno()
+            os.write(fd, encode(*request(b"crosses")))  # past the loop, which has not read it yet
+            servers[0].stand(says_yes=False, accepts=True, keeps=False)
+            assert await peer.receive() == b"value"
+            assert await peer.receive() is None
+            peer.close()
+
+    in_loop(scenario)
+
+
+def test_a_head_in_single_bytes_is_waited_for_as_long_as_a_client_may_take(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    assert 2_000 < clients.WHOLE_MS and clients.WHOLE_MS + 2 * clients.SWEEP_MS < 3_000
+    monkeypatch.setattr(clients, "WHOLE_MS", 1_500.0)
+    monkeypatch.setattr(clients, "SWEEP_MS", 20.0)
+
+    async def scenario() -> None:
+        async with running(Operated(Backend())) as world:
+            peer = await world.client()
+            for byte in encode(*request()):
+                peer.writer.write(bytes([byte]))
+                await asyncio.sleep(0.002)
+            assert await peer.receive() == b"value"
+            other = await world.client()
+            other.writer.write(b"*4\r\n$8\r\nAPI.")
+            assert "protocol error" in str(await other.receive())  # and no longer
+
+    in_loop(scenario)
