The edge in three files: what a request may name, where an answer goes, connections

Change: Terms goes to edges/terms.py, Slot and LongReply to edges/slots.py; nothing but places and imports changes. Both are compiled where the request path is.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -25,7 +25,8 @@
 from .core.driver import Driver
 from .core.settings import Address, Config, ConfigError, load_again, load_config
 from .core.tallies import Tallies
-from .edges.clients import ClientServer, Terms
+from .edges.clients import ClientServer
+from .edges.terms import Terms
 from .operations.address import OperatorAddress
 from .operations.life import Life
 from .operations.lifecycle import Event, Lifecycle, Times
--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -8,26 +8,26 @@
 
 import asyncio
 import logging
-import re
 import socket
 from collections import Counter as Tally
 from collections import deque
 from typing import Protocol
 
-from mintford import interface as api
 from roadpulley.core.budget import Budget
 from roadpulley.core.clock import Timer, Timers, now_ms
-from roadpulley.core.command import Command, Sink, Source
+from roadpulley.core.command import Command
 from roadpulley.core.resp import LARGEST_BODY, CommandReader, Malformed, bulk
 from roadpulley.core.tallies import Tallies
 
+from .slots import LEAST_WATER, MOST_WATER, LongReply, Slot
+from .terms import NAMED, PLAIN, VERBS, Terms
+
 log = logging.getLogger(__name__)
 
 MOST_WAITING = 32  # commands of one connection that may wait for their answers before it is read no further
 MOST_HELD = 128 * 1024  # bytes of these commands, likewise
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread, likewise
 BODY_MS = 30_000.0  # for all of a long body, and for the room that it needs
-LEAST_WATER, MOST_WATER = 4 * 1024, 64 * 1024  # of a long value that may wait here, however many there are
 READ_BYTES = 32 * 1024
 BACKLOG = 1024  # connections that wait to be taken in, at no cost in descriptors
 TAKEN_AT_ONCE = 32  # so that those taken in are also read between
@@ -46,231 +46,6 @@
 YOUNG_MS = 100.0  # in which a new connection is let say something, however short room is
 RETRY_MS = 20.0  # until there may be room, or a descriptor, again
 HARMLESS = {b"CLIENT", b"SELECT"}  # commands of connection set-up
-VERBS = {b"API.READ": True, b"API.WRITE": False}  # whether it serves the classes that are safe to repeat
-
-NUMBER = re.compile(rb"\d{1,12}(?:\.\d{1,12})?")  # `float` and `int` take far more: nan, 1_0, +1, spaces
-WHOLE = re.compile(rb"\d{1,6}")
-CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
-CUSTOMERS = 2**33
-NAME = re.compile(rb"[!-~]{1,64}")  # of a request, and of its effect
-# The attributes as clients write them; what stands otherwise is read the long way.
-PLAIN = re.compile(
-    rb"(c=([^,=]{1,64}),t=([^,=]{1,64}),d=)(\d{1,12})((?:,k=([!-+\--~]{1,64}))?"
-    rb",units=(\d{1,12}),spread=(\d{1,6}),first=(\d{1,6})(,r=1)?)"
-)
-NAMED = re.compile(rb"(?:^|,)c=([^,=]{1,64})(?:,|$)")
-MOST_TERMS = 4_096  # combinations of class, plan, units and set that are remembered as right
-LONGEST_WAIT = 2.0  # times the class's deadline, which the client's whole patience does not exceed
-
-
-class Terms:
-    """What the settings let a request name."""
-
-    def __init__(self, settings: api.Settings, workers: int = 1) -> None:
-        # Clients name sets of gateways; to the module each worker of these is a gateway.
-        self.workers = workers
-        self.classes = {c.name.encode(): c for c in settings.classes}
-        self.plans = {p.name.encode(): p.name for p in settings.plans}
-        self.most_units, self.gateways = settings.most_units, settings.gateways // workers
-        self.right: dict[tuple[bytes, ...], tuple[api.RequestClass, str, float, int, int]] = {}
-
-    def parse(self, args: list[bytes], body: bytearray | None = None) -> Command:
-        """Raises ValueError, with the reason, for what is not a request of a known class, plan and size.
-
-        `body`: a long fifth argument with its end, which is not among the others.
-
-        Danger: this is the only check. Unknown plans have no quota, negative units fill a bucket and take
-        from the counter's total for all gateways, and a customer is kept with the first plan it came with.
-        """
-        if not 4 <= len(args) <= 5:
-            raise ValueError("wrong number of arguments")
-        verb, customer, request, listed = args[:4]
-        if plain := PLAIN.fullmatch(listed):
-            before, named, title, left, after, key, *rest, repeat = plain.groups()
-            known = self.right.get((verb, named, title, *rest))
-            if known is not None and (key or known[0].effect is not api.Effect.KEYED):
-                return self.command(args, known, float(left), before, after, repeat is not None, body)
-        given: dict[bytes, bytes] = {}
-        for item in listed.split(b","):
-            name, equals, value = item.partition(b"=")
-            if not equals or name in given:
-                raise ValueError("malformed attributes")
-            given[name] = value
-        kind, plan = self.classes.get(given.get(b"c", b"")), self.plans.get(given.get(b"t", b""))
-        if kind is None:
-            raise ValueError("unknown class")
-        if plan is None:
-            raise ValueError("unknown plan")
-        if VERBS[verb.upper()] != (kind.effect is api.Effect.SAFE):
-            raise ValueError("class of another command")
-        if kind.effect is api.Effect.KEYED and not NAME.fullmatch(given.get(b"k", b"")):
-            raise ValueError("key missing")
-        wait, units = decimal(given, b"d"), decimal(given, b"units")
-        spread, first = integer(given, b"spread"), integer(given, b"first")
-        if not 0 < units <= self.most_units:
-            raise ValueError("units out of range")
-        if not (1 <= spread <= self.gateways and first < self.gateways):
-            raise ValueError("set out of range")
-        at = listed.index(b"d=") if listed.startswith(b"d=") else listed.index(b",d=") + 1
-        before, after = listed[: at + 2], listed[at + 2 + len(given[b"d"]) :]
-        known = (kind, plan, units, spread * self.workers, first * self.workers)
-        if plain:
-            if len(self.right) >= MOST_TERMS:
-                self.right.clear()
-            self.right[verb, named, title, *rest] = known
-        return self.command(args, known, wait, before, after, given.get(b"r") == b"1", body)
-
-    def command(
-        self,
-        args: list[bytes],
-        known: tuple[api.RequestClass, str, float, int, int],
-        wait: float,
-        before: bytes,
-        after: bytes,
-        repeat: bool,
-        body: bytearray | None,
-    ) -> Command:
-        """The request, once its class, plan, units and set are known to be right."""
-        kind, plan, units, spread, first = known
-        verb, customer, request = args[:3]
-        if not CUSTOMER.fullmatch(customer) or (number := int(customer, 16)) >= CUSTOMERS:
-            raise ValueError("malformed customer")
-        if not NAME.fullmatch(request):
-            raise ValueError("malformed id")
-        if not 0 < wait <= kind.deadline * LONGEST_WAIT:
-            raise ValueError("time left out of range")
-        return Command(
-            b"$%d\r\n%b\r\n$16\r\n%b\r\n$%d\r\n%b\r\n" % (len(verb), verb, customer, len(request), request),
-            before,
-            after,
-            b"$%d\r\n" % (len(body) - 2) if body else bulk(args[4]) if len(args) > 4 else b"",
-            len(args) + (body is not None),
-            request.decode("ascii"),
-            f"{number:016x}",
-            kind.name,
-            plan,
-            wait,
-            units,
-            spread,
-            first,
-            repeat,
-            memoryview(body) if body else None,
-        )
-
-
-def decimal(given: dict[bytes, bytes], name: bytes) -> float:
-    if not NUMBER.fullmatch(text := given.get(name, b"")):
-        raise ValueError(f"{name.decode()} is no number")
-    return float(text)
-
-
-def integer(given: dict[bytes, bytes], name: bytes) -> int:
-    if not WHOLE.fullmatch(text := given.get(name, b"")):
-        raise ValueError(f"{name.decode()} is no number")
-    return int(text)
-
-
-class Slot:
-    """The place of one command among the answers of its connection."""
-
-    __slots__ = ("answered", "connection", "granted", "kind", "long", "reply", "request", "size")
-
-    def __init__(self, connection: ClientConnection, size: int = 0) -> None:
-        self.connection, self.size = connection, size
-        self.reply: bytes | None = None
-        self.request: str | None = None  # the id of a request that is still open
-        self.kind: str | None = None  # the class it names, where that is known
-        self.answered = False
-        self.granted = 0  # bytes of the budget that its body holds
-        self.long: LongReply | None = None  # its answer, where that comes in pieces
-
-    def begin(self, length: int, source: Source) -> Sink:
-        """The client that leaves is told of as before: `request` stays until the value has ended."""
-        self.answered = True
-        self.long = LongReply(self, length, source)
-        self.connection.long += 1
-        self.connection.server.long += 1
-        return self.long
-
-    def answer(self, reply: bytes) -> None:
-        if not self.answered:
-            self.answered, self.reply, self.request = True, reply, None
-            if self.kind is not None:
-                self.connection.server.tallies.answered(self.kind, reply)
-            if self.granted:
-                self.give_back()
-            self.connection.pump()
-
-    def give_back(self) -> None:
-        granted, self.granted = self.granted, 0
-        self.connection.server.bodies.give_back(granted)
-
-
-class LongReply:
-    """A long value on its way to a client, a piece at a time; what waits for the client is bounded."""
-
-    __slots__ = ("paused", "pending", "slot", "source", "started")
-
-    def __init__(self, slot: Slot, length: int, source: Source) -> None:
-        self.slot, self.source = slot, source
-        self.pending = bytearray(b"$%d\r\n" % length)  # what waits for the answers before it
-        self.started = self.paused = False
-
-    def feed(self, data: bytes | memoryview) -> None:
-        connection = self.slot.connection
-        if connection.closed:
-            return
-        if self.started:
-            return connection.push(self, data)
-        self.pending += data
-        if connection.slots[0] is self.slot:
-            self.start()
-        else:
-            self.pause()
-
-    def wants(self) -> int:
-        connection = self.slot.connection
-        return max(LEAST_WATER, connection.server.water() - len(connection.unsent) - len(self.pending))
-
-    def start(self) -> None:
-        """The answers before it are written."""
-        data, self.pending, self.started = self.pending, bytearray(), True
-        self.slot.connection.push(self, data)
-        self.room()
-
-    def pause(self) -> None:
-        if not self.paused:
-            self.paused = True
-            self.source.pause()
-
-    def room(self) -> None:
-        if self.paused and len(self.slot.connection.unsent) <= self.slot.connection.server.water() // 2:
-            self.paused = False
-            self.source.resume()
-
-    def leave(self, reply: bytes) -> None:
-        slot, connection = self.slot, self.slot.connection
-        if slot.long is None:
-            return  # the client has gone
-        slot.long, slot.request = None, None
-        if slot.granted:
-            slot.give_back()
-        connection.long -= 1
-        connection.server.long -= 1
-        if slot.kind is not None:
-            connection.server.tallies.answered(slot.kind, reply)
-
-    def done(self) -> None:
-        self.leave(b"$")
-        self.slot.reply = bytes(self.pending) + b"\r\n"
-        self.slot.connection.pump()
-
-    def broken(self) -> None:
-        """The client can tell only by the end of its connection."""
-        if self.slot.long is not None:
-            self.leave(b"-ERR")
-            self.slot.connection.server.refused["a long value that broke"] += 1
-            self.slot.connection.close()
 
 
 class Handler(Protocol):
--- a/setup.py
+++ b/setup.py
@@ -27,6 +27,8 @@
     "roadpulley/core/driver.py",
     "roadpulley/core/resp.py",
     "roadpulley/edges/clients.py",
+    "roadpulley/edges/slots.py",
+    "roadpulley/edges/terms.py",
 )
 
 
--- a/tests/cli/test_serve.py
+++ b/tests/cli/test_serve.py
@@ -8,7 +8,7 @@
 from roadpulley.cli import main
 from roadpulley.cli.serve import workers
 from roadpulley.core.settings import ConfigError, parse_config
-from roadpulley.edges.clients import Terms
+from roadpulley.edges.terms import Terms
 from roadpulley.testbed import terms
 
 RAW = {
--- a/tests/core/test_driver.py
+++ b/tests/core/test_driver.py
@@ -14,7 +14,9 @@
 from roadpulley.core.backends import Backends
 from roadpulley.core.clock import Timers, now_ms
 from roadpulley.core.driver import FAILED, Driver
-from roadpulley.edges.clients import ClientConnection, ClientServer, Slot, Terms
+from roadpulley.edges.clients import ClientConnection, ClientServer
+from roadpulley.edges.slots import Slot
+from roadpulley.edges.terms import Terms
 
 pytestmark = pytest.mark.patches_inside  # a module of its own
 
