--- a/roadpulley/cli/__init__.py
+++ b/roadpulley/cli/__init__.py
@@ -6,9 +6,9 @@
 import sys
 from collections.abc import Sequence
 
-from . import check, dev, plan, reserve, serve, store, usage
+from . import check, dev, fleet, plan, reserve, serve, store, usage
 
-COMMANDS = (dev, serve, check, store, plan, reserve, usage)
+COMMANDS = (dev, serve, check, store, plan, reserve, usage, fleet)
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -17,7 +17,10 @@
     commands = parser.add_subparsers(title="commands", metavar="COMMAND", required=True)
     for command in COMMANDS:
         command.add(commands)
-    args = parser.parse_args(argv)
+    given = list(sys.argv[1:] if argv is None else argv)
+    if given[:1] == ["fleet"]:  # its own commands and options are read by click
+        return fleet.run(given[1:])
+    args = parser.parse_args(given)
     run = args.run
     return int(run(args))
 
--- /dev/null
+++ b/roadpulley/cli/fleet_commands.py
@@ -0,0 +1,167 @@
+"""The commands of `roadpulley fleet`, on click."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import click
+
+from roadpulley.checks import Bad
+from roadpulley.fleet.control import ask, running
+from roadpulley.fleet.settings import FleetSettings, read_settings
+
+from .fleet import SETTINGS, agent
+
+FILE = click.Path(path_type=Path)
+AS_JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
+NAME = click.option("--name", help="Which instance of this machine to ask; the first that runs.")
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.option("--settings", type=FILE, default=SETTINGS, show_default=True, help="What all instances share.")
+@click.pass_context
+def group(context: click.Context, settings: Path) -> None:
+    """Instances that know each other, and the duties that one of them holds at a time."""
+    context.obj = settings
+
+
+@group.command("agent")
+@click.option("--name", required=True, help="Which instance of the settings this process is.")
+@click.pass_obj
+def run_agent(settings: Path, name: str) -> int:
+    """Run one instance, where no gateway runs beside it."""
+    return agent(settings, name)
+
+
+@group.command()
+@click.pass_obj
+def check(settings: Path) -> int:
+    """Judge the settings: every complaint names the file, the key and what would be right."""
+    from roadpulley.fleet.works import works
+
+    found = read_settings(settings)
+    for name in found.static:
+        works(found, name)
+    times = found.times
+    click.echo(
+        f"{settings}: {len(found.voters)} voters, {len(found.others)} others, {len(found.duties)} duties; "
+        f"signed: {'yes' if found.key else 'no, on this machine only'}"
+    )
+    click.echo(
+        f"a holder acts for at most {times.holds:.2f} s after it asked and renews every {times.renew:.2f} s; "
+        f"nobody holds a duty for at most {times.lease + 1:.1f} s after its holder died; "
+        f"a voter keeps silent for {times.silence:g} s after its start"
+    )
+    return 0
+
+
+@group.command()
+@NAME
+@AS_JSON
+@click.pass_obj
+def members(settings: Path, name: str | None, as_json: bool) -> int:
+    """Who is there, as one instance sees it."""
+    found = answer(settings, name, "members")
+    if as_json:
+        click.echo(json.dumps(found))
+        return 0
+    columns = ("name", "boot", "state", "for_s", "address", "votes")
+    click.echo(table(columns, found["members"]))
+    click.echo(seen_from(found))
+    dropped = found["datagrams"]["dropped"]
+    if dropped:
+        click.echo("dropped datagrams: " + ", ".join(f"{n} {cause}" for cause, n in sorted(dropped.items())))
+    return 0
+
+
+@group.command()
+@NAME
+@AS_JSON
+@click.pass_obj
+def duties(settings: Path, name: str | None, as_json: bool) -> int:
+    """Who holds what, since when, under which fence, for how long still."""
+    found = answer(settings, name, "duties")
+    if as_json:
+        click.echo(json.dumps(found))
+        return 0
+    columns = ("duty", "holder", "since_s", "fence", "left_s", "state", "known", "first_choice", "last")
+    click.echo(table(columns, found["duties"]))
+    click.echo(seen_from(found))
+    return 0
+
+
+@group.command("hand-over")
+@click.argument("duty")
+@NAME
+@AS_JSON
+@click.pass_obj
+def hand_over(settings: Path, duty: str, name: str | None, as_json: bool) -> int:
+    """Have the instance of this machine that holds a duty let another take it."""
+    found = read_settings(settings)
+    if duty not in found.duties:
+        raise Bad("DUTY", f"{duty!r} is none", f"the duties are: {', '.join(sorted(found.duties)) or 'none'}")
+    for instance in [name] if name else running(found.control):
+        result = ask(found.control, instance, "hand-over", duty=duty)
+        if result["done"]:
+            click.echo(json.dumps(result) if as_json else f"{instance} hands {duty} over")
+            return 0
+    click.echo(
+        json.dumps({"done": False, "duty": duty}) if as_json else f"{duty} is not held on this machine"
+    )
+    return 1
+
+
+@group.command()
+@NAME
+@AS_JSON
+@click.pass_obj
+def voters(settings: Path, name: str | None, as_json: bool) -> int:
+    """Who votes, which of them this instance sees, and which keep silent after a start."""
+    found = answer(settings, name, "voters")
+    if as_json:
+        click.echo(json.dumps(found))
+        return 0
+    click.echo(table(("name", "address", "boot", "seen", "silent_s"), found["voters"]))
+    click.echo(f"{found['majority']} of {len(found['voters'])} are a majority. {seen_from(found)}")
+    return 0
+
+
+def answer(settings: Path, name: str | None, call: str) -> dict[str, Any]:
+    """Of the instance that is named, or the first of this machine that answers. Raises Bad."""
+    found: FleetSettings = read_settings(settings)
+    if name:
+        return ask(found.control, name, call)
+    names = running(found.control)
+    for each in names:
+        try:
+            return ask(found.control, each, call)
+        except Bad:
+            continue
+    raise Bad(str(found.control), "no instance answers there", "start one with `roadpulley fleet agent`")
+
+
+def seen_from(found: dict[str, Any]) -> str:
+    words = f"Seen from {found['instance']}."
+    if found["unseen"]:
+        words += f" It can't see {', '.join(found['unseen'])}."
+    for problem in found.get("problems", {}).values():
+        words += f" {problem}."
+    return words
+
+
+def table(columns: Sequence[str], rows: list[dict[str, Any]]) -> str:
+    cells = [list(columns), *([text(row.get(c, "")) for c in columns] for row in rows)]
+    widths = [max(len(row[n]) for row in cells) for n in range(len(columns))]
+    return "\n".join(
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in cells
+    )
+
+
+def text(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
--- /dev/null
+++ b/roadpulley/fleet/agent.py
@@ -0,0 +1,288 @@
+"""One instance of the fleet: its datagrams, whom it sees, its vote, its duties, and what answers people.
+
+Decides nothing: machines do. It runs on an event loop of its own process; no request waits for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from typing import Any, TypeAlias
+
+import msgspec
+import structlog
+
+from .clock import Clock, from_environment, wall_ms
+from .control import Control
+from .duties.memory import Memory
+from .duties.service import Duties
+from .duties.terms import NOBODY, Accept, Granted, Prepare, Promise, Question, Refused, Release, Who
+from .duties.work import Work
+from .members.machine import Members, Tell
+from .members.terms import Ack, Nack, Page, PageAsk, Ping, PingFor, State
+from .peers.envelope import Cause, Codec, Envelope
+from .peers.service import Post
+from .settings import FleetSettings
+
+log = structlog.get_logger("roadpulley.fleet")
+
+ARRANGE_S = 0.5  # between two looks at who should hold what; a change of the members comes sooner
+BIND_AGAIN_S = 0.5
+MOST_THREADS = 32
+BOOT_BITS = 53
+
+
+class Offer(msgspec.Struct, tag="offer", array_like=True, frozen=True):
+    """A duty is free now; `rank`: how many were told before this one."""
+
+    duty: str
+    rank: int
+
+
+ForMembers: TypeAlias = Ping | PingFor | Ack | Nack | PageAsk | Page
+Body: TypeAlias = ForMembers | Prepare | Accept | Release | Promise | Granted | Refused | Offer
+DECODER: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
+MEMBERS = (Ping, PingFor, Ack, Nack, PageAsk, Page)
+
+
+class Agent:
+    """`name`: which instance of the settings this process is; one that they don't name takes any free
+    port."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        name: str,
+        works: Mapping[str, Work],
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.settings, self.name = settings, name
+        self.clock, self.rng = clock or from_environment(), rng or random.Random(secrets.randbits(64))
+        self.me = Who(name, secrets.randbits(BOOT_BITS) or 1)
+        self.post = Post(Codec(settings.installation, name, self.me.boot, settings.key), self._taken)
+        self.bits = {duty: bit for bit, duty in enumerate(sorted(settings.duties))}
+        self.can = sum(1 << self.bits[d] for d in works)
+        self.executor = ThreadPoolExecutor(min(MOST_THREADS, len(works) + 1), "duty")
+        memory = Memory(settings.state, name, wall_ms()) if name in settings.voters else None
+        self.duties = Duties(
+            settings,
+            self.me,
+            self.clock,
+            works,
+            self._ask,
+            self._offer,
+            self._set,
+            self.executor,
+            self.rng,
+            memory,
+        )
+        self.members: Members | None = None  # once our address is known
+        self.met: dict[str, Who] = {}  # who was heard at an address last
+        self.started = wall_ms()
+        self.timer: asyncio.TimerHandle | None = None
+        self.tasks: list[asyncio.Task[None]] = []
+        self.control = Control(settings.control, name, self._answer)
+        self.problems: dict[str, str] = {}
+
+    # ---- life ----
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Until `stop`; then what is held goes to others. Raises OSError where no address can be had."""
+        await self._open()
+        assert self.members is not None
+        loop = asyncio.get_running_loop()
+        await self.control.open()
+        log.info("begins", boot=self.me.boot, address=self.post.address, votes=self.duties.voter is not None)
+        self.tasks.append(loop.create_task(self._arrange()))
+        self._tick()
+        try:
+            await stop.wait()
+            await self._leave()
+        finally:
+            await self._close()
+
+    async def _open(self) -> None:
+        wanted = self.settings.static.get(self.name)
+        try:
+            await self.post.open(wanted or "127.0.0.1:0")
+        except OSError as error:
+            if wanted is None:
+                raise
+            # The process before this one may still have it, as in an upgrade. Until it ends, this one is an
+            # instance beside it, without a vote.
+            host = wanted.rpartition(":")[0]
+            await self.post.open(f"{host}:0")
+            self.problems["address"] = f"{wanted} is taken ({error.strerror}): no vote from here"
+            log.warning("address is taken", address=wanted, why=str(error.strerror))
+            self.tasks.append(asyncio.get_running_loop().create_task(self._bind_again(wanted)))
+        settings, at_home = self.settings, self.post.address == wanted
+        address = "" if at_home else self.post.address
+        self.members = Members(
+            self.me,
+            address,
+            self.can,
+            settings.static,
+            settings.seeds,
+            settings.members,
+            self.rng,
+        )
+        if at_home and self.duties.memory is not None:
+            self.duties.vote(self.clock.now())
+
+    async def _bind_again(self, wanted: str) -> None:
+        """Move to the address of our name once it is free; the vote begins there, in silence."""
+        while True:
+            await asyncio.sleep(BIND_AGAIN_S)
+            old = self.post.transport
+            try:
+                await self.post.open(wanted)
+            except OSError:
+                continue
+            if old is not None:
+                old.close()
+            assert self.members is not None
+            self.problems.pop("address", None)
+            self.members.move("")
+            if self.duties.memory is not None:
+                self.duties.vote(self.clock.now())
+            log.info("address is ours now", address=wanted)
+            return
+
+    async def _leave(self) -> None:
+        assert self.members is not None
+        self.members.able(0)
+        await self.duties.leave()
+        self._tell(self.members.leave(self.clock.now()))
+        self.post.flush()
+        log.info("ends", boot=self.me.boot)
+
+    async def _close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        if self.timer is not None:
+            self.timer.cancel()
+        await self.control.close()
+        self.post.close()
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+    async def _arrange(self) -> None:
+        while True:
+            self._look()
+            await asyncio.sleep(ARRANGE_S)
+
+    def _look(self) -> None:
+        assert self.members is not None
+        for who, state in self.members.news:
+            log.info("member", who=who.name, its_boot=who.boot, state=state.name.lower())
+        self.members.news.clear()
+        there = [m for m in self.members.there() if m.state is State.ALIVE]
+        self.duties.arrange(there, self.bits)
+
+    # ---- time ----
+
+    def _set(self) -> None:
+        """Wake up for whatever is due next."""
+        if self.members is None:
+            return
+        due = min(self.duties.next_at(), self.members.next_at())
+        if self.timer is not None:
+            self.timer.cancel()
+        wait = max(0.0, (due - self.clock.now()) / self.clock.rate)
+        self.timer = asyncio.get_running_loop().call_later(min(wait, 1.0) + 0.0005, self._tick)
+
+    def _tick(self) -> None:
+        assert self.members is not None
+        self.duties.tick()
+        now = self.clock.now()
+        if now >= self.members.next_at():
+            self._tell(self.members.tick(now))
+        if any(state is not State.SUSPECT for _, state in self.members.news):
+            self._look()
+        self._set()
+
+    # ---- datagrams ----
+
+    def _taken(self, envelope: Envelope, address: str) -> Cause | None:
+        who = Who(envelope.name, envelope.boot)
+        for_us = envelope.to_boot == self.me.boot
+        try:
+            bodies = [DECODER.decode(raw) for raw in envelope.bodies]
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            return Cause.GARBLED
+        self.met[address] = who
+        for body in bodies:
+            if isinstance(body, MEMBERS):
+                assert self.members is not None
+                self._tell(self.members.heard(self.clock.now(), who, address, body))
+            elif not for_us:
+                # Danger: what was meant for the process before this one must not be taken up by it. The
+                # sender is told who is here now.
+                self.post.send(address, who.boot, Ping(0, ()))
+                return Cause.OLD
+            elif cause := self._about_duties(who, address, body):
+                return cause
+        return None
+
+    def _about_duties(self, who: Who, address: str, body: Any) -> Cause | None:
+        if isinstance(body, Offer):
+            self.duties.offered(body.duty, body.rank)
+        elif isinstance(body, Prepare | Accept | Release):
+            if body.ballot.who != who:
+                return Cause.STRANGE
+            if answer := self.duties.asked(body):
+                self.post.send(address, who.boot, answer)
+        elif self.settings.voters.get(who.name) != address:
+            # Danger: a second process under a voter's name would be counted as that voter.
+            return Cause.STRANGE
+        else:
+            self.duties.answered(who.name, body)
+        return None
+
+    def _tell(self, tells: list[Tell]) -> None:
+        for tell in tells:
+            self.post.send(tell.address, tell.who.boot, tell.body)
+
+    def _ask(self, voter: str, question: Question) -> None:
+        if voter == self.name and self.duties.voter is not None:
+            asyncio.get_running_loop().call_soon(self._ask_ourselves, question)
+            return
+        address = self.settings.voters[voter]
+        if (known := self.met.get(address, NOBODY)) != NOBODY:
+            self.post.send(address, known.boot, question)
+
+    def _ask_ourselves(self, question: Question) -> None:
+        if answer := self.duties.asked(question):
+            self.duties.answered(self.name, answer)
+
+    def _offer(self, who: Who, duty: str) -> None:
+        assert self.members is not None
+        order = [w for w in self.duties.orders.get(duty, []) if w != self.me]
+        if member := self.members.table.get(who):
+            self.post.send(self.members.where(member), who.boot, Offer(duty, order.index(who)))
+
+    # ---- people ----
+
+    def _answer(self, call: str, args: dict[str, Any]) -> dict[str, Any]:
+        from .report import duties, members, voters
+
+        if call == "members":
+            return members(self)
+        if call == "duties":
+            return duties(self)
+        if call == "voters":
+            return voters(self)
+        if call == "hand-over":
+            name = str(args.get("duty"))
+            done = self.duties.hand_over(name, "an operator asked for it")
+            return {"done": done, "duty": name, "instance": self.name}
+        return {"error": f"{call!r} is no call; there are members, duties, voters, hand-over"}
+
+
+async def serve(settings: FleetSettings, name: str, works: Mapping[str, Work], stop: asyncio.Event) -> None:
+    with suppress(asyncio.CancelledError):
+        await Agent(settings, name, works).run(stop)
--- /dev/null
+++ b/roadpulley/fleet/clock.py
@@ -0,0 +1,38 @@
+"""Three kinds of time, never mixed up.
+
+`Clock.now`: a process's own monotonic seconds, for how long it may do something; never sent. `wall_ms`:
+shared by all as far as their clocks agree, for periods and for people. Counted numbers (rounds, fences)
+give order.
+"""
+
+from __future__ import annotations
+
+import os
+import time
+
+from .duties.terms import Mono
+
+RATE = "ROADPULLEY_CLOCK_RATE"  # of the testbed: how fast this process's own clock runs
+
+
+class Clock:
+    """Danger: a clock that stops while the machine sleeps would have a holder wake up and still believe."""
+
+    def __init__(self, rate: float = 1.0) -> None:
+        self.rate = rate
+        self.id = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+    def now(self) -> Mono:
+        return time.clock_gettime(self.id) * self.rate
+
+    def true(self) -> float:
+        """What all processes of this machine agree on: for histories that are judged, for nothing else."""
+        return time.clock_gettime(self.id)
+
+
+def wall_ms() -> int:
+    return int(time.time() * 1000)
+
+
+def from_environment() -> Clock:
+    return Clock(float(os.environ.get(RATE, "1")))
--- /dev/null
+++ b/roadpulley/fleet/control.py
@@ -0,0 +1,82 @@
+"""Where `roadpulley fleet` asks an instance on this machine: a Unix socket, one line of JSON each way."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+from roadpulley.checks import Bad
+
+MOST_LINE = 64 * 1024
+ANSWER_S = 5.0
+LONGEST_PATH = 100  # bytes; sockets allow 107
+
+Answer = Callable[[str, dict[str, Any]], dict[str, Any]]
+
+
+class Control:
+    def __init__(self, folder: Path, name: str, answer: Answer) -> None:
+        self.path, self.answer = folder / f"{name}.sock", answer
+        self.server: asyncio.Server | None = None
+        self.inode = 0
+
+    async def open(self) -> None:
+        """Take the path, also from a process that has it still: the newer one answers. Raises OSError,
+        Bad."""
+        if len(os.fsencode(self.path)) > LONGEST_PATH:
+            raise Bad(
+                "control", f"{self.path} is too long for a socket", f"give at most {LONGEST_PATH} bytes"
+            )
+        self.path.parent.mkdir(parents=True, exist_ok=True)
+        with suppress(FileNotFoundError):
+            self.path.unlink()
+        self.server = await asyncio.start_unix_server(self._serve, str(self.path), limit=MOST_LINE)
+        os.chmod(self.path, 0o600)
+        self.inode = self.path.stat().st_ino
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                asked = json.loads(await reader.readline())
+                call, args = asked["call"], asked.get("args", {})
+                writer.write(json.dumps(self.answer(call, args)).encode() + b"\n")
+                await writer.drain()
+        except (ValueError, KeyError, TypeError, OSError, TimeoutError):
+            pass  # who asks like this gets no answer
+        finally:
+            writer.close()
+
+    async def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+            with suppress(OSError):
+                if self.path.stat().st_ino == self.inode:  # else another process has it by now
+                    self.path.unlink()
+
+
+def ask(folder: Path, name: str, call: str, **args: Any) -> dict[str, Any]:
+    """What the instance answers. Raises Bad if it does not run here, or says nothing."""
+    path = folder / f"{name}.sock"
+    with socket.socket(socket.AF_UNIX) as sock:
+        sock.settimeout(ANSWER_S)
+        try:
+            sock.connect(str(path))
+            sock.sendall(json.dumps({"call": call, "args": args}).encode() + b"\n")
+            found = json.loads(sock.makefile("rb").readline())
+        except (OSError, ValueError) as error:
+            right = "start it with `roadpulley fleet agent`, or name another instance with --name"
+            raise Bad(str(path), f"no instance answers there ({error})", right) from error
+    if "error" in found:
+        raise Bad(call, str(found["error"]), "use a command of the same version")
+    return dict(found)
+
+
+def running(folder: Path) -> list[str]:
+    """Names of the instances that may run on this machine."""
+    return sorted(path.stem for path in folder.glob("*.sock"))
--- /dev/null
+++ b/roadpulley/fleet/duties/probe.py
@@ -0,0 +1,45 @@
+"""A duty that only shows who holds it: for trying a fleet out before anything real rests on it.
+
+Its register speaks lines over TCP:   claim DUTY FENCE OWNER    act DUTY FENCE WORDS    ->    ok | low HIGHEST
+"""
+
+from __future__ import annotations
+
+import socket
+
+from .work import Duty, LowFence, WorkFailed
+
+ANSWER_S = 2.0
+MOST_LINE = 256
+
+
+class Probe:
+    def __init__(self, name: str, address: str, who: str, every_s: float) -> None:
+        host, _, port = address.rpartition(":")
+        self.name, self.at, self.who, self.every_s = name, (host, int(port)), who, every_s
+        self.acts = 0
+
+    def claim(self, fence: int, owner: str) -> int | None:
+        return self._ask(f"claim {self.name} {fence} {owner}")
+
+    def act(self, duty: Duty) -> float | None:
+        if not duty.still_mine():
+            return None
+        self.acts += 1
+        highest = self._ask(f"act {self.name} {duty.fence} {self.who}.{self.acts}")
+        if highest is not None:
+            raise LowFence(highest)
+        return self.every_s
+
+    def _ask(self, line: str) -> int | None:
+        try:
+            with socket.create_connection(self.at, ANSWER_S) as sock:
+                sock.sendall(line.encode() + b"\n")
+                words = sock.makefile("rb").readline(MOST_LINE).split()
+        except OSError as error:
+            raise WorkFailed(f"the register at {self.at[0]}:{self.at[1]}: {error}") from error
+        if words == [b"ok"]:
+            return None
+        if len(words) == 2 and words[0] == b"low" and words[1].isdigit():
+            return int(words[1])
+        raise WorkFailed(f"the register answered {b' '.join(words)!r}")
--- /dev/null
+++ b/roadpulley/fleet/duties/service.py
@@ -0,0 +1,284 @@
+"""The shell of the duties at one instance: its vote, its candidates, and the work of what it holds."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Callable, Mapping
+from concurrent.futures import Executor
+from dataclasses import dataclass, field
+from typing import Any
+
+import structlog
+
+from roadpulley.fleet.clock import Clock
+from roadpulley.fleet.members.terms import Claim as Member
+from roadpulley.fleet.settings import DutySettings, FleetSettings
+
+from .candidate import NEVER_DUE, Action, Began, Candidate, Claim, Ended, Renewed, Send, State
+from .memory import Memory
+from .spread import STANDBY, STEP_S, spread
+from .terms import Accept, Answer, Mono, Prepare, Question, Who
+from .voter import Voter
+from .work import Duty, LowFence, Work, WorkFailed
+
+CLAIM_AGAIN_S = 0.2
+LAST_ROUND_S = 5.0  # that a planned hand-over waits for the round of work that is under way
+
+log = structlog.get_logger("roadpulley.fleet.duties")
+
+
+@dataclass
+class Holding:
+    """One duty at this instance, held or not."""
+
+    settings: DutySettings
+    candidate: Candidate
+    work: Work
+    duty: Duty | None = None
+    task: asyncio.Task[None] | None = None
+    began: Mono = 0.0
+    acts: int = 0
+    last: str = ""  # how the last holding ended, or why work failed
+    better: Mono = math.inf  # since when another instance should have it
+    leaving: bool = False
+
+
+@dataclass
+class Duties:
+    """`ask` sends a question to a voter, `offer` tells another instance that a duty is free."""
+
+    settings: FleetSettings
+    me: Who
+    clock: Clock
+    works: Mapping[str, Work]
+    ask: Callable[[str, Question], None]
+    offer: Callable[[Who, str], None]
+    changed: Callable[[], None]  # a timer is to be set anew
+    executor: Executor
+    rng: random.Random
+    memory: Memory | None = None  # of a voter; None: this instance has no vote
+    voter: Voter | None = None
+    holdings: dict[str, Holding] = field(default_factory=dict)
+    orders: dict[str, list[Who]] = field(default_factory=dict)
+    leaving: bool = False
+    next_hand_over: Mono = 0.0
+
+    def __post_init__(self) -> None:
+        voters = frozenset(self.settings.voters)
+        for name, work in self.works.items():
+            candidate = Candidate(name, self.me, voters, self.settings.times, self.rng.random)
+            self.holdings[name] = Holding(self.settings.duties[name], candidate, work)
+
+    # ---- the vote ----
+
+    def vote(self, now: Mono) -> None:
+        """Begin to vote, with nothing in memory but which fences may have been used."""
+        assert self.memory is not None
+        self.voter = Voter(self.settings.times, now, self.memory.floor)
+
+    def asked(self, question: Question) -> Answer | None:
+        if self.voter is None or self.memory is None:
+            return None
+        if isinstance(question, Prepare | Accept):
+            try:
+                self._reserve(question.ballot.round)
+            except OSError as error:
+                log.error("no vote: its memory cannot be written", why=str(error))
+                return None
+        return self.voter.on(self.clock.now(), question)
+
+    def _reserve(self, number: int) -> None:
+        assert self.memory is not None and self.voter is not None
+        if self.memory.reserved <= number <= self.voter.most():
+            self.memory.reserve(number)
+
+    # ---- candidates ----
+
+    def answered(self, voter: str, answer: Answer) -> None:
+        if holding := self.holdings.get(answer.duty):
+            self.do(holding, holding.candidate.heard(self.clock.now(), voter, answer))
+
+    def offered(self, name: str, rank: int) -> None:
+        """Another instance has let go of it."""
+        if (holding := self.holdings.get(name)) and not self.leaving:
+            holding.candidate.due = (
+                NEVER_DUE if holding.candidate.state is State.IDLE else holding.candidate.due
+            )
+            holding.candidate.want(self.clock.now(), rank * STEP_S)
+            self.changed()
+
+    def tick(self) -> None:
+        now = self.clock.now()
+        for holding in self.holdings.values():
+            if now >= holding.candidate.next_at():
+                self.do(holding, holding.candidate.tick(now))
+
+    def next_at(self) -> Mono:
+        return min((h.candidate.next_at() for h in self.holdings.values()), default=NEVER_DUE)
+
+    def arrange(self, members: list[Member], bits: Mapping[str, int]) -> None:
+        """Who tries to take what, by the members that are seen; and what should go to another instance."""
+        now, names = self.clock.now(), list(bits)
+        able = {n: [m.who for m in members if m.can >> bits[n] & 1] for n in names}
+        self.orders = spread(able, {n: self.settings.duties[n].prefer for n in names})
+        for name, holding in self.holdings.items():
+            order, candidate = self.orders.get(name, []), holding.candidate
+            rank = order.index(self.me) if self.me in order else len(order)
+            if self.leaving or rank >= STANDBY:
+                candidate.rest()
+            elif candidate.due == NEVER_DUE:
+                candidate.want(now, rank * STEP_S)
+            else:
+                candidate.handicap = rank * STEP_S
+        self._even_out(now)
+        self.changed()
+
+    def _even_out(self, now: Mono) -> None:
+        """Hand over what another should have, one at a time, once that has stood for a while."""
+        held = [h for h in self.holdings.values() if h.duty is not None]
+        for holding in held:
+            name, order = holding.settings.name, self.orders.get(holding.settings.name, [])
+            mine = self._part(self.me)
+            wished = order and order[0].name in holding.settings.prefer
+            if order and order[0] != self.me and (wished or len(held) > mine):
+                holding.better = min(holding.better, now)
+            else:
+                holding.better = math.inf
+            due = max(holding.better + self.settings.settle_s, self.next_hand_over)
+            if now >= due and not holding.leaving:
+                # Danger: all at once, as soon as a member shows, would make a bad link a storm of hand-overs.
+                self.next_hand_over = now + min(2.0, self.settings.settle_s)
+                holding.better = math.inf
+                self.hand_over(name, f"{order[0].name} should have it")
+
+    def _part(self, who: Who) -> int:
+        return sum(1 for order in self.orders.values() if order and order[0] == who)
+
+    # ---- actions ----
+
+    def do(self, holding: Holding, actions: list[Action]) -> None:
+        name = holding.settings.name
+        for action in actions:
+            match action:
+                case Send(voter, message):
+                    self.ask(voter, message)
+                case Claim(_, fence):
+                    self._take(holding, fence)
+                case Began(_, fence):
+                    holding.began = self.clock.now()
+                    self._say("holds", holding, fence)
+                case Renewed(_, fence, until):
+                    log.debug(
+                        "renews", duty=name, fence=fence, boot=self.me.boot, until=until / self.clock.rate
+                    )
+                case Ended(_, fence, why):
+                    self._stop(holding, fence, why)
+        self.changed()
+
+    def _take(self, holding: Holding, fence: int) -> None:
+        candidate = holding.candidate
+        self._say("takes", holding, fence)
+        holding.leaving = False
+        duty = Duty(
+            candidate.duty,
+            fence,
+            lambda: candidate.until if candidate.state is State.HOLDING else -math.inf,
+            self.clock.now,
+        )
+        holding.duty, before = duty, holding.task
+        holding.task = asyncio.get_running_loop().create_task(self._serve(holding, duty, before))
+
+    def _stop(self, holding: Holding, fence: int, why: str) -> None:
+        if holding.duty is not None:
+            holding.duty.ended.set()
+            holding.duty = None
+        holding.last = why
+        self._say("stops", holding, fence, why=why)
+
+    def _say(self, event: str, holding: Holding, fence: int, **more: Any) -> None:
+        log.info(event, duty=holding.settings.name, fence=fence, boot=self.me.boot, **more)
+
+    # ---- the work ----
+
+    async def _serve(self, holding: Holding, duty: Duty, before: asyncio.Task[None] | None) -> None:
+        """One holding: claim it at its registers, then its rounds, until it ends."""
+        if before is not None:
+            await asyncio.wait({before})  # one round at a time: the last may still be under way
+        candidate, fence = holding.candidate, duty.fence
+        try:
+            if not await self._claim(holding, duty):
+                return
+            self.do(holding, candidate.claimed(self.clock.now(), fence))
+            while not duty.ended.is_set():
+                wait = await self._threaded(holding.work.act, duty)
+                holding.acts += 1
+                await self._pause(duty, holding.settings.every_s if wait is None else wait)
+        except LowFence as low:
+            if not duty.ended.is_set():
+                self.do(holding, candidate.too_low(self.clock.now(), fence, low.highest))
+        except Exception as error:  # whatever it is: the duty is not done here, and the next one should try
+            if not isinstance(error, WorkFailed):
+                log.exception("work broke", duty=duty.name, fence=fence)
+            if not duty.ended.is_set():
+                self.do(holding, candidate.finish(self.clock.now(), f"its work failed: {error}", failed=True))
+
+    async def _claim(self, holding: Holding, duty: Duty) -> bool:
+        owner = f"{self.me.name}.{self.me.boot}"
+        while not duty.ended.is_set():
+            try:
+                highest = await self._threaded(holding.work.claim, duty.fence, owner)
+            except WorkFailed as error:
+                log.warning("a register is out of reach", duty=duty.name, fence=duty.fence, why=str(error))
+                await self._pause(duty, CLAIM_AGAIN_S)
+                continue
+            if highest is None:
+                return not duty.ended.is_set()
+            raise LowFence(highest)
+        return False
+
+    async def _threaded(self, call: Callable[..., Any], *args: Any) -> Any:
+        return await asyncio.get_running_loop().run_in_executor(self.executor, call, *args)
+
+    async def _pause(self, duty: Duty, seconds: float) -> None:
+        """Until the next round, or the end of the holding."""
+        end = self.clock.now() + seconds
+        while not duty.ended.is_set() and (left := end - self.clock.now()) > 0:
+            await asyncio.sleep(min(left, 0.05))
+
+    # ---- hand-over ----
+
+    def hand_over(self, name: str, why: str) -> bool:
+        """Let another have it, once the round that is under way has ended. Gives whether it is held here."""
+        holding = self.holdings.get(name)
+        if holding is None or holding.duty is None or holding.leaving:
+            return False
+        holding.leaving = True
+        asyncio.get_running_loop().create_task(self._hand_over(holding, holding.duty, why))
+        return True
+
+    async def _hand_over(self, holding: Holding, duty: Duty, why: str) -> None:
+        name, task = holding.settings.name, holding.task
+        duty.ended.set()  # no further round begins
+        if task is not None:
+            await asyncio.wait({task}, timeout=LAST_ROUND_S)
+        if holding.duty is not duty:
+            return  # it ended by itself meanwhile
+        self.do(holding, holding.candidate.finish(self.clock.now(), f"handed over: {why}"))
+        others = [who for who in self.orders.get(name, []) if who != self.me][:STANDBY]
+        for who in others:
+            self.offer(who, name)
+
+    async def leave(self) -> None:
+        """SIGTERM, drain, upgrade: all that is held goes to others, now."""
+        self.leaving = True
+        for holding in self.holdings.values():
+            holding.candidate.rest()
+        tasks = [
+            asyncio.ensure_future(self._hand_over(h, h.duty, "this instance ends"))
+            for h in self.holdings.values()
+            if h.duty is not None
+        ]
+        if tasks:
+            await asyncio.wait(tasks)
--- /dev/null
+++ b/roadpulley/fleet/members/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there. Informs; no safety rests on it."""
--- /dev/null
+++ b/roadpulley/fleet/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated datagrams between the instances of one installation."""
--- /dev/null
+++ b/roadpulley/fleet/peers/envelope.py
@@ -0,0 +1,148 @@
+"""Datagrams between instances: bytes to types and back, strict and bounded. Pure.
+
+    MessagePack array: format, installation, sender's name, its boot, number, receiver's boot, bodies
+    MAC of 16 bytes: keyed BLAKE2b (RFC 7693) over all before it; missing where no key is set
+
+A receiver's boot of 0: the sender does not know it. Such a datagram may carry bodies for members only. One
+that names an earlier boot was meant for a process that is gone; so a datagram that was kept back does nothing
+to the process after it. Within one boot each number is taken once (the window of RFC 6479, by bits).
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+FORMAT = 1
+MOST_BYTES = 1_200  # under the least MTU of IPv6, 1,280, with headers: it is never fragmented
+MAC_BYTES = 16
+LEAST_KEY, MOST_KEY = 32, 64  # bytes; BLAKE2b takes no more
+PERSON = b"roadpulley-peers"  # so that the key's other uses give other MACs
+WINDOW = 1_024  # numbers of one sender that may come out of order
+MOST_SENDERS = 4_096  # whose windows are kept; the one heard least lately goes
+OVERHEAD = 160  # bytes for all but the bodies: names are at most 32, numbers at most 9 each
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    format: int
+    installation: str
+    name: str
+    boot: int
+    number: int
+    to_boot: int
+    bodies: list[msgspec.Raw]
+
+
+class Cause(Enum):
+    """Why a datagram was dropped."""
+
+    OVERSIZED = "oversized"
+    GARBLED = "garbled"
+    UNSIGNED = "unsigned"  # its MAC does not fit our key
+    FORMAT = "format"
+    FOREIGN = "foreign"  # of another installation
+    OWN = "own"
+    REPEATED = "repeated"
+    OLD = "old"  # behind the window, or meant for an earlier boot
+    STRANGE = "strange"  # from no address that is known for that voter, or not for those who are not met yet
+    REMOTE = "remote"  # not from this machine, and there is no key
+
+
+@dataclass(slots=True)
+class Window:
+    highest: int = -1
+    seen: int = 0  # bit k: `highest - k` was taken
+
+    def take(self, number: int) -> Cause | None:
+        ahead = number - self.highest
+        if ahead > 0:
+            self.seen = ((self.seen << ahead) | 1) & ((1 << WINDOW) - 1) if ahead < WINDOW else 1
+            self.highest = number
+            return None
+        if -ahead >= WINDOW:
+            return Cause.OLD
+        if self.seen >> -ahead & 1:
+            return Cause.REPEATED
+        self.seen |= 1 << -ahead
+        return None
+
+
+class Codec:
+    """Of one process. `key` None: datagrams carry no MAC."""
+
+    def __init__(self, installation: str, name: str, boot: int, key: bytes | None) -> None:
+        self.installation, self.name, self.boot, self.key = installation, name, boot, key
+        self.encoder, self.decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Envelope)
+        self.windows: OrderedDict[tuple[str, int], Window] = OrderedDict()
+        self.number = 0
+        self.room = MOST_BYTES - OVERHEAD - (MAC_BYTES if key else 0)
+
+    def body(self, message: Any) -> msgspec.Raw:
+        return msgspec.Raw(self.encoder.encode(message))
+
+    def pack(self, to_boot: int, bodies: Sequence[msgspec.Raw]) -> list[bytes]:
+        """As few datagrams as hold them, in order. Raises ValueError for a body that is too long for one."""
+        out: list[bytes] = []
+        some: list[msgspec.Raw] = []
+        size = 0
+        for body in bodies:
+            length = len(memoryview(body))
+            if length > self.room:
+                raise ValueError(f"a body of {length} bytes; {self.room} fit into a datagram")
+            if size + length > self.room:
+                out.append(self._seal(to_boot, some))
+                some, size = [], 0
+            some.append(body)
+            size += length
+        if some:
+            out.append(self._seal(to_boot, some))
+        return out
+
+    def _seal(self, to_boot: int, bodies: list[msgspec.Raw]) -> bytes:
+        self.number += 1
+        data = self.encoder.encode(
+            Envelope(FORMAT, self.installation, self.name, self.boot, self.number, to_boot, bodies)
+        )
+        return data + self._mac(data) if self.key else data
+
+    def _mac(self, data: bytes) -> bytes:
+        assert self.key is not None
+        return hashlib.blake2b(data, digest_size=MAC_BYTES, key=self.key, person=PERSON).digest()
+
+    def unpack(self, data: bytes) -> Envelope | Cause:
+        """What is to be believed, or why it is not. Nothing of it counts before its MAC was checked."""
+        if len(data) > MOST_BYTES:
+            return Cause.OVERSIZED
+        if self.key:
+            data, mac = data[:-MAC_BYTES], data[-MAC_BYTES:]
+            if not hmac.compare_digest(self._mac(data), mac):
+                return Cause.UNSIGNED
+        try:
+            found = self.decoder.decode(data)
+        except (msgspec.DecodeError, msgspec.ValidationError, RecursionError):
+            return Cause.GARBLED
+        if found.format != FORMAT:
+            return Cause.FORMAT
+        if found.installation != self.installation:
+            return Cause.FOREIGN
+        if found.boot <= 0 or found.number <= 0 or len(found.name) > 32:
+            return Cause.GARBLED
+        if found.boot == self.boot and found.name == self.name:
+            return Cause.OWN
+        if cause := self._window(found.name, found.boot).take(found.number):
+            return cause
+        return found
+
+    def _window(self, name: str, boot: int) -> Window:
+        window = self.windows.setdefault((name, boot), Window())
+        self.windows.move_to_end((name, boot))
+        if len(self.windows) > MOST_SENDERS:
+            self.windows.popitem(last=False)
+        return window
--- /dev/null
+++ b/roadpulley/fleet/report.py
@@ -0,0 +1,134 @@
+"""What one instance tells people: who is there, who holds what, and what it can't see."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, Any
+
+from .duties.candidate import State as Stage
+from .duties.terms import NOBODY
+
+if TYPE_CHECKING:
+    from .agent import Agent
+
+
+def members(agent: Agent) -> dict[str, Any]:
+    assert agent.members is not None
+    now, machine = agent.clock.now(), agent.members
+    rows = [
+        {
+            "name": m.claim.who.name,
+            "boot": m.claim.who.boot,
+            "state": m.claim.state.name.lower(),
+            "for_s": round(now - m.since, 1),
+            "address": machine.where(m),
+            "votes": m.claim.who.name in agent.settings.voters,
+        }
+        for m in machine.table.values()
+    ]
+    mine = {
+        "name": agent.me.name,
+        "boot": agent.me.boot,
+        "state": "alive",
+        "for_s": 0.0,
+        "address": agent.post.address,
+        "votes": agent.duties.voter is not None,
+    }
+    seen = {r["name"] for r in rows if r["state"] == "alive"} | {agent.me.name}
+    return {
+        "instance": agent.name,
+        "members": sorted([mine, *rows], key=lambda r: (r["name"], r["boot"])),
+        "unseen": sorted(set(agent.settings.static) - seen),
+        "slowness": machine.health,
+        "refuted": machine.false_alarms,
+        "datagrams": {
+            "sent": agent.post.sent,
+            "sent_bytes": agent.post.sent_bytes,
+            "received": agent.post.received,
+            "received_bytes": agent.post.received_bytes,
+            "dropped": dict(agent.post.dropped),
+            "errors": dict(agent.post.errors),
+        },
+        "problems": agent.problems,
+    }
+
+
+def duties(agent: Agent) -> dict[str, Any]:
+    """Who holds what, as this instance knows: its own holdings for sure, the others' by what voters told."""
+    now, rows = agent.clock.now(), []
+    voter = agent.duties.voter
+    for name in sorted(agent.settings.duties):
+        holding = agent.duties.holdings.get(name)
+        kept = voter.kept.get(name) if voter is not None else None
+        row: dict[str, Any] = {
+            "duty": name,
+            "work": agent.settings.duties[name].work,
+            "holder": "",
+            "known": "",
+        }
+        if holding is not None and holding.candidate.state in (Stage.HOLDING, Stage.CLAIMING):
+            row |= {
+                "holder": agent.name,
+                "boot": agent.me.boot,
+                "since_s": round(now - holding.candidate.since, 1),
+                "fence": holding.candidate.ballot.round,
+                "left_s": round(holding.candidate.until - now, 2),
+                "state": holding.candidate.state.value,
+                "acts": holding.acts,
+                "known": "it is held here",
+            }
+        elif kept is not None and now < kept.until:
+            row |= {
+                "holder": kept.granted.who.name,
+                "boot": kept.granted.who.boot,
+                "since_s": round(now - kept.since, 1),
+                "fence": kept.granted.round,
+                "left_s": round(kept.until - now, 2),
+                "state": "granted",
+                "known": "this instance's own vote",
+            }
+        elif holding is not None and holding.candidate.holder != NOBODY:
+            row |= {"holder": holding.candidate.holder.name, "known": "a voter told it at the last try"}
+        if kept is not None and now < kept.cool:
+            row["cools_s"] = round(kept.cool - now, 1)
+        if holding is not None and holding.last:
+            row["last"] = holding.last
+        order = agent.duties.orders.get(name, [])
+        row["first_choice"] = order[0].name if order else ""
+        rows.append(row)
+    return {
+        "instance": agent.name,
+        "duties": rows,
+        "unseen": unseen_voters(agent),
+        "problems": agent.problems,
+    }
+
+
+def voters(agent: Agent) -> dict[str, Any]:
+    now = agent.clock.now()
+    rows = []
+    for name, address in agent.settings.voters.items():
+        who = agent.met.get(address, NOBODY)
+        ours = name == agent.name
+        silent = math.ceil(agent.duties.voter.speaks_at() - now) if ours and agent.duties.voter else 0
+        rows.append(
+            {
+                "name": name,
+                "address": address,
+                "boot": agent.me.boot if ours else who.boot,
+                "seen": ours or name not in unseen_voters(agent),
+                "silent_s": max(0, silent),
+            }
+        )
+    return {
+        "instance": agent.name,
+        "voters": rows,
+        "majority": len(rows) // 2 + 1,
+        "unseen": unseen_voters(agent),
+    }
+
+
+def unseen_voters(agent: Agent) -> list[str]:
+    assert agent.members is not None
+    alive = {m.who.name for m in agent.members.there() if m.state.name == "ALIVE"}
+    return sorted(set(agent.settings.voters) - alive)
--- /dev/null
+++ b/roadpulley/fleet/settings.py
@@ -0,0 +1,223 @@
+"""`deploy/fleet.toml`: the instances, who votes, how long leases are and which duties there are.
+
+One file for all instances; which of them a process is, the command says.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+import stat
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from roadpulley.checks import Bad, Table, read_toml
+
+from .duties.terms import Times
+from .members.terms import Times as MemberTimes
+from .peers.envelope import LEAST_KEY, MOST_KEY
+
+NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,31}")
+MOST_DUTIES = 512  # bits of one claim; more would not fit into a datagram with others
+MOST_VOTERS = 15
+WORKS = ("probe", "usage-push", "usage-close", "plans-publish", "store-care")
+
+
+@dataclass(frozen=True)
+class DutySettings:
+    """`among`: the instances that may hold it, empty for all; `prefer`: those that should, in order."""
+
+    name: str
+    work: str
+    settings: Path | None  # of the work, in the form that its own page says
+    address: str  # of a probe's register
+    every_s: float
+    prefer: tuple[str, ...]
+    among: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class FleetSettings:
+    installation: str
+    key: bytes | None = field(repr=False)
+    control: Path  # the folder of the sockets that `roadpulley fleet` asks
+    state: Path | None  # the folder in which voters remember which fences were used
+    voters: Mapping[str, str]
+    others: Mapping[str, str]
+    seeds: tuple[str, ...]
+    times: Times
+    members: MemberTimes
+    duties: Mapping[str, DutySettings]
+    settle_s: float  # for which another instance has to be the better one before a duty is handed to it
+
+    @property
+    def static(self) -> dict[str, str]:
+        return {**self.voters, **self.others}
+
+
+def read_settings(path: Path) -> FleetSettings:
+    """Paths are relative to the file. Raises Bad with the file and the key."""
+
+    def read(raw: dict[str, Any]) -> FleetSettings:
+        return fleet(Table(raw), path.parent)
+
+    return read_toml(path, read)
+
+
+def fleet(table: Table, folder: Path) -> FleetSettings:
+    installation = named(table.text("installation"), "installation")
+    key = read_key(table.text("key", ""), folder)
+    control, state = table.text("control"), table.text("state", "")
+    seeds = table.take("seeds", [], "give a list of addresses")
+    if not isinstance(seeds, list):
+        raise Bad("seeds", f"is {seeds!r}", "give a list of addresses, as 127.0.0.1:7401")
+    voters = addresses(table.table("voters"), key)
+    others = addresses(table.table("others"), key)
+    if len(voters) < 3 or len(voters) % 2 == 0 or len(voters) > MOST_VOTERS:
+        # Of an even number one more may fail than of one less, and no more; of one, none.
+        right = f"name an odd number from 3 to {MOST_VOTERS}: three bear the loss of one, five of two"
+        raise Bad("voters", f"are {len(voters)}", right)
+    apart(voters, others)
+    found = FleetSettings(
+        installation,
+        key,
+        folder / control,
+        folder / state if state else None,
+        voters,
+        others,
+        tuple(address(s, f"seeds[{n}]", key) for n, s in enumerate(seeds)),
+        lease(table.table("lease")),
+        member_times(table.table("members")),
+        duties(table.table("duties"), folder, {*voters, *others}),
+        table.number("settle_s", 10.0, 0.1, 3600),
+    )
+    table.done()
+    return found
+
+
+def named(text: str, path: str) -> str:
+    if not NAME.fullmatch(text):
+        raise Bad(path, f"is {text!r}", "give 1 to 32 of a-z, 0-9, '.' and '-', a letter or digit first")
+    return text
+
+
+def read_key(text: str, folder: Path) -> bytes | None:
+    if not text:
+        return None
+    path = folder / text
+    try:
+        found = path.read_bytes()
+        mode = path.stat().st_mode
+    except OSError as error:
+        right = "name a file that this process may read, made by `openssl rand 32`"
+        raise Bad("key", f"{path} can't be read ({error.strerror})", right) from error
+    if not LEAST_KEY <= len(found) <= MOST_KEY:
+        right = f"give {LEAST_KEY} to {MOST_KEY}, such as `openssl rand 32` makes"
+        raise Bad("key", f"{path} has {len(found)} bytes", right)
+    if mode & (stat.S_IRWXG | stat.S_IRWXO):
+        raise Bad("key", f"{path} may be read by others", "let its owner alone: chmod 600")
+    return found
+
+
+def address(text: object, path: str, key: bytes | None) -> str:
+    """HOST:PORT with a number for a host: nothing here waits for a name. Raises Bad."""
+    right = "give an address of one machine with its port, as 127.0.0.1:7401"
+    if not isinstance(text, str):
+        raise Bad(path, f"is {text!r}", right)
+    host, _, port = text.rpartition(":")
+    try:
+        ip = ipaddress.IPv4Address(host)
+    except ValueError as error:
+        raise Bad(path, f"is {text!r}", right) from error
+    if not port.isdecimal() or not 1 <= int(port) <= 65535:
+        raise Bad(path, f"is {text!r}", "give a port from 1 to 65535")
+    if ip.is_unspecified or ip.is_multicast or ip.is_reserved:
+        raise Bad(path, f"is {text!r}, where nobody can be reached", right)
+    if key is None and not ip.is_loopback:
+        raise Bad(path, f"is {text!r} and there is no key", "name a key file, or use 127.0.0.0/8 only")
+    return f"{ip}:{int(port)}"
+
+
+def addresses(table: Table, key: bytes | None) -> dict[str, str]:
+    found = {}
+    for name in table.raw:
+        found[named(name, table.at(name))] = address(table.take(name, ..., ""), table.at(name), key)
+    return found
+
+
+def apart(voters: Mapping[str, str], others: Mapping[str, str]) -> None:
+    seen: dict[str, str] = {}
+    for part, table in (("voters", voters), ("others", others)):
+        for name, where in table.items():
+            if part == "others" and name in voters:
+                raise Bad(f"others.{name}", "is a voter too", "name each instance once")
+            if where in seen:
+                # Danger: one process with two votes would be a majority by itself.
+                raise Bad(
+                    f"{part}.{name}", f"is at {where}, as {seen[where]} is", "give each its own address"
+                )
+            seen[where] = name
+
+
+def lease(table: Table) -> Times:
+    times = {
+        "lease": table.number("seconds", 4.0, 0.2, 3600),
+        "silence": table.number("silence_s", 0.0, 0.0, 3600),
+        "drift": table.number("drift", 0.02, 0.0, 0.25),
+        "margin": table.number("margin_s", 0.2, 0.0, 60),
+        "answer": table.number("answer_s", 0.25, 0.01, 60),
+        "claim": table.number("claim_s", 5.0, 0.1, 600),
+    }
+    table.done()
+    try:
+        return Times(**times)
+    except ValueError as error:
+        wrong, _, right = str(error).partition("; ")
+        raise Bad(table.at("seconds"), wrong, right) from error
+
+
+def member_times(table: Table) -> MemberTimes:
+    period = table.number("period_s", 0.5, 0.02, 60)
+    answer = table.number("answer_s", period * 0.4, 0.005, 60)
+    table.done()
+    if answer * 2.2 > period:
+        right = f"leave time for a second way within a period: at most {period / 2.2:.3f}"
+        raise Bad(table.at("answer_s"), f"is {answer:g}", right)
+    return MemberTimes(period=period, answer=answer, exchange=period * 10)
+
+
+def duties(table: Table, folder: Path, known: set[str]) -> dict[str, DutySettings]:
+    found = {}
+    for name in table.raw:
+        one = table.table(named(name, table.at(name)))
+        work = one.text("work", among=WORKS)
+        settings, where = one.text("settings", ""), one.text("address", "")
+        if work == "probe" and not where:
+            raise Bad(one.at("address"), "is missing", "name the register that the probe acts on")
+        if work != "probe" and not settings:
+            raise Bad(one.at("settings"), "is missing", f"name the file with the settings of {work}")
+        every = one.number("every_s", 60.0, 0.005, 86_400)
+        prefer = instances(one, "prefer", known)
+        among = instances(one, "among", known)
+        if among and (strange := [n for n in prefer if n not in among]):
+            raise Bad(one.at("prefer"), f"names {strange[0]}", "it may not hold this duty: add it to among")
+        one.done()
+        found[name] = DutySettings(
+            name, work, folder / settings if settings else None, where, every, prefer, among
+        )
+    if len(found) > MOST_DUTIES:
+        raise Bad(table.path, f"are {len(found)}", f"name at most {MOST_DUTIES}")
+    return found
+
+
+def instances(table: Table, key: str, known: set[str]) -> tuple[str, ...]:
+    if not table.has(key):
+        return ()
+    names = table.texts(key)
+    for name in names:
+        if name not in known:
+            right = f"name instances of [voters] and [others]: {', '.join(sorted(known))}"
+            raise Bad(table.at(key), f"names {name!r}", right)
+    return names
--- /dev/null
+++ b/roadpulley/testbed/fleet.py
@@ -0,0 +1,239 @@
+"""A fleet of agents as processes on this machine, with faults between them and a register that they
+act on."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import signal
+import socket
+import sys
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from types import TracebackType
+
+from .holders import Belief, Judgement, beliefs, judge, read_lines
+from .links import Links
+from .processes import end_with_parent
+from .register import Register
+from .server import LOCAL
+
+END_S = 3.0
+LOOK_S = 0.02
+ATTEMPTS_S = 30.0  # for what a test waits for; a machine under load is slow
+
+
+@dataclass(frozen=True)
+class FleetPlan:
+    """Seconds. Short leases, so that a play is short."""
+
+    voters: int = 3
+    others: int = 0
+    duties: int = 2
+    lease: float = 1.0
+    drift: float = 0.05
+    margin: float = 0.1
+    answer: float = 0.08
+    period: float = 0.15
+    every: float = 0.02  # between two acts of a probe
+    settle: float = 60.0
+    key: bool = True
+    state: bool = False  # whether voters remember used fences on disk
+    seed: int = 1
+
+    @property
+    def names(self) -> list[str]:
+        return [f"v{n}" for n in range(self.voters)] + [f"o{n}" for n in range(self.others)]
+
+    @property
+    def duty_names(self) -> list[str]:
+        return [f"duty-{n}" for n in range(self.duties)]
+
+
+@dataclass
+class Member:
+    """One instance: its settings, and its process while one runs."""
+
+    name: str
+    settings: Path
+    log: Path
+    process: asyncio.subprocess.Process | None = None
+    rate: float = 1.0
+    stopped: bool = False
+
+    @property
+    def runs(self) -> bool:
+        return self.process is not None and self.process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+
+@dataclass
+class Fleet:
+    plan: FleetPlan
+    folder: Path
+    rng: random.Random = field(init=False)
+    register: Register = field(default_factory=Register)
+
+    def __post_init__(self) -> None:
+        self.rng = random.Random(self.plan.seed)
+        self.links = Links(self.plan.names, self.rng)
+        self.members: dict[str, Member] = {}
+        self.beside: list[Member] = []  # second processes of a name
+
+    async def __aenter__(self) -> Fleet:
+        await self.register.start()
+        await self.links.open()
+        self._settle()
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, _: TracebackType | None
+    ) -> None:
+        for member in [*self.members.values(), *self.beside]:
+            member.signal(signal.SIGKILL)
+            if member.process is not None:
+                await member.process.wait()
+        self.links.close()
+        await self.register.close()
+
+    def _settle(self) -> None:
+        """Settings by instance: each sees the others at the ports that stand for them."""
+        if self.plan.key:
+            key = self.folder / "fleet.key"
+            key.write_bytes(self.rng.randbytes(32))
+            key.chmod(0o600)
+        for name in self.plan.names:
+            self.links.real[name] = (LOCAL, free_port())
+        for name in self.plan.names:
+            path = self.folder / f"{name}.toml"
+            path.write_text(self._toml(name))
+            self.members[name] = Member(name, path, self.folder / f"{name}.log")
+
+    def _toml(self, name: str) -> str:
+        plan = self.plan
+
+        def row(other: str) -> str:
+            host, port = self.links.real[name]
+            return f'{other} = "{f"{host}:{port}" if other == name else self.links.at(name, other)}"'
+
+        lines = ['installation = "trial"', f'control = "run-{name}"']
+        lines += ['key = "fleet.key"'] if plan.key else []
+        lines += [f'state = "state-{name}"'] if plan.state else []
+        lines += [f"settle_s = {plan.settle}", "[voters]", *(row(n) for n in plan.names[: plan.voters])]
+        lines += ["[others]", *(row(n) for n in plan.names[plan.voters :])]
+        lines += ["[lease]", f"seconds = {plan.lease}", f"drift = {plan.drift}", f"margin_s = {plan.margin}"]
+        lines += [f"answer_s = {plan.answer}", "[members]", f"period_s = {plan.period}"]
+        for duty in plan.duty_names:
+            lines += [f"[duties.{duty}]", 'work = "probe"', f'address = "{self.register.address}"']
+            lines += [f"every_s = {plan.every}"]
+        return "\n".join(lines) + "\n"
+
+    # ---- processes ----
+
+    async def start(self, *names: str, rate: float = 1.0) -> None:
+        for name in names or self.plan.names:
+            member = self.members[name]
+            member.rate, member.stopped = rate, False
+            member.process = await self._spawn(member)
+
+    async def start_beside(self, name: str) -> Member:
+        """A second process of one name."""
+        first = self.members[name]
+        second = Member(name, first.settings, first.log, rate=first.rate)
+        second.process = await self._spawn(second)
+        self.beside.append(second)
+        return second
+
+    async def _spawn(self, member: Member) -> asyncio.subprocess.Process:
+        parent = os.getpid()
+        env = {**os.environ, "ROADPULLEY_LOG": "debug", "ROADPULLEY_CLOCK_RATE": str(member.rate)}
+        command = ["-m", "roadpulley.cli", "fleet", "--settings", str(member.settings), "agent"]
+        with member.log.open("ab") as log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                *command,
+                "--name",
+                member.name,
+                env=env,
+                stdin=asyncio.subprocess.DEVNULL,
+                stderr=log,
+                preexec_fn=lambda: end_with_parent(parent),
+                start_new_session=True,
+            )
+
+    def kill(self, *names: str) -> None:
+        for name in names:
+            self.members[name].signal(signal.SIGKILL)
+
+    def stop(self, *names: str) -> None:
+        for name in names:
+            self.members[name].signal(signal.SIGSTOP)
+            self.members[name].stopped = True
+
+    def go_on(self, *names: str) -> None:
+        for name in names:
+            self.members[name].signal(signal.SIGCONT)
+            self.members[name].stopped = False
+
+    async def end(self, *names: str) -> None:
+        """SIGTERM, and wait for the end."""
+        for name in names:
+            self.members[name].signal(signal.SIGTERM)
+        for name in names:
+            process = self.members[name].process
+            if process is not None:
+                await asyncio.wait_for(process.wait(), END_S)
+
+    async def gone(self, *names: str) -> None:
+        for name in names:
+            process = self.members[name].process
+            assert process is not None
+            await process.wait()
+
+    # ---- what is seen ----
+
+    def holder(self, duty: str) -> str | None:
+        """Who acted last."""
+        act = next((a for a in reversed(self.register.acts) if a.duty == duty and a.taken), None)
+        return act.words.rpartition(".")[0] if act else None
+
+    def fence(self, duty: str) -> int:
+        return self.register.highest.get(duty, (0, ""))[0]
+
+    def acts(self, duty: str) -> int:
+        return sum(1 for a in self.register.acts if a.duty == duty and a.taken)
+
+    async def until(self, what: Callable[[], bool], words: str, within: float = ATTEMPTS_S) -> None:
+        """Raises TimeoutError with what was waited for."""
+        end = asyncio.get_running_loop().time() + within
+        while not what():
+            if asyncio.get_running_loop().time() > end:
+                raise TimeoutError(f"within {within:g} s not seen: {words}")
+            await asyncio.sleep(LOOK_S)
+
+    async def all_held(self, duties: Sequence[str] = ()) -> None:
+        """Each duty is acted on, from now on."""
+        names = duties or self.plan.duty_names
+        before = {d: self.acts(d) for d in names}
+        await self.until(lambda: all(self.acts(d) > before[d] for d in names), "acts of every duty")
+
+    def beliefs(self) -> list[Belief]:
+        out: list[Belief] = []
+        for member in self.members.values():
+            if member.log.exists():
+                out += beliefs(member.name, read_lines(member.log.read_bytes().splitlines()))
+        return out
+
+    def judge(self, least_gap: float = 0.0) -> Judgement:
+        return judge(self.beliefs(), self.register.acts, least_gap)
+
+
+def free_port() -> int:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((LOCAL, 0))
+        return int(sock.getsockname()[1])
--- a/roadpulley/testbed/operator.py
+++ b/roadpulley/testbed/operator.py
@@ -81,6 +81,3 @@
         return (await call(process, "STATUS")).startswith("OK")
     except OSError:
         return False  # it does not listen yet
-
-
-
--- a/tests/edges/test_long_bodies.py
+++ b/tests/edges/test_long_bodies.py
@@ -166,5 +166,3 @@
     reader.feed(b"*5\r\n$%d\r\n" % (LARGEST_VALUE + 1))
     with pytest.raises(Malformed):
         reader.next()
-
-
--- a/tests/operations/test_handover.py
+++ b/tests/operations/test_handover.py
@@ -60,9 +60,7 @@
     def flood(self, world: World, requests: int) -> None:
         for _ in range(requests):
             world.serial += 1
-            event = api.RequestArrived(
-                f"r{world.serial}", "view", "firm", "c", world.now + 3000, 1.0, 1, 0
-            )
+            event = api.RequestArrived(f"r{world.serial}", "view", "firm", "c", world.now + 3000, 1.0, 1, 0)
             for send in sends(self.give(world, event)):
                 self.sent.append(world.now)
                 self.give(world, api.AttemptEnded(send.request, 0, send.backend, api.Outcome.OK, 1.0, True))
--- a/tests/operations/test_in_service.py
+++ b/tests/operations/test_in_service.py
@@ -250,6 +250,7 @@
 
 def test_a_request_that_came_as_its_connection_is_closed_is_served() -> None:
     """It lies unread in the kernel when the drain closes what rests; closed over, it would be turned back."""
+
     async def scenario() -> None:
         with server_seen() as servers:
             async with running(Operated(Backend())) as world:
--- a/tests/operations/test_retuning.py
+++ b/tests/operations/test_retuning.py
@@ -238,4 +238,3 @@
             )
             number += 1
         assert number == most
-
