Leases explored: small worlds walked whole, drawn histories, fourteen planted mistakes found

Need: no test of some timelines shows that two never hold a duty at once.

Within small limits every history is walked; beyond them histories are drawn.

--- /dev/null
+++ b/tests/fleet/test_lease_model.py
@@ -0,0 +1,195 @@
+"""Leases in a small world where everything may happen: explored whole within limits, and by drawn histories.
+
+Each mistake that is planted has to be found; what finds it is the invariant, not the mistake's own lines.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+
+import pytest
+
+from roadpulley.fleet.duties import candidate as candidates
+from roadpulley.fleet.duties.candidate import Action, Ask, Candidate
+from roadpulley.fleet.duties.terms import Accept, Answer, Mono, Question, Refused, Release, Times
+from roadpulley.fleet.duties.voter import Kept, Voter
+from roadpulley.testbed.lease_model import Broken, Limits, Model, Rules
+
+# No drift and no margin: the bound itself is tried, not the room that settings leave below it.
+TIMES = Times(lease=3.0, drift=0.0, margin=0.0, answer=1.0, claim=100.0)
+WALKS, STEPS = 400, 350
+LONG = Limits(ticks=80, restarts=8, wipes=2, reboots=3, repeats=30, tries=99, asks=99, late=30, lost=60)
+
+CALM = replace(LONG, ticks=30, restarts=0, wipes=0, reboots=0, repeats=0)
+
+# By the kind of fault: how much of each, so that all histories within are walked in seconds.
+WHOLE = {
+    "nothing fails": Limits(ticks=5, restarts=0, tries=1, asks=2, late=0, lost=0),
+    "a message is lost": Limits(ticks=3, restarts=0, tries=1, asks=2, late=0, lost=1),
+    "a message is late": Limits(ticks=3, restarts=0, tries=1, asks=1, late=1, lost=0),
+    "a voter restarts": Limits(ticks=4, restarts=1, tries=1, asks=1, late=0, lost=0),
+    "all voters restart": Limits(ticks=5, restarts=0, wipes=1, tries=1, asks=1, late=0, lost=0),
+    "a candidate restarts": Limits(ticks=4, restarts=0, reboots=1, tries=1, asks=1, late=0, lost=0),
+}
+
+
+@pytest.mark.parametrize("fault", WHOLE)
+def test_no_history_breaks_it(fault: str) -> None:
+    states, depth, whole = Model(TIMES, WHOLE[fault]).explore(400_000)
+    assert whole, f"{states} states and more, {depth} steps deep"
+    assert states > 1_000
+
+
+def drifting(seed: int) -> tuple[Times, tuple[float, ...]]:
+    """Clocks as far apart as settings of this drift allow, each by chance or at an end."""
+    rng = random.Random(seed)
+    drift = rng.choice((0.0, 0.05, 0.2))
+    rates = tuple(1 + rng.choice((-drift, drift, rng.uniform(-drift, drift))) for _ in range(5))
+    return Times(lease=6.0, drift=drift, margin=0.0, answer=1.0, claim=100.0), rates
+
+
+def test_drawn_histories_with_clocks_that_run_apart_hold() -> None:
+    held = 0
+    for seed in range(WALKS):
+        times, rates = drifting(seed)
+        try:
+            Model(times, LONG, Rules(candidate=Counting), rates).walk(random.Random(seed), STEPS)
+        except Broken as broken:
+            pytest.fail(f"seed {seed}: {broken}")
+    held = Counting.begun
+    assert held > WALKS / 2  # else these histories showed nothing
+
+
+class Counting(Candidate):
+    begun = 0
+
+    def claimed(self, now: Mono, fence: int) -> list[Action]:
+        out = super().claimed(now, fence)
+        Counting.begun += len(out)
+        return out
+
+
+# ---- mistakes ----
+
+
+class VotesAtOnce(Voter):
+    def speaks_at(self) -> Mono:
+        return self.started
+
+
+class GrantsTwice(Voter):
+    def on(self, now: Mono, asked: Question) -> Answer | None:
+        if (kept := self.kept.get(asked.duty)) is not None and not isinstance(asked, Release):
+            kept.until = min(kept.until, now)
+        return super().on(now, asked)
+
+
+class KeepsTooShort(Voter):
+    def on(self, now: Mono, asked: Question) -> Answer | None:
+        if isinstance(asked, Accept):
+            asked = Accept(asked.duty, asked.ballot, asked.ask, asked.roll, asked.lease_ms // 2, asked.held)
+        return super().on(now, asked)
+
+
+class ReleasesForAnybody(Voter):
+    def _release(self, now: Mono, kept: Kept, asked: Release) -> None:
+        super()._release(now, kept, Release(asked.duty, kept.granted, asked.failed))
+
+
+class CountsFromTheAnswer(Candidate):
+    def _granted(self, now: Mono, voter: str, number: int, out: list[Action]) -> None:
+        self.asks = tuple(Ask(a.number, now, a.granted) for a in self.asks)
+        super()._granted(now, voter, number, out)
+
+
+class AddsToWhatIsLeft(Candidate):
+    def _granted(self, now: Mono, voter: str, number: int, out: list[Action]) -> None:
+        before = self.until
+        super()._granted(now, voter, number, out)
+        if before and self.until > before:
+            self.until = before + self.times.holds
+
+
+class MixesItsAsks(Candidate):
+    def _granted(self, now: Mono, voter: str, number: int, out: list[Action]) -> None:
+        everyone = frozenset(v for a in self.asks for v in a.granted)
+        self.asks = tuple(Ask(a.number, a.at, everyone) for a in self.asks)
+        super()._granted(now, voter, number, out)
+
+
+class TakesOldAnswers(Candidate):
+    def heard(self, now: Mono, voter: str, answer: Answer) -> list[Action]:
+        if not isinstance(answer, Refused):
+            answer = replace_ballot(answer, self)
+        return super().heard(now, voter, answer)
+
+
+class NeedsTooFew(Candidate):
+    @property
+    def majority(self) -> int:
+        return len(self.voters) // 2
+
+
+class ForgetsTheDrift(Candidate):
+    def _granted(self, now: Mono, voter: str, number: int, out: list[Action]) -> None:
+        super()._granted(now, voter, number, out)
+        if self.until:
+            self.until = max([self.until, *(a.at + self.times.lease for a in self.asks)])
+            if out:
+                self.until += self.times.lease - self.times.holds
+
+
+class HoldsWithoutEnd(Candidate):
+    def mine(self, now: Mono) -> bool:
+        return self.state is candidates.State.HOLDING
+
+
+def replace_ballot(answer: Answer, mine: Candidate) -> Answer:
+    import msgspec
+
+    changes: dict[str, object] = {"ballot": mine.ballot}
+    if hasattr(answer, "ask"):
+        changes["ask"] = mine.asked
+    return msgspec.structs.replace(answer, **changes)
+
+
+@dataclass(frozen=True)
+class Mistake:
+    rules: Rules
+    drift: bool = False  # only clocks that run apart show it
+    first: int = 0  # where to begin: the histories before do not show it, as the benchmark plays them
+    limits: Limits = LONG
+
+
+MISTAKES = {
+    "a voter votes at once after its restart": Mistake(Rules(voter=VotesAtOnce)),
+    "a voter grants while another's grant runs": Mistake(Rules(voter=GrantsTwice)),
+    "a voter keeps a grant for half of the time": Mistake(Rules(voter=KeepsTooShort)),
+    "any release ends the grant that runs": Mistake(Rules(voter=ReleasesForAnybody), first=1600, limits=CALM),
+    "time is counted from the answer": Mistake(Rules(candidate=CountsFromTheAnswer)),
+    "a renewal is added to what is left": Mistake(Rules(candidate=AddsToWhatIsLeft)),
+    "grants of several asks are added up": Mistake(Rules(candidate=MixesItsAsks), first=1900),
+    "an answer to an old ballot is counted": Mistake(
+        Rules(candidate=TakesOldAnswers), first=1600, limits=CALM
+    ),
+    "fewer than a majority are enough": Mistake(Rules(candidate=NeedsTooFew)),
+    "a holder goes on after its time": Mistake(Rules(candidate=HoldsWithoutEnd)),
+    "the drift is left out": Mistake(Rules(candidate=ForgetsTheDrift), drift=True),
+    "the register takes any fence": Mistake(Rules(fences=False)),
+    "a holder acts before its fence was taken up": Mistake(Rules(claims=False)),
+    "two claims of one number are taken for one": Mistake(Rules(owners=False)),
+}
+
+
+@pytest.mark.parametrize("mistake", MISTAKES)
+def test_a_planted_mistake_is_found(mistake: str) -> None:
+    planted = MISTAKES[mistake]
+    for seed in range(planted.first, planted.first + WALKS):
+        times, rates = drifting(seed) if planted.drift else (TIMES, (1.0,) * 5)
+        try:
+            Model(times, planted.limits, planted.rules, rates).walk(random.Random(seed), STEPS)
+        except Broken:
+            print(f"found in history {seed}")
+            return
+    pytest.fail(f"not found in {WALKS} histories")
