Real duties under fences: billing files, periods, the plan feed, the care of a store

Need: two machines with two stores would both push; nothing refused a holder that woke up late.

Change: Fenced stores (each batch conditional on the fence), a fence beside files, the sink's 409 tells the highest it saw, feeds carry a fence that followers go by, periods closed by a calendar; works of the fleet on top. Commands without a fleet stay as they are.

--- a/roadpulley/fleet/duties/work.py
+++ b/roadpulley/fleet/duties/work.py
@@ -6,15 +6,11 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from .terms import Mono
-
+from roadpulley.fences import LowFence
 
-class LowFence(Exception):
-    """A register has taken up `highest`, which is not below ours: somebody else has acted, or begun to."""
+from .terms import Mono
 
-    def __init__(self, highest: int) -> None:
-        super().__init__(f"fence {highest} was taken up")
-        self.highest = highest
+__all__ = ["Duty", "Factory", "LowFence", "Work", "WorkFailed"]
 
 
 class WorkFailed(Exception):
--- /dev/null
+++ b/roadpulley/fleet/works/__init__.py
@@ -0,0 +1,50 @@
+"""The works that `fleet.toml` can name, made from their settings. Each is imported only where it is named."""
+
+from __future__ import annotations
+
+from roadpulley.checks import Bad
+from roadpulley.fleet.duties.work import Work
+from roadpulley.fleet.settings import DutySettings, FleetSettings
+
+
+def works(settings: FleetSettings, name: str) -> dict[str, Work]:
+    """Of the duties that this instance may hold. Raises Bad for settings of a work that can't be taken."""
+    return {
+        duty.name: make(duty, name)
+        for duty in settings.duties.values()
+        if not duty.among or name in duty.among
+    }
+
+
+def make(duty: DutySettings, name: str) -> Work:
+    try:
+        return made(duty, name)
+    except ImportError as error:
+        right = "install roadpulley[fleet]"
+        raise Bad(
+            f"duties.{duty.name}.work", f"is {duty.work!r}, and {error.name} is missing", right
+        ) from error
+
+
+def made(duty: DutySettings, name: str) -> Work:
+    if duty.work == "probe":
+        from roadpulley.fleet.duties.probe import Probe
+
+        return Probe(duty.name, duty.address, name, duty.every_s)
+    assert duty.settings is not None
+    if duty.work in ("usage-push", "usage-close"):
+        from roadpulley.usage.settings import read_settings
+
+        from . import usage
+
+        kind = usage.Push if duty.work == "usage-push" else usage.Close
+        return kind(duty.name, read_settings(duty.settings))
+    if duty.work == "plans-publish":
+        from roadpulley.plans.settings import read_settings as read_plans
+
+        from .plans import Publish
+
+        return Publish(duty.name, read_plans(duty.settings))
+    from .care import Care, read_care
+
+    return Care(duty.name, read_care(duty.settings))
--- /dev/null
+++ b/roadpulley/fleet/works/plans.py
@@ -0,0 +1,50 @@
+"""Publishing the feed of plans as a duty: what commands write into the book, one instance shows to
+gateways."""
+
+from __future__ import annotations
+
+import logging
+import time
+
+from roadpulley.checks import Bad
+from roadpulley.fleet.duties.registers import FileRegister
+from roadpulley.fleet.duties.work import Duty, WorkFailed
+from roadpulley.plans.settings import PlanSettings
+from roadpulley.plans.shelf import Shelf
+from roadpulley.store import Locked, Store, StoreError
+
+log = logging.getLogger(__name__)
+
+
+class Publish:
+    """Its registers: a fence beside the feed, and the followers, which turn an older one down."""
+
+    def __init__(self, name: str, settings: PlanSettings) -> None:
+        self.name, self.settings = name, settings
+        self.register = FileRegister(settings.feed.with_name(settings.feed.name + ".fence"))
+
+    def claim(self, fence: int, owner: str) -> int | None:
+        try:
+            return self.register.claim(fence, owner)
+        except OSError as error:
+            raise WorkFailed(str(error)) from error
+
+    def act(self, duty: Duty) -> float | None:
+        """Where the feed is behind the book, is of another holding, or holds what is past."""
+        try:
+            with Store.open(self.settings.store) as store:
+                shelf = Shelf(store, self.settings.feed, wall, self.settings.pool)
+                if not shelf.behind(duty.fence) or not duty.still_mine():
+                    return None
+                with self.register.under(duty.fence):
+                    doc = shelf.publish(duty.fence)
+        except Locked:
+            return 0.05  # a command writes just now; what it changed is shown once it is done
+        except (StoreError, Bad, OSError) as error:
+            raise WorkFailed(f"the book of plans: {error}") from error
+        log.info("%s: the feed is at %d under %d", self.name, doc.seq, doc.fence)
+        return None
+
+
+def wall() -> int:
+    return int(time.time() * 1000)
--- a/roadpulley/plans/feed.py
+++ b/roadpulley/plans/feed.py
@@ -1,12 +1,13 @@
 """The feed: what gateways follow. Everything that holds now or is known to hold later, in one document.
 
-    {"format": 1, "seq": 7, "made_at": 1796135433513,
+    {"format": 1, "seq": 7, "fence": 12, "made_at": 1796135433513,
      "plans":     {"basic": [[from, version, {terms}], ...]},
      "customers": {"00000000b4d65521": [[from, plan, version, override, {terms} or null], ...]}}
 
 Each list is in the order of time and its first entry holds already; a gateway goes from one entry to the next
 by its own clock, so that a change holds everywhere at its time without a message. `null`: the customer has
-the plan that its requests name, as the deployment's settings or `plans` have it.
+the plan that its requests name, as the deployment's settings or `plans` have it. `fence`: of the holding
+under which it was published, where a fleet does that; 0 or missing: by a command.
 """
 
 from __future__ import annotations
@@ -44,6 +45,7 @@
     made_at: int
     plans: dict[str, tuple[Entry, ...]]
     customers: dict[str, tuple[Entry, ...]]
+    fence: int = 0
 
 
 # ---- written ----
@@ -56,7 +58,7 @@
     return []
 
 
-def document(book: Book, now: int, seq: int, tops: Tops = nothing) -> Document:
+def document(book: Book, now: int, seq: int, tops: Tops = nothing, fence: int = 0) -> Document:
     """`tops`: reservations on top, which raise a customer's rate for their time."""
     plans = {}
     for name, rows in book.plans.items():
@@ -73,7 +75,7 @@
         )
         if any(e.terms is not None for e in entries):
             customers[customer] = entries
-    return Document(seq, now, plans, customers)
+    return Document(seq, now, plans, customers, fence)
 
 
 def timeline(times: list[int], entry: Any) -> tuple[Entry, ...]:
@@ -108,6 +110,7 @@
     raw = {
         "format": FORMAT,
         "seq": doc.seq,
+        **({"fence": doc.fence} if doc.fence else {}),  # followers of before know no such key
         "made_at": doc.made_at,
         "plans": {name: [entry(e) for e in rows] for name, rows in sorted(doc.plans.items())},
         "customers": {name: [entry(e) for e in rows] for name, rows in sorted(doc.customers.items())},
@@ -130,6 +133,7 @@
     if table.whole("format") != FORMAT:
         raise Bad("format", f"is {shown(raw['format'])}", f"this program reads format {FORMAT}")
     seq, made = table.whole("seq", most=MOST_TIME), table.whole("made_at", most=MOST_TIME)
+    fence = table.whole("fence", 0, most=MOST_TIME)
     plans, customers = table.table("plans"), table.table("customers")
     table.done()
     return Document(
@@ -137,6 +141,7 @@
         made,
         {plan_name(name, plans.at(name)): rows(plans, name, False) for name in plans.raw},
         {customer_id(name, customers.at(name)): rows(customers, name, True) for name in customers.raw},
+        fence,
     )
 
 
--- a/roadpulley/plans/follow.py
+++ b/roadpulley/plans/follow.py
@@ -23,9 +23,10 @@
     def take(self, now: int, doc: Document) -> list[api.PlanChanged]:
         """A new document. One with a lower `seq` is passed over: a store that was restored knows less.
 
-        Danger: going back to it would take back an upgrade that a customer was told of and pays for.
+        Danger: going back to it would take back an upgrade that a customer was told of and pays for. One with
+        a lower fence is of a holder that stood still, and wrote after the one that followed it.
         """
-        if doc.seq < self.doc.seq:
+        if doc.seq < self.doc.seq or doc.fence < self.doc.fence:
             return []
         self.doc, self.due = doc, []
         out: list[api.PlanChanged] = []
--- a/roadpulley/plans/shelf.py
+++ b/roadpulley/plans/shelf.py
@@ -74,13 +74,16 @@
         self.publish()
         return version
 
-    def publish(self) -> feed.Document:
-        """Replace the feed whole.
+    def publish(self, fence: int | None = None) -> feed.Document:
+        """Replace the feed whole; `fence`: of the holding that does it, else the one that the feed has.
 
         Danger: a gateway that met half a document would drop the terms of the rest; a rename shows it the old
         one or the new. It comes after the store is synced: what gateways go by is never lost with the disk.
         """
-        doc = feed.document(self.book, self.now(), self.store.version, self.desk.on_top)
+        standing = self._standing()
+        if fence is None:
+            fence = standing.fence if standing else 0
+        doc = feed.document(self.book, self.now(), self.store.version, self.desk.on_top, fence)
         data = feed.dump(doc)
         part = self.feed_file.with_name(self.feed_file.name + ".part")
         with part.open("wb") as file:
@@ -90,12 +93,25 @@
         part.replace(self.feed_file)
         return doc
 
-    def mend(self) -> bool:
-        """Publish where the feed is behind the store: a crash came between the two. Gives whether it was."""
+    def behind(self, fence: int) -> bool:
+        """Whether the feed lacks something of the book, was published by another, or holds what is over."""
+        standing = self._standing()
+        if standing is None or standing.seq < self.store.version or standing.fence != fence:
+            return True
+        lists = (*standing.plans.values(), *standing.customers.values())
+        return any(len(rows) > 1 and rows[1].holds_from <= self.now() for rows in lists)
+
+    def _standing(self) -> feed.Document | None:
+        """The feed as it is, None where there is none that can be read."""
         try:
-            behind = feed.load(self.feed_file.read_bytes()).seq < self.store.version
+            return feed.load(self.feed_file.read_bytes())
         except (OSError, Bad):
-            behind = True
+            return None
+
+    def mend(self) -> bool:
+        """Publish where the feed is behind the store: a crash came between the two. Gives whether it was."""
+        standing = self._standing()
+        behind = standing is None or standing.seq < self.store.version
         if behind:
             self.publish()
         return behind
--- a/roadpulley/plans/watch.py
+++ b/roadpulley/plans/watch.py
@@ -49,7 +49,14 @@
             return
         doc = feed.load(self.path.read_bytes())
         self.seen = mark
-        if doc.seq < self.follower.doc.seq:
+        if doc.fence < self.follower.doc.fence:
+            log.error(
+                "plans stay as they are: %s is of fence %d, and %d was seen",
+                self.path,
+                doc.fence,
+                self.follower.doc.fence,
+            )
+        elif doc.seq < self.follower.doc.seq:
             log.error(
                 "plans stay as they are: %s is at %d, and %d was seen",
                 self.path,
--- a/roadpulley/testbed/sink.py
+++ b/roadpulley/testbed/sink.py
@@ -25,6 +25,7 @@
         self.applied: dict[str, tuple[str, bytes]] = {}
         self.moods: deque[str] = deque()
         self.fence, self.pushes, self.tokens = 0, 0, set[str]()
+        self.fences: list[int] = []  # of each push that was looked into, in order
         self.lock = threading.Lock()
         sink = self
 
@@ -61,8 +62,9 @@
             self.tokens.add(call.headers.get("Authorization", ""))
             mood = self.moods.popleft() if self.moods else "well"
             if fence < self.fence:
-                return self.answer(call, 409, b"a higher fence was seen")
+                return self.answer(call, 409, b"a higher fence was seen", {"Fence": str(self.fence)})
             self.fence = fence
+            self.fences.append(fence)
             if mood in ("500", "422"):
                 return self.answer(call, int(mood), b"not now" if mood == "500" else b"no such customer")
             if mood == "half":
@@ -80,9 +82,13 @@
     def receipt(self, call: BaseHTTPRequestHandler, key: str, digest: str) -> None:
         self.answer(call, 200, json.dumps({"key": key, "digest": digest}).encode())
 
-    def answer(self, call: BaseHTTPRequestHandler, status: int, body: bytes) -> None:
+    def answer(
+        self, call: BaseHTTPRequestHandler, status: int, body: bytes, headers: dict[str, str] | None = None
+    ) -> None:
         try:
             call.send_response(status)
+            for name, value in (headers or {}).items():
+                call.send_header(name, value)
             call.send_header("Content-Length", str(len(body)))
             call.end_headers()
             call.wfile.write(body)
--- a/roadpulley/usage/books.py
+++ b/roadpulley/usage/books.py
@@ -18,6 +18,7 @@
 
 from roadpulley.checks import Bad
 from roadpulley.store import Store, Write
+from roadpulley.store.fences import Fenced
 
 from .tally import Batch, Row, Sum
 
@@ -35,7 +36,7 @@
 class Books:
     """The one that has the store open. Raises StoreError where it cannot write; nothing is taken in then."""
 
-    def __init__(self, store: Store) -> None:
+    def __init__(self, store: Store | Fenced) -> None:
         self.store = store
 
     def take(self, batch: Batch) -> Taken:
--- a/roadpulley/usage/push.py
+++ b/roadpulley/usage/push.py
@@ -115,12 +115,19 @@
     ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class Low:
+    """Under a fence that was given from outside, and is not above `highest`: stop, and tell who gave it."""
+
+    highest: int
+
+
 @dataclass(frozen=True, slots=True)
 class Done:
     """Nothing is left to push."""
 
 
-Action = TakeLease | Push | Keep | Park | Wait | Done
+Action = TakeLease | Push | Keep | Park | Wait | Low | Done
 
 
 @dataclass
@@ -131,12 +138,17 @@
     lease: Lease | None = None
     failures: int = 0
     waiting: list[Document] = field(default_factory=list)
+    fence: int | None = (
+        None  # of a holding of the fleet's: then nobody else may push, and no lease is waited for
+    )
 
     def begin(self, now: int, lease: Lease | None, left: list[Document]) -> Action:
         """`lease`: the one in the store; `left`: documents with neither receipt nor reason, in order."""
         self.waiting = list(left)
         if not left:
             return Done()
+        if self.fence is not None:
+            return self._begin_held(now, lease, self.fence)
         mine = self.lease is not None and lease == self.lease
         if mine and lease is not None and now < lease.until - RENEW_MS:
             return self._push()
@@ -148,6 +160,16 @@
         fence = lease.fence + 1 if lease else 1
         return TakeLease(Lease(self.holder, fence, now + LEASE_MS), lease)
 
+    def _begin_held(self, now: int, lease: Lease | None, fence: int) -> Action:
+        """Danger: a lease of the time before the fleet may still run. Its fence is lower, and the sink
+        refuses it."""
+        if lease is not None and lease.fence > fence:
+            return Low(lease.fence)
+        if lease is not None and (lease.holder, lease.fence) == (self.holder, fence):
+            self.lease = lease
+            return self._push()
+        return TakeLease(Lease(self.holder, fence, now + LEASE_MS), lease)
+
     def leased(self, taken: Lease | None, left: list[Document]) -> Action:
         """The lease that was written, None if another exporter was first; and what is left since then.
 
@@ -159,8 +181,10 @@
             return Done()
         return self._push() if taken else Wait(FIRST_WAIT_MS)
 
-    def answered(self, status: int | None, receipt: Receipt | None, why: str = "") -> Action:
-        """The sink's answer to the push that is out."""
+    def answered(
+        self, status: int | None, receipt: Receipt | None, why: str = "", highest: int = 0
+    ) -> Action:
+        """The sink's answer to the push that is out; `highest`: the fence that it says it has seen."""
         document, verdict = self.waiting[0], judge(status)
         assert self.lease is not None
         if verdict is Verdict.APPLIED:
@@ -173,7 +197,7 @@
             return Park(document, why or f"the sink answered {status}", self.lease)
         if verdict is Verdict.STALE:
             self.lease = None  # somebody else pushes
-            return Wait(LEASE_MS)
+            return Low(max(highest, self.fence)) if self.fence is not None else Wait(LEASE_MS)
         self.failures += 1
         return Wait(min(LONGEST_WAIT_MS, FIRST_WAIT_MS * 2 ** min(self.failures - 1, 20)))
 
--- a/roadpulley/usage/pushing.py
+++ b/roadpulley/usage/pushing.py
@@ -6,7 +6,7 @@
 
 PUT {url}/{name}.csv            Idempotency-Key, Fence, Content-Digest (RFC 9530), Content-Type text/csv
 200 {"key": ..., "digest": ...}           what the sink has applied under that key: hexadecimal SHA-256
-409                                       a higher fence has been seen
+409, Fence: 12                            a higher fence has been seen: this one
 """
 
 from __future__ import annotations
@@ -20,16 +20,18 @@
 
 import httpx
 
+from roadpulley.fences import LowFence
 from roadpulley.store import Conflict, Write
 
 from .books import Books
 from .periods import Periods, table
-from .push import Action, Document, Done, Exporter, Keep, Lease, Park, Push, Receipt, TakeLease, Wait
+from .push import Action, Document, Done, Exporter, Keep, Lease, Low, Park, Push, Receipt, TakeLease, Wait
 
 log = logging.getLogger(__name__)
 
 LEASE = b"use/lease"
 MOST_ANSWER = 64 * 1024  # bytes of an answer that are read
+MOST_DIGITS = 17  # of a fence that is believed
 WHY = 200  # characters of a refusal that are kept
 
 
@@ -50,14 +52,17 @@
         holder: str,
         now: Callable[[], int],
         sleep: Callable[[int], bool],
+        fence: int | None = None,
+        still_mine: Callable[[], bool] = lambda: True,
     ) -> None:
+        """`fence`: of a duty that is held, which `still_mine` is asked about before each push."""
         self.books, self.store, self.client, self.now, self.sleep = books, books.store, client, now, sleep
-        self.exporter = Exporter(holder)
+        self.exporter, self.still_mine = Exporter(holder, fence=fence), still_mine
         self.result = Result()
         self.files: dict[str, tuple[Document, bytes]] = {}
 
     def run(self) -> Result:
-        """Until all is pushed or parked, or `sleep` says to stop. Raises Bad, StoreError."""
+        """Until all is pushed or parked, or `sleep` says to stop. Raises Bad, StoreError, LowFence."""
         self.files = self.documents()  # sealed: they change no more while this has the store
         action: Action = self._begin()
         while not isinstance(action, Done):
@@ -65,6 +70,10 @@
                 if not self.sleep(action.ms):
                     break
                 action = self._begin()
+            elif isinstance(action, Low):
+                raise LowFence(action.highest)
+            elif isinstance(action, Push) and not self.still_mine():
+                break
             else:
                 action = self._do(action)
         self.result.left = len(self.left())
@@ -138,7 +147,7 @@
             return False
         return True
 
-    def _push(self, document: Document, fence: int) -> tuple[int | None, Receipt | None, str]:
+    def _push(self, document: Document, fence: int) -> tuple[int | None, Receipt | None, str, int]:
         data = self.files[document.name][1]
         digest = base64.b64encode(bytes.fromhex(document.digest)).decode()
         headers = {
@@ -151,8 +160,10 @@
             answer = self.client.put(f"/{document.name}.csv", content=data, headers=headers)
         except httpx.HTTPError as error:
             log.warning("%s: %s", document.name, error)
-            return None, None, str(error)
-        return answer.status_code, read_receipt(answer.content), answer.text[:WHY]
+            return None, None, str(error), 0
+        seen = answer.headers.get("Fence", "")
+        highest = int(seen) if seen.isdecimal() and len(seen) < MOST_DIGITS else 0
+        return answer.status_code, read_receipt(answer.content), answer.text[:WHY], highest
 
 
 def read_receipt(data: bytes) -> Receipt | None:
--- a/roadpulley/usage/settings.py
+++ b/roadpulley/usage/settings.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from pathlib import Path
 from typing import Any
 
 from roadpulley.checks import Bad, Table, read_toml
 
+from .closing import EVERY, HOUR_S, Calendar
+
 
 @dataclass(frozen=True)
 class UsageSettings:
@@ -17,6 +20,18 @@
     sink: str  # the address that billing files are pushed under; "": none
     token: Path | None  # a file with what the sink knows this installation by
     timeout_s: float  # of one push with its answer
+    calendar: Calendar | None = None  # by which periods are closed, where an instance of a fleet does it
+
+
+def read_calendar(table: Table) -> Calendar:
+    every, text = table.text("every", among=EVERY), table.text("from")
+    grace = table.whole("grace_h", 2, 0, 24 * 31)
+    table.done()
+    try:
+        start = datetime.strptime(text, "%Y-%m-%dT%H").replace(tzinfo=UTC)
+    except ValueError as error:
+        raise Bad(table.at("from"), f"is {text!r}", "give an hour in UTC, as 2027-01-01T00") from error
+    return Calendar(every, int(start.timestamp()) // HOUR_S, grace)
 
 
 def read_settings(path: Path) -> UsageSettings:
@@ -32,6 +47,7 @@
         # Under half of a lease: a push that is still out when the lease ends could cross another exporter's.
         timeout_s = sink.number("timeout_s", 10.0, 0.1, 15.0)
         sink.done()
+        calendar = read_calendar(table.table("close")) if table.has("close") else None
         table.done()
         return UsageSettings(
             path.parent / store,
@@ -40,6 +56,7 @@
             url,
             path.parent / token if token else None,
             timeout_s,
+            calendar,
         )
 
     return read_toml(path, read)
--- /dev/null
+++ b/tests/fleet/test_works.py
@@ -0,0 +1,257 @@
+"""What duties touch refuses a holder that stood still while another took over, wherever it woke up."""
+
+from __future__ import annotations
+
+import math
+import time
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from roadpulley.checks import Bad
+from roadpulley.fences import LowFence
+from roadpulley.fleet.duties.registers import FileRegister
+from roadpulley.fleet.duties.work import Duty, WorkFailed
+from roadpulley.fleet.works.care import Care, CareSettings
+from roadpulley.fleet.works.plans import Publish
+from roadpulley.fleet.works.usage import Close, Push
+from roadpulley.plans import feed
+from roadpulley.plans.follow import Follower
+from roadpulley.plans.settings import PlanSettings
+from roadpulley.plans.shelf import Shelf
+from roadpulley.plans.terms import Terms
+from roadpulley.store import Store, Write, fences
+from roadpulley.testbed.sink import Sink
+from roadpulley.usage.books import Books
+from roadpulley.usage.closing import Calendar, due, period_of
+from roadpulley.usage.periods import Periods
+from roadpulley.usage.settings import UsageSettings, read_settings
+from roadpulley.usage.tally import Batch, Row, Sum
+
+
+def holding(fence: int, mine: bool = True) -> Duty:
+    """`mine` stays true however late it is: as for a process that was stopped after it asked."""
+    return Duty("duty", fence, lambda: math.inf if mine else -math.inf, time.monotonic)
+
+
+def usage(folder: Path, sink: str = "", calendar: Calendar | None = None) -> UsageSettings:
+    return UsageSettings(folder / "books", folder / "spool", None, sink, None, 2.0, calendar)
+
+
+def closed(settings: UsageSettings, *names: str) -> None:
+    settings.store.parent.mkdir(exist_ok=True)
+    with Store.open(settings.store) as store:
+        periods = Periods(Books(store))
+        done = len(periods.all())
+        for number, name in enumerate(names, done):
+            row = Row("00000000000000aa", "basic", 1, 0, "view", number)
+            periods.books.take(Batch("n0", "a", number + 1, 0, {row: Sum(1, 5_000, 0)}))
+            periods.close(name, number, number + 1, 1000, 1)
+
+
+def test_a_batch_is_refused_once_a_higher_fence_was_taken_up(tmp_path: Path) -> None:
+    with Store.open(tmp_path) as store:
+        assert fences.claim(store, "d", 5, "a") is None
+        mine = fences.Fenced(store, "d", 5)
+        mine.put(b"k", b"1")
+        assert fences.claim(store, "d", 5, "a") is None  # its own claim, asked again
+        assert fences.claim(store, "d", 5, "b") == 5  # another that came by the same number
+        assert fences.claim(store, "d", 4, "a") == 5
+        mine.put(b"k", b"2")
+        assert fences.claim(store, "d", 9, "b") is None
+        with pytest.raises(LowFence) as low:
+            mine.put(b"k", b"3")
+        assert low.value.highest == 9
+        assert store.get(b"k") == b"2"
+
+
+def test_a_claim_between_the_check_and_the_write_stops_the_write(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    with Store.open(tmp_path) as store:
+        fences.claim(store, "d", 5, "a")
+        write = Store.batch
+
+        def overtaken(self: Store, writes: tuple[Write, ...]) -> int:
+            monkeypatch.setattr(Store, "batch", write)
+            assert fences.claim(store, "d", 6, "b") is None
+            return write(self, writes)
+
+        monkeypatch.setattr(Store, "batch", overtaken)
+        with pytest.raises(LowFence):
+            fences.Fenced(store, "d", 5).put(b"k", b"late")
+        assert store.get(b"k") is None
+
+
+def test_files_are_pushed_under_the_fence_of_the_holding_and_no_lower_one(tmp_path: Path) -> None:
+    with Sink() as sink:
+        settings = usage(tmp_path, sink.url)
+        closed(settings, "p0")
+        first, second = Push("push", settings), Push("push", settings)
+        assert first.claim(7, "a") is None
+        first.act(holding(7))
+        assert sink.fences == [7]
+        assert second.claim(8, "b") is None
+        closed(settings, "p1")
+        with pytest.raises(LowFence) as low:
+            first.act(holding(7))
+        assert low.value.highest == 8
+        second.act(holding(8))
+        assert sorted(path for path, _ in sink.applied.values()) == ["/p0.csv", "/p1.csv"]
+        assert sink.fences == [7, 8]
+
+
+def test_two_machines_with_books_of_their_own_are_told_apart_by_the_sink(tmp_path: Path) -> None:
+    """Their books know nothing of each other: after the voters lost all, a fence that is too low is
+    learned."""
+    with Sink() as sink:
+        here, there = usage(tmp_path / "a", sink.url), usage(tmp_path / "b", sink.url)
+        closed(here, "p0")
+        closed(there, "p0", "p1")
+        assert Push("push", here).claim(500, "a") is None
+        Push("push", here).act(holding(500))
+        other = Push("push", there)
+        assert other.claim(3, "b") is None  # its books have seen none
+        with pytest.raises(LowFence) as low:
+            other.act(holding(3))
+        assert low.value.highest == 500
+        assert other.claim(501, "b") is None
+        other.act(holding(501))
+        assert sink.fences == [500, 501, 501]
+
+
+def test_nothing_is_pushed_once_it_is_not_held(tmp_path: Path) -> None:
+    with Sink() as sink:
+        settings = usage(tmp_path, sink.url)
+        closed(settings, "p0")
+        work = Push("push", settings)
+        work.claim(7, "a")
+        work.act(holding(7, mine=False))
+        assert sink.pushes == 0
+
+
+def test_periods_are_closed_by_the_calendar_once_their_grace_is_over(tmp_path: Path) -> None:
+    now = int(time.time()) // 3600
+    _, day_end = period_of("day", now - 48)
+    settings = usage(tmp_path, calendar=Calendar("day", now - 48, 0))
+    work = Close("close", settings)
+    assert work.claim(3, "a") is None
+    work.act(holding(3))
+    with Store.open(settings.store) as store:
+        found = Periods(Books(store)).all()
+    assert [p.start for p in found][0] == now - 48
+    assert found[0].end == day_end
+    assert found[-1].end <= now < found[-1].end + 24
+    assert Close("close", settings).claim(4, "b") is None
+    with Store.open(settings.store) as store, pytest.raises(LowFence):
+        late = Periods(Books(fences.Fenced(store, "close", 3)))
+        late.close("late", found[-1].end, now, now, 1)
+    with Store.open(settings.store) as store:
+        assert Periods(Books(store)).all() == found
+
+
+@pytest.mark.parametrize(
+    ("every", "start", "now", "names"),
+    [
+        ("day", "2027-01-01T00", "2027-01-03T01", ["2027-01-01"]),  # the second waits for its grace
+        ("day", "2027-01-01T05", "2027-01-03T02", ["2027-01-01", "2027-01-02"]),
+        ("month", "2027-01-31T00", "2027-03-01T02", ["2027-01", "2027-02"]),
+        ("month", "2028-02-01T00", "2028-03-01T01", []),
+    ],
+)
+def test_the_calendar(every: str, start: str, now: str, names: list[str]) -> None:
+    from datetime import UTC, datetime
+
+    def hour(text: str) -> int:
+        return int(datetime.strptime(text, "%Y-%m-%dT%H").replace(tzinfo=UTC).timestamp()) // 3600
+
+    found = due(Calendar(every, hour(start), 2), 0, hour(now))
+    assert [d.name for d in found] == names
+    assert all(a.end == b.start for a, b in zip(found, found[1:], strict=False))
+    assert due(Calendar(every, hour(start), 2), found[-1].end if found else 0, hour(now)) == []
+
+
+def test_the_feed_of_a_holder_that_stood_still_is_turned_down(tmp_path: Path) -> None:
+    settings = PlanSettings(tmp_path / "plans", tmp_path / "plans.json", 200, 0.0)
+    first, second = Publish("plans", settings), Publish("plans", settings)
+    assert first.claim(5, "a") is None
+    first.act(holding(5))
+    old = settings.feed.read_bytes()
+    assert second.claim(6, "b") is None
+    with Store.open(settings.store) as store:
+        shelf = Shelf(store, settings.feed, lambda: 1)
+        shelf.write(shelf.book.schedule(1, "basic", Terms(rate=5.0, burst=5.0)))
+    second.act(holding(6))
+    new = feed.load(settings.feed.read_bytes())
+    assert (new.fence, "basic" in new.plans) == (6, True)
+    with Store.open(settings.store) as store:
+        shelf = Shelf(store, settings.feed, lambda: 1)
+        shelf.write(shelf.book.schedule(1, "basic", Terms(rate=6.0, burst=5.0)))
+    with pytest.raises(LowFence):
+        first.act(holding(5))
+    follower = Follower({})
+    follower.take(10, new)
+    late = replace(feed.load(old), seq=new.seq + 5)  # it had read a later book, and writes only now
+    assert follower.take(11, late) == []
+    assert follower.doc is new
+
+
+def test_a_command_keeps_the_fence_that_the_feed_has(tmp_path: Path) -> None:
+    settings = PlanSettings(tmp_path / "plans", tmp_path / "plans.json", 200, 0.0)
+    work = Publish("plans", settings)
+    work.claim(5, "a")
+    work.act(holding(5))
+    with Store.open(settings.store) as store:
+        assert Shelf(store, settings.feed, lambda: 1).publish().fence == 5
+
+
+def test_copies_are_made_under_the_fence_and_the_oldest_go(tmp_path: Path) -> None:
+    with Store.open(tmp_path / "store") as store:
+        store.put(b"k", b"v")
+    settings = CareSettings(tmp_path / "store", tmp_path / "copies", 2, 0.0)
+    work = Care("care", settings)
+    assert work.claim(5, "a") is None
+    for n in range(3):
+        work.copy(holding(5))
+        work.copies()[-1].rename(settings.copies / f"2027010{n + 1}T000000.000000Z-5")
+    work.copy(holding(5))
+    assert len(work.copies()) == 2
+    with Store.open(work.copies()[0]) as copy:
+        assert copy.get(b"k") == b"v"
+    assert Care("care", settings).claim(6, "b") is None
+    before = work.copies()
+    with pytest.raises(LowFence):
+        work.copy(holding(5))
+    assert work.copies() == before
+    Care("care", settings).copy(holding(6))
+    assert not list(settings.copies.glob("part-*"))  # also what the first left
+
+
+def test_a_file_register_is_held_for_one_act_at_a_time(tmp_path: Path) -> None:
+    register = FileRegister(tmp_path / "fence")
+    assert register.claim(5, "a") is None
+    with register.under(5):
+        with pytest.raises(WorkFailed):
+            FileRegister(tmp_path / "fence").claim(6, "b")
+    assert register.claim(6, "b") is None
+    assert register.claim(5, "a") == 6
+    (tmp_path / "fence").write_text("who knows")
+    with pytest.raises(WorkFailed):
+        register.claim(7, "c")
+
+
+def test_bad_settings_of_works_name_their_key(tmp_path: Path) -> None:
+    path = tmp_path / "usage.toml"
+    for text, key in (
+        ('[close]\nevery = "week"\nfrom = "2027-01-01T00"', "close.every"),
+        ('[close]\nevery = "day"\nfrom = "2027-01-01"', "close.from"),
+        ('[close]\nevery = "day"\nfrom = "2027-01-01T00"\ngrace_h = -1', "close.grace_h"),
+    ):
+        path.write_text('store = "s"\nspool = "p"\n' + text)
+        with pytest.raises(Bad, match=key.replace(".", r"\.")):
+            read_settings(path)
+    with pytest.raises(Bad, match="close"):
+        Close("c", usage(tmp_path))
+    with pytest.raises(Bad, match="sink.url"):
+        Push("p", usage(tmp_path))
