--- a/roadpulley/fleet/clock.py
+++ b/roadpulley/fleet/clock.py
@@ -15,6 +15,9 @@
 RATE = "ROADPULLEY_CLOCK_RATE"  # of the testbed: how fast this process's own clock runs
 
 
+OFFSET = "ROADPULLEY_WALL_OFFSET_MS"  # of the testbed: how far this process's wall clock is off
+
+
 class Clock:
     """Danger: a clock that stops while the machine sleeps would have a holder wake up and still believe."""
 
@@ -31,7 +34,7 @@
 
 
 def wall_ms() -> int:
-    return int(time.time() * 1000)
+    return int(time.time() * 1000) + int(os.environ.get(OFFSET, "0"))
 
 
 def from_environment() -> Clock:
--- a/roadpulley/testbed/fleet.py
+++ b/roadpulley/testbed/fleet.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 from types import TracebackType
 
+from roadpulley.fleet.clock import OFFSET, RATE
+
 from .holders import Belief, Judgement, beliefs, judge, read_lines
 from .links import Links
 from .processes import end_with_parent
@@ -61,6 +63,7 @@
     log: Path
     process: asyncio.subprocess.Process | None = None
     rate: float = 1.0
+    offset_ms: int = 0  # of its wall clock
     stopped: bool = False
 
     @property
@@ -135,10 +138,10 @@
 
     # ---- processes ----
 
-    async def start(self, *names: str, rate: float = 1.0) -> None:
+    async def start(self, *names: str, rate: float = 1.0, offset_ms: int = 0) -> None:
         for name in names or self.plan.names:
             member = self.members[name]
-            member.rate, member.stopped = rate, False
+            member.rate, member.offset_ms, member.stopped = rate, offset_ms, False
             member.process = await self._spawn(member)
 
     async def start_beside(self, name: str) -> Member:
@@ -151,7 +154,8 @@
 
     async def _spawn(self, member: Member) -> asyncio.subprocess.Process:
         parent = os.getpid()
-        env = {**os.environ, "ROADPULLEY_LOG": "debug", "ROADPULLEY_CLOCK_RATE": str(member.rate)}
+        env = {**os.environ, "ROADPULLEY_LOG": "debug", RATE: str(member.rate)}
+        env[OFFSET] = str(member.offset_ms)
         command = ["-m", "roadpulley.cli", "fleet", "--settings", str(member.settings), "agent"]
         with member.log.open("ab") as log:
             return await asyncio.create_subprocess_exec(
