--- a/roadpulley/cli/plan.py
+++ b/roadpulley/cli/plan.py
@@ -76,10 +76,20 @@
     found = read_settings(settings)
     found.store.parent.mkdir(parents=True, exist_ok=True)
     with Store.open(found.store) as store:
-        shelf = Shelf(store, found.feed, now, found.pool)
-        if shelf.mend() and store.version:  # an empty book is behind nothing
+        shelf = Shelf(store, found.feed, now, found.pool, shows=found.fleet is None)
+        if shelf.shows and shelf.mend() and store.version:  # an empty book is behind nothing
             print(f"{found.feed} was behind the book, and is written anew", file=sys.stderr)
         yield shelf
+    if found.fleet is not None:
+        print(asked(found.fleet, "plans-publish"), file=sys.stderr)
+
+
+def asked(fleet: Path, work: str) -> str:
+    """Have the instance whose duty it is do it now, if it runs on this machine; gives what came of it."""
+    from roadpulley.fleet.settings import read_settings as read_fleet
+    from roadpulley.fleet.wake import wake
+
+    return wake(read_fleet(fleet), work)[1]
 
 
 def now() -> int:
@@ -200,6 +210,8 @@
 
 
 def publish(shelf: Shelf, args: argparse.Namespace) -> None:
+    if not shelf.shows:
+        return  # whose duty it is, is asked in the end
     doc = shelf.publish()
     print(f"{shelf.feed_file}: {len(doc.plans)} plans and {len(doc.customers)} customers at {doc.seq}")
 
--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -364,11 +364,13 @@
             name = str(args.get("duty"))
             done = self.duties.hand_over(name, "an operator asked for it")
             return {"done": done, "duty": name, "instance": self.name}
+        if call == "run":
+            return self.duties.run_now(str(args.get("duty")))
         if call == "change":
             return self._wish(dict(args.get("add", {})), str(args.get("remove", "")))
         if call == "change-status":
             return self.electing.status()
-        known = "members, duties, voters, hand-over, change, change-status"
+        known = "members, duties, voters, hand-over, run, change, change-status"
         return {"error": f"{call!r} is no call; there are {known}"}
 
 
--- a/roadpulley/fleet/duties/service.py
+++ b/roadpulley/fleet/duties/service.py
@@ -25,6 +25,7 @@
 from .work import Duty, LowFence, Work, WorkDone, WorkFailed
 
 CLAIM_AGAIN_S = 0.2
+LOOK_S = 0.05  # between two looks whether a holding has ended
 LAST_ROUND_S = 5.0  # that a planned hand-over waits for the round of work that is under way
 
 log = structlog.get_logger("roadpulley.fleet.duties")
@@ -44,6 +45,7 @@
     last: str = ""  # how the last holding ended, or why work failed
     better: Mono = math.inf  # since when another instance should have it
     leaving: bool = False
+    hurry: bool = False  # the next round is wanted now
 
 
 @dataclass
@@ -235,7 +237,7 @@
             while not duty.ended.is_set():
                 wait = await self._threaded(holding.work.act, duty)
                 holding.acts += 1
-                await self._pause(duty, holding.settings.every_s if wait is None else wait)
+                await self._pause(holding, duty, holding.settings.every_s if wait is None else wait)
         except LowFence as low:
             if not duty.ended.is_set():
                 self.do(holding, candidate.too_low(self.clock.now(), fence, low.highest))
@@ -255,7 +257,7 @@
                 highest = await self._threaded(holding.work.claim, duty.fence, owner)
             except WorkFailed as error:
                 log.warning("a register is out of reach", duty=duty.name, fence=duty.fence, why=str(error))
-                await self._pause(duty, CLAIM_AGAIN_S)
+                await self._pause(holding, duty, CLAIM_AGAIN_S)
                 continue
             if highest is None:
                 return not duty.ended.is_set()
@@ -265,11 +267,20 @@
     async def _threaded(self, call: Callable[..., Any], *args: Any) -> Any:
         return await asyncio.get_running_loop().run_in_executor(self.executor, call, *args)
 
-    async def _pause(self, duty: Duty, seconds: float) -> None:
-        """Until the next round, or the end of the holding."""
+    async def _pause(self, holding: Holding, duty: Duty, seconds: float) -> None:
+        """Until the next round, or the end of the holding, or somebody asks for a round."""
         end = self.clock.now() + seconds
-        while not duty.ended.is_set() and (left := end - self.clock.now()) > 0:
-            await asyncio.sleep(min(left, 0.05))
+        while not duty.ended.is_set() and not holding.hurry and (left := end - self.clock.now()) > 0:
+            await asyncio.sleep(min(left, LOOK_S))
+        holding.hurry = False
+
+    def run_now(self, name: str) -> dict[str, Any]:
+        """Begin the next round at once, if it is held here; else tell who was heard to hold it."""
+        holding = self.holdings.get(name)
+        held = holding is not None and holding.duty is not None
+        if holding is not None:
+            holding.hurry = held
+        return {"done": held, "duty": name, "holder": holding.candidate.holder.name if holding else ""}
 
     # ---- hand-over ----
 
--- a/roadpulley/plans/settings.py
+++ b/roadpulley/plans/settings.py
@@ -17,6 +17,7 @@
     feed: Path
     look_ms: float
     pool: float  # units a second that may be reserved on top of plans, all customers together
+    fleet: Path | None = None  # its settings, where an instance of a fleet publishes the feed
 
 
 def read_settings(path: Path) -> PlanSettings:
@@ -27,7 +28,9 @@
         store, feed = table.text("store"), table.text("feed")
         look = table.number("look_ms", 200.0, 10, 60_000)
         pool = table.number("pool", 0.0, 0, MOST)
+        fleet = table.text("fleet", "")
         table.done()
-        return PlanSettings(path.parent / store, path.parent / feed, look, pool)
+        shared = path.parent / fleet if fleet else None
+        return PlanSettings(path.parent / store, path.parent / feed, look, pool, shared)
 
     return read_toml(path, read)
--- a/roadpulley/plans/shelf.py
+++ b/roadpulley/plans/shelf.py
@@ -18,8 +18,14 @@
 class Shelf:
     """One process at a time has it (`roadpulley.store.Locked`). A version that was given back is on disk."""
 
-    def __init__(self, store: Store, feed_file: Path, now: Callable[[], int], pool: float = 0.0) -> None:
-        """`pool`: units a second that may be promised on top of plans, all customers together."""
+    def __init__(
+        self, store: Store, feed_file: Path, now: Callable[[], int], pool: float = 0.0, shows: bool = True
+    ) -> None:
+        """`pool`: units a second that may be promised on top of plans, all customers together.
+
+        `shows`: whether each change is published at once; False where another process does that.
+        """
+        self.shows = shows
         self.store, self.feed_file, self.now, self.book = store, feed_file, now, Book()
         for prefix in records.PREFIXES:
             for record in store.scan(prefix):
@@ -54,7 +60,7 @@
         except Conflict as error:
             raise Bad("id", f"{r.id!r} is another reservation's", "give each its own") from error
         self.desk.take(r)
-        self.publish()
+        self._show()
         return r
 
     def write(self, version: Version) -> Version:
@@ -71,9 +77,13 @@
         except Conflict as error:
             raise Stale(version.subject, version.number) from error
         self.book.take(version)
-        self.publish()
+        self._show()
         return version
 
+    def _show(self) -> None:
+        if self.shows:
+            self.publish()
+
     def publish(self, fence: int | None = None) -> feed.Document:
         """Replace the feed whole; `fence`: of the holding that does it, else the one that the feed has.
 
--- a/roadpulley/usage/settings.py
+++ b/roadpulley/usage/settings.py
@@ -20,6 +20,7 @@
     sink: str  # the address that billing files are pushed under; "": none
     token: Path | None  # a file with what the sink knows this installation by
     timeout_s: float  # of one push with its answer
+    fleet: Path | None = None  # its settings, where an instance of a fleet pushes
     calendar: Calendar | None = None  # by which periods are closed, where an instance of a fleet does it
 
 
@@ -48,6 +49,7 @@
         timeout_s = sink.number("timeout_s", 10.0, 0.1, 15.0)
         sink.done()
         calendar = read_calendar(table.table("close")) if table.has("close") else None
+        fleet = table.text("fleet", "")
         table.done()
         return UsageSettings(
             path.parent / store,
@@ -56,6 +58,7 @@
             url,
             path.parent / token if token else None,
             timeout_s,
+            path.parent / fleet if fleet else None,
             calendar,
         )
 
--- a/tests/fleet/test_works.py
+++ b/tests/fleet/test_works.py
@@ -10,6 +10,7 @@
 import pytest
 
 from roadpulley.checks import Bad
+from roadpulley.cli import main
 from roadpulley.fences import LowFence
 from roadpulley.fleet.duties.registers import FileRegister
 from roadpulley.fleet.duties.work import Duty, WorkFailed
@@ -36,7 +37,7 @@
 
 
 def usage(folder: Path, sink: str = "", calendar: Calendar | None = None) -> UsageSettings:
-    return UsageSettings(folder / "books", folder / "spool", None, sink, None, 2.0, calendar)
+    return UsageSettings(folder / "books", folder / "spool", None, sink, None, 2.0, None, calendar)
 
 
 def closed(settings: UsageSettings, *names: str) -> None:
@@ -255,3 +256,30 @@
         Close("c", usage(tmp_path))
     with pytest.raises(Bad, match="sink.url"):
         Push("p", usage(tmp_path))
+
+
+def test_commands_leave_to_the_holder_what_is_a_duty(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """With a fleet in their settings they write into the book, and publish and push nothing themselves."""
+    (tmp_path / "fleet.toml").write_text(
+        'installation = "x"\ncontrol = "run"\n[voters]\n'
+        + "".join(f'{n} = "127.0.0.1:{p}"\n' for n, p in (("a", 7001), ("b", 7002), ("c", 7003)))
+        + '[duties.feed]\nwork = "plans-publish"\nsettings = "plans.toml"\n'
+        + '[duties.billing]\nwork = "usage-push"\nsettings = "usage.toml"\n'
+    )
+    (tmp_path / "plans.toml").write_text('store = "plans"\nfeed = "plans.json"\nfleet = "fleet.toml"\n')
+    command = ["plan", "--settings", str(tmp_path / "plans.toml")]
+    assert main([*command, "set", "basic", "--rate", "5", "--burst", "5"]) == 0
+    assert not (tmp_path / "plans.json").exists()
+    assert "nobody on this machine knows who holds it" in capsys.readouterr().err
+    with Sink() as sink:
+        text = f'store = "books"\nspool = "spool"\nfleet = "fleet.toml"\n[sink]\nurl = "{sink.url}"\n'
+        (tmp_path / "usage.toml").write_text(text)
+        closed(usage(tmp_path, sink.url), "p0")
+        assert main(["usage", "--settings", str(tmp_path / "usage.toml"), "push"]) == 1
+        assert sink.pushes == 0
+    work = Publish("feed", PlanSettings(tmp_path / "plans", tmp_path / "plans.json", 200, 0.0))
+    work.claim(5, "a")
+    work.act(holding(5))
+    assert "basic" in feed.load((tmp_path / "plans.json").read_bytes()).plans
