All commands stand on click

Need: commands, help and the words for what is off come from a library; the fleet's commands stood on click and the others on argparse.

--- a/benchmarks/workers.py
+++ b/benchmarks/workers.py
@@ -41,12 +41,15 @@
 )
 
 
-def start(folder: Path, workers: int, ports: list[int], counter: int, discovery: int) -> tuple[Part, Port]:
+def start(
+    folder: Path, workers: int, ports: list[int], counter: int, discovery: int, *more: str
+) -> tuple[Part, Port]:
+    """`more`: further options of `serve`."""
     port = Port()
     config = parts_of.configuration(port, ports, counter, discovery)
     path = folder / f"{workers}.json"
     path.write_text(json.dumps(config))
-    command = ("-m", "roadpulley.cli", "serve", "--config", str(path), "--workers", str(workers))
+    command = ("-m", "roadpulley.cli", "serve", "--config", str(path), "--workers", str(workers), *more)
     made = Part(sys.executable, *command, speaks=False)
     assert made.process.stderr is not None
     serving = 0
--- a/roadpulley/cli/__init__.py
+++ b/roadpulley/cli/__init__.py
@@ -2,27 +2,25 @@
 
 from __future__ import annotations
 
-import argparse
 import sys
 from collections.abc import Sequence
 
-from . import check, dev, fleet, plan, reserve, serve, store, usage
+import click
+
+from . import check, dev, fleet, frame, plan, reserve, serve, store, usage
 
 COMMANDS = (dev, serve, check, store, plan, reserve, usage, fleet)
 
 
+def whole() -> click.Group:
+    short = {"help_option_names": ["-h", "--help"]}
+    commands = [c.command() for c in COMMANDS]
+    return click.Group("roadpulley", commands=commands, help=__doc__, context_settings=short)
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """0: well; 1: a rule broke or a check failed; 2: it could not be done as asked; 130: interrupted."""
-    parser = argparse.ArgumentParser(prog="roadpulley", description=__doc__)
-    commands = parser.add_subparsers(title="commands", metavar="COMMAND", required=True)
-    for command in COMMANDS:
-        command.add(commands)
-    given = list(sys.argv[1:] if argv is None else argv)
-    if given[:1] == ["fleet"]:  # its own commands and options are read by click
-        return fleet.run(given[1:])
-    args = parser.parse_args(given)
-    run = args.run
-    return int(run(args))
+    return frame.main(whole(), sys.argv[1:] if argv is None else argv, "roadpulley")
 
 
 if __name__ == "__main__":
--- a/roadpulley/cli/check.py
+++ b/roadpulley/cli/check.py
@@ -10,22 +10,24 @@
 from pathlib import Path
 from typing import Any
 
+import click
+
 from mintford.reading import in_words, read_settings
 from roadpulley.checks import Bad, Table
 from roadpulley.core.judging import gateway
 from roadpulley.testbed import scenario
 
+from . import frame
+from .frame import argument
+
 MOST_POLICY_LINES = 1_200  # that are not blank, all policy files together
 SCENARIO_KEYS = {"fault", "load", "node", "counter", "discovery", "gateways", "nodes", "seconds", "about"}
 DEPLOY_KEYS = {"run", "sim", "policy", "build"}
 
 
-def add(commands: Any) -> None:
-    parser: argparse.ArgumentParser = commands.add_parser(
-        "check", help="judge a configuration file", description=__doc__
-    )
-    parser.add_argument("files", nargs="+", metavar="FILE")
-    parser.set_defaults(run=run)
+def command() -> click.Command:
+    files = argument("files", nargs=-1, required=True, metavar="FILE...")
+    return frame.command("check", run, "Judge a configuration file.", [files])
 
 
 def run(args: argparse.Namespace) -> int:
--- a/roadpulley/cli/dev.py
+++ b/roadpulley/cli/dev.py
@@ -9,8 +9,8 @@
 import sys
 from dataclasses import asdict, replace
 from pathlib import Path
-from typing import Any
 
+import click
 import uvloop
 
 from roadpulley.checks import Bad
@@ -20,31 +20,30 @@
 from roadpulley.testbed.processes import ChildFailed
 from roadpulley.testbed.scenario import Scenario, find, load, shipped
 
+from . import frame
+from .frame import option
 from .live import View, make_view
 
 INTERRUPTED = 130
 SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 
 
-def add(commands: Any) -> None:
-    parser: argparse.ArgumentParser = commands.add_parser(
-        "dev", help="run an installation on this machine and judge it", description=__doc__
-    )
+def command() -> click.Command:
     known = ", ".join(shipped())
-    parser.add_argument("--scenario", default="calm", metavar="FILE", help=f"a file, or one of: {known}")
-    parser.add_argument("--list", action="store_true", help="say what the scenarios that ship are, and end")
-    parser.add_argument("--gateways", type=int, metavar="N")
-    parser.add_argument("--nodes", type=int, metavar="N")
-    parser.add_argument("--rate", type=float, metavar="R", help="requests a second, all plans together")
-    parser.add_argument("--for", type=float, metavar="SECONDS", dest="seconds", help="faults scale with it")
-    parser.add_argument("--seed", type=int, metavar="N")
-    parser.add_argument(
-        "--listen", type=int, metavar="PORT", help="let clients of yours reach gateway n0 here"
-    )
-    parser.add_argument("--json", action="store_true", help="one JSON object on standard output, at the end")
-    parser.add_argument("--plain", action="store_true", help="lines, also on a terminal")
-    parser.add_argument("--ledger", metavar="FILE", help="write what the stand-ins saw, as JSON")
-    parser.set_defaults(run=run)
+    params = [
+        option("--scenario", default="calm", metavar="FILE", help=f"A file, or one of: {known}."),
+        option("--list", is_flag=True, help="Say what the scenarios that ship are, and end."),
+        option("--gateways", type=int, metavar="N"),
+        option("--nodes", type=int, metavar="N"),
+        option("--rate", type=float, metavar="R", help="Requests a second, all plans together."),
+        option("--for", "seconds", type=float, metavar="SECONDS", help="Faults scale with it."),
+        option("--seed", type=int, metavar="N"),
+        option("--listen", type=int, metavar="PORT", help="Let clients of yours reach gateway n0 here."),
+        option("--json", is_flag=True, help="One JSON object on standard output, at the end."),
+        option("--plain", is_flag=True, help="Lines, also on a terminal."),
+        option("--ledger", metavar="FILE", help="Write what the stand-ins saw, as JSON."),
+    ]
+    return frame.command("dev", run, "Run an installation on this machine and judge it.", params)
 
 
 def run(args: argparse.Namespace) -> int:
--- a/roadpulley/cli/fleet.py
+++ b/roadpulley/cli/fleet.py
@@ -2,56 +2,49 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import logging
 import os
 import signal
 import sys
-from collections.abc import Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+import click
+
 from roadpulley.checks import Bad
 
+from . import frame
+
 if TYPE_CHECKING:
     from roadpulley.fleet.agent import Agent
     from roadpulley.workers.service import Service
 
 END_S = 8.0  # that an ending gateway waits until its duties are handed over
+WORDS = "Instances that know each other, and the duties that one of them holds at a time."
 SETTINGS = Path("deploy/fleet.toml")
 
 
-def add(commands: Any) -> None:
-    words = "instances that know each other, and the duties that one of them holds at a time"
-    commands.add_parser("fleet", help=words, add_help=False)
-
-
-def run(given: Sequence[str]) -> int:
-    """0: done; 1: the answer is no; 2: it could not be done."""
+def command() -> click.Command:
     try:
         from .fleet_commands import group
     except ImportError as error:
-        print(f"roadpulley fleet: {error.name} is missing: install roadpulley[fleet]", file=sys.stderr)
-        return 2
-    try:
-        return int(group.main(list(given), "roadpulley fleet", standalone_mode=False) or 0)
-    except Bad as error:
-        print(f"roadpulley fleet: {error}", file=sys.stderr)
+        return missing(str(error.name))
+    return group
+
+
+def missing(name: str) -> click.Command:
+    """In its place where its libraries are not installed."""
+
+    def run(args: argparse.Namespace) -> int:
+        print(f"roadpulley fleet: {name} is missing: install roadpulley[fleet]", file=sys.stderr)
         return 2
-    except Exception as error:
-        import click
-
-        if isinstance(error, click.ClickException):
-            error.show()
-            return 2
-        if isinstance(error, click.exceptions.Exit):
-            return error.exit_code
-        if isinstance(error, click.Abort):
-            return 130
-        if isinstance(error, OSError):
-            print(f"roadpulley fleet: {error}", file=sys.stderr)
-            return 2
-        raise
+
+    rest = click.Argument(["rest"], nargs=-1, type=click.UNPROCESSED)
+    made = frame.command("fleet", run, WORDS, [rest])
+    made.ignore_unknown_options = True
+    return made
 
 
 def structured() -> None:
--- a/roadpulley/cli/fleet_commands.py
+++ b/roadpulley/cli/fleet_commands.py
@@ -14,7 +14,7 @@
 from roadpulley.fleet.control import ask, running
 from roadpulley.fleet.settings import FleetSettings, read_settings
 
-from .fleet import SETTINGS, agent
+from .fleet import SETTINGS, WORDS, agent
 
 FILE = click.Path(path_type=Path)
 AS_JSON = click.option("--json", "as_json", is_flag=True, help="One JSON object on standard output.")
@@ -22,7 +22,18 @@
 NAME = click.option("--name", help="Which instance of this machine to ask; the first that runs.")
 
 
-@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+class Judged(click.Group):
+    """What is wrong with the settings, or can't be reached, is one line and exit code 2."""
+
+    def invoke(self, context: click.Context) -> Any:
+        try:
+            return super().invoke(context)
+        except (Bad, OSError) as error:
+            click.echo(f"roadpulley fleet: {error}", err=True)
+            return 2
+
+
+@click.group("fleet", cls=Judged, short_help=WORDS)
 @click.option("--settings", type=FILE, default=SETTINGS, show_default=True, help="What all instances share.")
 @click.pass_context
 def group(context: click.Context, settings: Path) -> None:
--- a/roadpulley/cli/plan.py
+++ b/roadpulley/cli/plan.py
@@ -12,8 +12,13 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+import click
+
 from roadpulley.checks import Bad, Table
 
+from . import frame
+from .frame import FOLDER, argument, option
+
 if TYPE_CHECKING:
     from roadpulley.plans.book import Version
     from roadpulley.plans.shelf import Shelf
@@ -23,27 +28,30 @@
 TERMS = ("rate", "burst", "open-limit", "ceiling-rate", "ceiling-burst", "price", "spread")
 
 
-def add(commands: Any) -> None:
-    plan: argparse.ArgumentParser = commands.add_parser(
-        "plan", help="plans and who has them, changed in service", description=__doc__
-    )
-    plan.add_argument("--settings", type=Path, default=Path("deploy/plans.toml"), metavar="FILE")
-    parts = plan.add_subparsers(title="commands", metavar="COMMAND", required=True)
-    for name, (act, words, arguments) in ACTS.items():
-        part = parts.add_parser(name, help=words, description=words)
-        for argument in arguments.split():
-            part.add_argument(argument)
-        if name in ("set", "schedule", "override"):
-            for term in TERMS:
-                part.add_argument(f"--{term}", metavar="N")
-        if name in ("set", "schedule", "assign", "override"):
-            part.add_argument("--expect", type=int, metavar="N", help="only if that is its last version")
-            part.add_argument("--note", default="", help="kept with the version")
-        if name in ("schedule", "assign", "override"):
-            part.add_argument("--from", dest="at", required=name == "schedule", metavar="TIME")
-        if name == "override":
-            part.add_argument("--until", metavar="TIME")
-        part.set_defaults(run=run, act=act, prog="plan")
+def command() -> click.Command:
+    parts = [
+        frame.command(name, frame.inherits(run), words, options(name, arguments), act=act, prog="plan")
+        for name, (act, words, arguments) in ACTS.items()
+    ]
+    return frame.group("plan", "Plans and who has them, changed in service.", [settings()], parts)
+
+
+def settings() -> click.Option:
+    return option("--settings", type=FOLDER, default=Path("deploy/plans.toml"), metavar="FILE")
+
+
+def options(name: str, arguments: str) -> list[click.Parameter]:
+    params: list[click.Parameter] = [argument(each) for each in arguments.split()]
+    if name in ("set", "schedule", "override"):
+        params += [option(f"--{term}", metavar="N") for term in TERMS]
+    if name in ("set", "schedule", "assign", "override"):
+        params.append(option("--expect", type=int, metavar="N", help="Only if that is its last version."))
+        params.append(option("--note", default="", help="Kept with the version."))
+    if name in ("schedule", "assign", "override"):
+        params.append(option("--from", "at", required=name == "schedule", metavar="TIME"))
+    if name == "override":
+        params.append(option("--until", metavar="TIME"))
+    return params
 
 
 def run(args: argparse.Namespace) -> int:
@@ -119,8 +127,8 @@
 def given(args: argparse.Namespace) -> dict[str, Any]:
     """The terms that were named, as numbers. Raises Bad."""
     found: dict[str, Any] = {}
-    for option in TERMS:
-        name = option.replace("-", "_")
+    for term in TERMS:
+        name = term.replace("-", "_")
         text = getattr(args, name)
         if text is None:
             continue
@@ -130,7 +138,7 @@
         try:
             found[name] = int(text) if name in ("open_limit", "spread") else float(text)
         except ValueError as error:
-            raise Bad(f"--{option}", f"is {text!r}", "give a number") from error
+            raise Bad(f"--{term}", f"is {text!r}", "give a number") from error
     return found
 
 
--- a/roadpulley/cli/reserve.py
+++ b/roadpulley/cli/reserve.py
@@ -5,40 +5,41 @@
 import argparse
 import secrets
 import sys
-from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+import click
+
 from roadpulley.checks import Bad
 
-from . import plan
+from . import frame, plan
+from .frame import argument, option
 
 if TYPE_CHECKING:
     from roadpulley.plans.reserve import Reservation
     from roadpulley.plans.shelf import Shelf
 
 
-def add(commands: Any) -> None:
-    reserve: argparse.ArgumentParser = commands.add_parser(
-        "reserve", help="units promised to a customer for a time", description=__doc__
-    )
-    reserve.add_argument("--settings", type=Path, default=Path("deploy/plans.toml"), metavar="FILE")
-    parts = reserve.add_subparsers(title="commands", metavar="COMMAND", required=True)
-    part = parts.add_parser("make", help="promise units, or say why not and what would fit")
-    part.add_argument("customer")
-    part.add_argument("units")
-    part.add_argument("--from", dest="at", metavar="TIME", help="now, where it is not given")
-    part.add_argument("--until", required=True, metavar="TIME")
-    part.add_argument("--on-top", action="store_true", help="beyond its plan, out of the pool")
-    part.add_argument("--id", help="asked again under the same one, it is one promise")
-    part.add_argument("--class", dest="kind", default="", help="kept with it, for billing")
-    part.add_argument("--batch", default="", help="likewise")
-    part.set_defaults(run=plan.run, prog="reserve", act=make)
-    part = parts.add_parser("list", help="what is promised and has not ended")
-    part.add_argument("--customer")
-    part.set_defaults(run=plan.run, prog="reserve", act=listed)
-    part = parts.add_parser("cancel", help="end one; its place is free from now on")
-    part.add_argument("id")
-    part.set_defaults(run=plan.run, prog="reserve", act=cancel)
+def command() -> click.Command:
+    promise = [
+        argument("customer"),
+        argument("units"),
+        option("--from", "at", metavar="TIME", help="Now, where it is not given."),
+        option("--until", required=True, metavar="TIME"),
+        option("--on-top", is_flag=True, help="Beyond its plan, out of the pool."),
+        option("--id", help="Asked again under the same one, it is one promise."),
+        option("--class", "kind", default="", help="Kept with it, for billing."),
+        option("--batch", default="", help="Likewise."),
+    ]
+    parts = [
+        part("make", make, "Promise units, or say why not and what would fit.", promise),
+        part("list", listed, "What is promised and has not ended.", [option("--customer")]),
+        part("cancel", cancel, "End one; its place is free from now on.", [argument("id")]),
+    ]
+    return frame.group("reserve", "Units promised to a customer for a time.", [plan.settings()], parts)
+
+
+def part(name: str, act: Any, words: str, params: list[click.Parameter]) -> click.Command:
+    return frame.command(name, frame.inherits(plan.run), words, params, act=act, prog="reserve")
 
 
 def make(shelf: Shelf, args: argparse.Namespace) -> None:
--- a/roadpulley/cli/serve.py
+++ b/roadpulley/cli/serve.py
@@ -7,33 +7,30 @@
 import os
 import sys
 from pathlib import Path
-from typing import Any
 
+import click
 import uvloop
 
 from roadpulley.checks import Bad
 from roadpulley.core.judging import gateway
 
+from . import frame
 from .check import parsed
+from .frame import option
 
 MOST_WORKERS = 256
 
 
-def add(commands: Any) -> None:
-    parser: argparse.ArgumentParser = commands.add_parser(
-        "serve", help="run a gateway as several workers on one address", description=__doc__
-    )
-    parser.add_argument("--config", metavar="FILE", help="as LB_CONFIG; the default is what that names")
-    parser.add_argument("--workers", metavar="N or FILE", default="1", help="read again on SIGHUP if a file")
-    parser.add_argument(
-        "--plans", metavar="FILE", help="follow the feed of plans that deploy/plans.toml names"
-    )
-    parser.add_argument(
-        "--usage", metavar="FILE", help="count use into the spool that deploy/usage.toml names"
-    )
-    parser.add_argument("--fleet", metavar="FILE", help="take part in the fleet that deploy/fleet.toml names")
-    parser.add_argument("--name", metavar="NAME", help="which instance of the fleet this gateway is")
-    parser.set_defaults(run=run)
+def command() -> click.Command:
+    params = [
+        option("--config", metavar="FILE", help="As LB_CONFIG; the default is what that names."),
+        option("--workers", metavar="N or FILE", default="1", help="Read again on SIGHUP if a file."),
+        option("--plans", metavar="FILE", help="Follow the feed of plans that deploy/plans.toml names."),
+        option("--usage", metavar="FILE", help="Count use into the spool that deploy/usage.toml names."),
+        option("--fleet", metavar="FILE", help="Take part in the fleet that deploy/fleet.toml names."),
+        option("--name", metavar="NAME", help="Which instance of the fleet this gateway is."),
+    ]
+    return frame.command("serve", run, "Run a gateway as several workers on one address.", params)
 
 
 def workers(given: str) -> int:
--- a/roadpulley/cli/store.py
+++ b/roadpulley/cli/store.py
@@ -8,28 +8,28 @@
 import sys
 import time
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
+import click
+
+from . import frame
+from .frame import FOLDER, argument, option
+
 EVERY_S = 1.0  # between words on how far it is
 
 
-def add(commands: Any) -> None:
-    store: argparse.ArgumentParser = commands.add_parser(
-        "store", help="look after a store", description=__doc__
-    )
-    parts = store.add_subparsers(title="commands", metavar="COMMAND", required=True)
+def command() -> click.Command:
+    parts = []
     for name, (act, words) in ACTS.items():
-        part = parts.add_parser(name, help=words, description=words)
-        part.add_argument("folder", type=Path, metavar="FOLDER")
-        part.set_defaults(run=run, act=act)
+        params: list[click.Parameter] = [argument("folder", type=FOLDER, metavar="FOLDER")]
         if name in ("backup", "restore", "repair"):
-            into = {"backup": "--to", "restore": "--to", "repair": "--to"}[name]
-            part.add_argument(into, type=Path, metavar="FOLDER", required=name != "repair")
+            params.append(option("--to", type=FOLDER, metavar="FOLDER", required=name != "repair"))
         if name == "repair":
-            part.add_argument("--dry-run", action="store_true", help="only say what could be saved")
+            params.append(option("--dry-run", is_flag=True, help="Only say what could be saved."))
         if name == "dump":
-            part.add_argument("--prefix", default="", help="only keys that begin so")
+            params.append(option("--prefix", default="", help="Only keys that begin so."))
+        parts.append(frame.command(name, run, words, params, act=act))
+    return frame.group("store", "Look after a store.", [], parts)
 
 
 def run(args: argparse.Namespace) -> int:
--- a/roadpulley/cli/usage.py
+++ b/roadpulley/cli/usage.py
@@ -13,10 +13,15 @@
 from dataclasses import asdict
 from datetime import UTC, datetime
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
+
+import click
 
 from roadpulley.checks import Bad
 
+from . import frame
+from .frame import FOLDER, argument, option
+
 if TYPE_CHECKING:
     from roadpulley.usage.books import Books
     from roadpulley.usage.settings import UsageSettings
@@ -24,28 +29,29 @@
 HOUR_S = 3_600
 
 
-def add(commands: Any) -> None:
-    usage: argparse.ArgumentParser = commands.add_parser(
-        "usage", help="what customers have used", description=__doc__
-    )
-    usage.add_argument("--settings", type=Path, default=Path("deploy/usage.toml"), metavar="FILE")
-    parts = usage.add_subparsers(title="commands", metavar="COMMAND", required=True)
-    for name, (act, words) in ACTS.items():
-        part = parts.add_parser(name, help=words, description=words)
-        if name == "show":
-            part.add_argument("--customer")
-        if name in ("close", "adjust", "export", "verify"):
-            part.add_argument("period")
-        if name == "close":
-            part.add_argument("--from", dest="start", required=True, metavar="HOUR", help="as 2027-01-01T00")
-            part.add_argument(
-                "--to", dest="end", required=True, metavar="HOUR", help="the first one after it"
-            )
-        if name == "push":
-            part.add_argument("--for", dest="seconds", type=float, default=60.0, metavar="SECONDS")
-        if name == "export":
-            part.add_argument("--to", type=Path, required=True, metavar="FOLDER")
-        part.set_defaults(run=run, act=act)
+def command() -> click.Command:
+    settings = option("--settings", type=FOLDER, default=Path("deploy/usage.toml"), metavar="FILE")
+    parts = [
+        frame.command(name, frame.inherits(run), words, options(name), act=act)
+        for name, (act, words) in ACTS.items()
+    ]
+    return frame.group("usage", "What customers have used.", [settings], parts)
+
+
+def options(name: str) -> list[click.Parameter]:
+    params: list[click.Parameter] = []
+    if name == "show":
+        params.append(option("--customer"))
+    if name in ("close", "adjust", "export", "verify"):
+        params.append(argument("period"))
+    if name == "close":
+        params.append(option("--from", "start", required=True, metavar="HOUR", help="As 2027-01-01T00."))
+        params.append(option("--to", "end", required=True, metavar="HOUR", help="The first one after it."))
+    if name == "push":
+        params.append(option("--for", "seconds", type=float, default=60.0, metavar="SECONDS"))
+    if name == "export":
+        params.append(option("--to", type=FOLDER, required=True, metavar="FOLDER"))
+    return params
 
 
 def run(args: argparse.Namespace) -> int:
