A loop that stands still as a fault: worker threads go on, and act by the clock

Need: the hard case of a full event loop; SIGSTOP stops the threads too and does not show it.

Change: agents of the testbed run under a program that stands still at SIGUSR1; a test, and one more kind in drawn timelines.

--- a/roadpulley/testbed/fleet.py
+++ b/roadpulley/testbed/fleet.py
@@ -21,9 +21,11 @@
 from .processes import end_with_parent
 from .register import Register
 from .server import LOCAL
+from .stalling import SECONDS
 
 END_S = 3.0
 LOOK_S = 0.02
+STALL_LEASES = 3  # for which a loop stands, where that is the fault
 ATTEMPTS_S = 30.0  # for what a test waits for; a machine under load is slow
 
 
@@ -155,8 +157,8 @@
     async def _spawn(self, member: Member) -> asyncio.subprocess.Process:
         parent = os.getpid()
         env = {**os.environ, "ROADPULLEY_LOG": "debug", RATE: str(member.rate)}
-        env[OFFSET] = str(member.offset_ms)
-        command = ["-m", "roadpulley.cli", "fleet", "--settings", str(member.settings), "agent"]
+        env |= {OFFSET: str(member.offset_ms), SECONDS: str(self.plan.lease * STALL_LEASES)}
+        command = ["-m", "roadpulley.testbed.stalling", "fleet", "--settings", str(member.settings), "agent"]
         with member.log.open("ab") as log:
             return await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -179,6 +181,10 @@
             self.members[name].signal(signal.SIGSTOP)
             self.members[name].stopped = True
 
+    def stall(self, name: str) -> None:
+        """Its event loop stands still; what works in its other threads goes on."""
+        self.members[name].signal(signal.SIGUSR1)
+
     def go_on(self, *names: str) -> None:
         for name in names:
             self.members[name].signal(signal.SIGCONT)
--- a/roadpulley/testbed/timelines.py
+++ b/roadpulley/testbed/timelines.py
@@ -22,6 +22,7 @@
     "planned",
     "all-restart",
     "twin",
+    "busy",
 )
 STEP_BACK_MS = 3_600_000
 
@@ -90,6 +91,8 @@
             fleet.stop(who)
             await asyncio.sleep(event.seconds)
             fleet.go_on(who)
+        case "busy":
+            fleet.stall(who)
         case "planned":
             ending = fleet.members[who].process
             fleet.members[who].signal(signal.SIGTERM)
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -275,3 +275,18 @@
 
 def status(folder: Path) -> dict[str, Any]:
     return ask(folder / "run-v0", "v0", "change-status")
+
+
+def test_a_loop_that_is_full_for_three_leases_holds_nothing_meanwhile(tmp_path: Path) -> None:
+    """Its worker threads go on: each act asks whether it is held still, by the clock and not by the loop."""
+
+    async def play(fleet: Fleet) -> None:
+        await fleet.start()
+        await fleet.all_held()
+        holder = held(fleet)
+        fleet.stall(holder)
+        await another(fleet, holder)
+        await asyncio.sleep(fleet.plan.lease * 3)
+        await fleet.all_held()
+
+    played(tmp_path, FleetPlan(duties=2), play)
