Tests: a restart within the lease, and acts that fail while claims are taken

Seen: with the silence after a restart taken out the test still passed (a process starts in half a second, most of a lease of 1 s), and with the cooling taken out too (failing claims held the duty for their five seconds). Leases of 2.5 s there, and a register that takes claims and fails acts.

--- a/roadpulley/testbed/register.py
+++ b/roadpulley/testbed/register.py
@@ -29,7 +29,7 @@
     claims: list[Act] = field(default_factory=list)
     highest: dict[str, tuple[int, str]] = field(default_factory=dict)
     careless: bool = False  # planted: takes every fence
-    failing: bool = False  # answers nothing
+    failing: bool = False  # acts get no answer; claims are taken
     server: asyncio.Server | None = None
     port: int = 0
 
@@ -48,7 +48,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             line = (await reader.readline()).decode().split(" ", 3)
-            if not self.failing and len(line) == 4:
+            if len(line) == 4 and (line[0] == "claim" or not self.failing):
                 writer.write(self.take(line[0], line[1], int(line[2]), line[3].strip()))
                 await writer.drain()
         except (OSError, ValueError):
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -118,7 +118,7 @@
         fleet.go_on(holder)
         await fleet.all_held()
 
-    played(tmp_path, FleetPlan(duties=1), play)
+    played(tmp_path, FleetPlan(duties=1, lease=2.5), play)
 
 
 @pytest.mark.parametrize("offset_ms", [0, -3_600_000])
