--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -218,6 +218,8 @@
     # ---- datagrams ----
 
     def _taken(self, envelope: Envelope, address: str) -> Cause | None:
+        if self.members is None:
+            return Cause.OLD  # it comes before this process knows its own address
         who = Who(envelope.name, envelope.boot)
         for_us = envelope.to_boot == self.me.boot
         try:
@@ -227,7 +229,6 @@
         self.met[address] = who
         for body in bodies:
             if isinstance(body, MEMBERS):
-                assert self.members is not None
                 self._tell(self.members.heard(self.clock.now(), who, address, body))
             elif not for_us:
                 # Danger: what was meant for the process before this one must not be taken up by it. The
--- /dev/null
+++ b/tests/fleet/test_beside.py
@@ -0,0 +1,79 @@
+"""A gateway's supervisor as an instance of the fleet: `roadpulley serve --fleet`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+
+from roadpulley.cli import main
+from roadpulley.testbed import terms
+from roadpulley.testbed.fleet import Fleet, FleetPlan, free_port
+from roadpulley.testbed.server import LOCAL, Port
+
+pytestmark = [pytest.mark.alone, pytest.mark.timeout(60)]
+
+
+def configuration(folder: Path, port: int) -> Path:
+    path = folder / "config.json"
+    raw = {
+        "listen": f"{LOCAL}:{port}",
+        "discovery": f"{LOCAL}:{free_port()}",  # nobody answers: no worker serves, and the fleet goes on
+        "settings": terms.settings(0, 1),
+    }
+    path.write_text(json.dumps(raw))
+    return path
+
+
+def test_a_gateway_holds_duties_and_hands_them_over_when_it_ends(tmp_path: Path) -> None:
+    async def run() -> None:
+        plan = FleetPlan(duties=1, settle=0.5)
+        async with Fleet(plan, tmp_path) as fleet:
+            for member in fleet.members.values():
+                with member.settings.open("a") as file:
+                    file.write('prefer = ["v0"]\n')  # of the one duty, which stands last
+            port = Port()
+            config = configuration(tmp_path, port.number)
+            await fleet.start("v1", "v2")
+            gateway = fleet.members["v0"]
+            command = ["-m", "roadpulley.cli", "serve", "--config", str(config), "--name", "v0"]
+            with gateway.log.open("ab") as log:
+                gateway.process = await asyncio.create_subprocess_exec(
+                    sys.executable, *command, "--fleet", str(gateway.settings), stderr=log
+                )
+            # Whoever took it first: it goes to the one that is preferred, once that has stood for a while.
+            await fleet.until(lambda: fleet.holder("duty-0") == "v0", "the gateway as holder")
+            gateway.signal(signal.SIGTERM)
+            assert await asyncio.wait_for(gateway.process.wait(), 20) == 0
+            await fleet.until(
+                lambda: fleet.holder("duty-0") in ("v1", "v2"), "another holder", 0.9
+            )  # under a lease
+            assert b"handed over: this instance ends" in gateway.log.read_bytes()
+            assert fleet.judge().broken == []
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("args", "words"),
+    [
+        (["--fleet", "none.toml", "--name", "a"], "none.toml: can't be read"),
+        (["--fleet", "FLEET"], "--name: is missing; name one of v0, v1, v2"),
+        (["--fleet", "FLEET", "--name", "No"], "--name: is 'No'"),
+    ],
+)
+def test_what_is_asked_wrongly_is_one_line_before_anything_starts(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], args: list[str], words: str
+) -> None:
+    fleet = tmp_path / "fleet.toml"
+    rows = "".join(f'v{n} = "{LOCAL}:{7000 + n}"\n' for n in range(3))
+    fleet.write_text(f'installation = "x"\ncontrol = "run"\n[voters]\n{rows}')
+    config = configuration(tmp_path, 6379)
+    given = [str(fleet) if a == "FLEET" else a for a in args]
+    assert main(["serve", "--config", str(config), *given]) == 2
+    said = capsys.readouterr().err
+    assert words in said and said.count("\n") == 1
