A probe may pause between its check and its act, so that a late act is really provoked

Change: the testbed has probes pause there; the test stops the holder in that window and asks that its act was refused.

--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -58,7 +58,7 @@
 
 def timeline(size: int, seed: int) -> dict[str, Any]:
     """One play; what it showed."""
-    plan = plan_of(size, seed, state=bool(seed % 2))
+    plan = plan_of(size, seed, state=bool(seed % 2), pause=0.0 if seed % 3 else 0.08)
     events = drawn(plan, seed, SECONDS)
     found: dict[str, Any] = {"size": size, "seed": seed, "events": [e.words() for e in events]}
 
--- a/roadpulley/fleet/duties/probe.py
+++ b/roadpulley/fleet/duties/probe.py
@@ -5,12 +5,15 @@
 
 from __future__ import annotations
 
+import os
 import socket
+import time
 
 from .work import Duty, LowFence, WorkFailed
 
 ANSWER_S = 2.0
 MOST_LINE = 256
+PAUSE = "ROADPULLEY_PROBE_PAUSE_S"  # of the testbed: between check and act, where a stop does most harm
 
 
 class Probe:
@@ -18,6 +21,7 @@
         host, _, port = address.rpartition(":")
         self.name, self.at, self.who, self.every_s = name, (host, int(port)), who, every_s
         self.acts = 0
+        self.pause_s = float(os.environ.get(PAUSE, "0"))
 
     def claim(self, fence: int, owner: str) -> int | None:
         return self._ask(f"claim {self.name} {fence} {owner}")
@@ -26,6 +30,7 @@
         if not duty.still_mine():
             return None
         self.acts += 1
+        time.sleep(self.pause_s)
         highest = self._ask(f"act {self.name} {duty.fence} {self.who}.{self.acts}")
         if highest is not None:
             raise LowFence(highest)
--- a/roadpulley/testbed/fleet.py
+++ b/roadpulley/testbed/fleet.py
@@ -15,6 +15,7 @@
 from types import TracebackType
 
 from roadpulley.fleet.clock import OFFSET, RATE
+from roadpulley.fleet.duties.probe import PAUSE
 
 from .holders import Belief, Judgement, beliefs, judge, read_lines
 from .links import Links
@@ -43,6 +44,7 @@
     period: float = 0.15
     every: float = 0.02  # between two acts of a probe
     settle: float = 60.0
+    pause: float = 0.0  # between its check and its act
     key: bool = True
     state: bool = False  # whether voters remember used fences on disk
     seed: int = 1
@@ -158,6 +160,7 @@
         parent = os.getpid()
         env = {**os.environ, "ROADPULLEY_LOG": "debug", RATE: str(member.rate)}
         env |= {OFFSET: str(member.offset_ms), SECONDS: str(self.plan.lease * STALL_LEASES)}
+        env[PAUSE] = str(self.plan.pause)
         command = ["-m", "roadpulley.testbed.stalling", "fleet", "--settings", str(member.settings), "agent"]
         with member.log.open("ab") as log:
             return await asyncio.create_subprocess_exec(
--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -66,19 +66,24 @@
 
 
 def test_a_holder_that_stood_still_between_its_check_and_its_act_is_refused(tmp_path: Path) -> None:
-    """SIGSTOP at any point of its loop of acts; on waking up it acts once more, if it was past its check."""
+    """SIGSTOP right after an act was taken up: the next check comes 20 ms later, the act 400 ms after
+    that."""
 
     async def play(fleet: Fleet) -> None:
         await fleet.start()
-        await fleet.all_held()
-        for _ in range(3):
+        for _ in range(5):  # on a machine that stalls, a stop may come too late
+            await fleet.all_held()
             holder = held(fleet)
+            await asyncio.sleep(fleet.plan.every * 5)
             fleet.stop(holder)
             await another(fleet, holder)
             fleet.go_on(holder)
             await fleet.all_held()
+            if any(not act.taken for act in fleet.register.acts):
+                return
 
-    played(tmp_path, FleetPlan(duties=1), play)
+    found = played(tmp_path, FleetPlan(duties=1, pause=0.4), play)
+    assert found.refused
 
 
 @pytest.mark.parametrize("heard", ["by nobody", "by no voter", "no voter"])
