A roll or a promise that the disk refuses is neither named nor voted by

Seen on reading: Known was changed first and kept afterwards (Electing.told, asked). If the disk refused, the voter went on by the old roll (Electing.taken was not reached), and answered the next telling with the new one's id: a voter counted for a generation that it does not vote by, so that two generations could be granted at once. The promise was given the second time without being on disk.

Change: Known is a value; RollFile.go_by puts the next one on disk first, and what is not kept is not told. Its folder is synced too, by the one function that the memory of fences has.

--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -93,7 +93,6 @@
         self.duties.add(DutySettings(DUTY, "voters", None, "", 1.0, (), ()), electoral)
         self.members: Members | None = None  # once our address is known
         self.met: dict[str, Who] = {}  # who was heard at an address last
-        self.started = wall_ms()
         self.timer: asyncio.TimerHandle | None = None
         self.tasks: list[asyncio.Task[None]] = []
         self.loop: asyncio.AbstractEventLoop
@@ -243,7 +242,8 @@
         if isinstance(body, Offer):
             self.duties.offered(body.duty, body.rank)
         elif isinstance(body, RollAsk):
-            self.post.send(address, who.boot, self.electing.asked(body))
+            if known := self.electing.asked(body):
+                self.post.send(address, who.boot, known)
         elif isinstance(body, Roll | RollTaken):
             if isinstance(body, Roll):
                 self.post.send(address, who.boot, self.electing.told(body))
@@ -306,7 +306,8 @@
         address = address or self.settings.static.get(voter, "")
         if voter == self.name:
             answer = self.electing.asked(body) if isinstance(body, RollAsk) else self.electing.told(body)
-            asyncio.get_running_loop().call_soon(self.electing.heard, voter, answer)
+            if answer is not None:
+                asyncio.get_running_loop().call_soon(self.electing.heard, voter, answer)
         elif (known := self.met.get(address, NOBODY)) != NOBODY:
             self.post.send(address, known.boot, body)
         else:
@@ -373,8 +374,3 @@
             return self.electing.status()
         known = "members, duties, voters, hand-over, run, change, change-status"
         return {"error": f"{call!r} is no call; there are {known}"}
-
-
-async def serve(settings: FleetSettings, name: str, works: Mapping[str, Work], stop: asyncio.Event) -> None:
-    with suppress(asyncio.CancelledError):
-        await Agent(settings, name, works).run(stop)
--- a/roadpulley/fleet/duties/electing.py
+++ b/roadpulley/fleet/duties/electing.py
@@ -4,7 +4,6 @@
 from __future__ import annotations
 
 import json
-import os
 import threading
 from collections.abc import Callable, Mapping
 from dataclasses import asdict, dataclass
@@ -16,6 +15,7 @@
 from roadpulley.checks import Bad
 from roadpulley.fleet.clock import Clock
 
+from .memory import replace
 from .roll import DUTY, Change, Known, Roll, RollAsk, RollId, RollTaken, Step, first
 from .terms import Times
 from .work import Duty, WorkDone
@@ -42,20 +42,27 @@
                 right = "bring it back, or remove it where the settings name today's voters"
                 raise Bad(str(self.path), f"can't be read ({error})", right) from error
 
-    def keep(self) -> None:
-        """Danger: before anybody is told. What was promised and is forgotten can be broken."""
-        if self.path is None:
-            return
-        roll = self.known.roll
-        promised = self.known.promised
+    def go_by(self, known: Known) -> bool:
+        """From now on, once it is on disk; gives whether it is.
+
+        Danger: what is told to others and not kept can be broken after a restart; what is kept half, as a
+        roll that is named and not voted by, would let two generations be granted at once.
+        """
+        if known is not self.known and self.path is not None:
+            try:
+                self._keep(self.path, known)
+            except OSError as error:
+                log.error("the voters cannot be remembered", path=str(self.path), why=str(error))
+                return False
+        self.known = known
+        return True
+
+    def _keep(self, path: Path, known: Known) -> None:
+        roll = known.roll
+        promised = known.promised
         data = {"id": list(roll.id), "voters": roll.voters, "before": roll.before, "promised": promised}
-        self.path.parent.mkdir(parents=True, exist_ok=True)
-        part = self.path.with_suffix(".new")
-        with part.open("w") as file:
-            json.dump(data, file)
-            file.flush()
-            os.fsync(file.fileno())
-        part.replace(self.path)
+        path.parent.mkdir(parents=True, exist_ok=True)
+        replace(path, json.dumps(data).encode())
 
 
 @dataclass
@@ -86,16 +93,13 @@
 
     # ---- datagrams ----
 
-    def asked(self, ask: RollAsk) -> Roll:
-        before = self.file.known.promised
-        roll = self.file.known.asked(ask)
-        if self.file.known.promised != before:
-            self.file.keep()
-        return roll
+    def asked(self, ask: RollAsk) -> Roll | None:
+        """None: nothing is said, as what would be promised could not be kept."""
+        return self.roll if self.file.go_by(self.file.known.asked(ask)) else None
 
     def told(self, roll: Roll) -> RollTaken:
-        if self.file.known.told(roll):
-            self.file.keep()
+        before = self.roll
+        if self.file.go_by(self.file.known.told(roll)) and self.roll is not before:
             log.info("voters", generation=roll.id.generation, fence=roll.id.fence, voters=sorted(roll.voters))
             self.taken(roll)
         return RollTaken(self.roll.id)
--- a/roadpulley/fleet/duties/memory.py
+++ b/roadpulley/fleet/duties/memory.py
@@ -51,15 +51,20 @@
             return
         upto = number + BLOCK
         if self.path is not None:
-            part = self.path.with_suffix(".part")
-            with part.open("wb") as file:
-                file.write(json.dumps({"used": upto}).encode())
-                file.flush()
-                os.fsync(file.fileno())
-            part.replace(self.path)
-            fd = os.open(self.path.parent, os.O_RDONLY)
-            try:
-                os.fsync(fd)
-            finally:
-                os.close(fd)
+            replace(self.path, json.dumps({"used": upto}).encode())
         self.reserved = upto
+
+
+def replace(path: Path, data: bytes) -> None:
+    """Whole and on disk, or as it was. Raises OSError."""
+    part = path.with_name(path.name + ".part")
+    with part.open("wb") as file:
+        file.write(data)
+        file.flush()
+        os.fsync(file.fileno())
+    part.replace(path)
+    fd = os.open(path.parent, os.O_RDONLY)
+    try:
+        os.fsync(fd)
+    finally:
+        os.close(fd)
--- a/roadpulley/fleet/duties/roll.py
+++ b/roadpulley/fleet/duties/roll.py
@@ -93,23 +93,24 @@
     return Roll(FIRST, dict(voters), dict(voters))
 
 
-@dataclass
+@dataclass(frozen=True)
 class Known:
-    """What one instance goes by. Lost with its memory, where it has no disk."""
+    """What one instance goes by. Asked or told something, it gives what is gone by then, itself if the same.
+
+    Lost with its memory, where it has no disk.
+    """
 
     roll: Roll
     promised: int = 0  # no roll of a lower fence is taken
 
-    def asked(self, ask: RollAsk) -> Roll:
-        self.promised = max(self.promised, min(ask.fence, MOST_ROUND))
-        return self.roll
+    def asked(self, ask: RollAsk) -> Known:
+        promised = min(ask.fence, MOST_ROUND)
+        return Known(self.roll, promised) if promised > self.promised else self
 
-    def told(self, roll: Roll) -> bool:
-        """Gives whether it is taken."""
+    def told(self, roll: Roll) -> Known:
         if roll.id <= self.roll.id or roll.id.fence < self.promised or len(roll.voters) < 2:
-            return False
-        self.roll = roll
-        return True
+            return self
+        return Known(roll, self.promised)
 
 
 class Step(Enum):
--- a/roadpulley/fleet/duties/work.py
+++ b/roadpulley/fleet/duties/work.py
@@ -10,7 +10,7 @@
 
 from .terms import Mono
 
-__all__ = ["Duty", "Factory", "LowFence", "Work", "WorkDone", "WorkFailed"]
+__all__ = ["Duty", "LowFence", "Work", "WorkDone", "WorkFailed"]
 
 
 class WorkFailed(Exception):
@@ -46,6 +46,3 @@
 
     def act(self, duty: Duty) -> float | None:
         """One round; gives the seconds until the next, None for as set. Raises LowFence, WorkFailed."""
-
-
-Factory = Callable[[], Work]
--- a/tests/fleet/test_roll.py
+++ b/tests/fleet/test_roll.py
@@ -13,8 +13,10 @@
 import pytest
 
 from roadpulley.checks import Bad
+from roadpulley.fleet.clock import Clock
+from roadpulley.fleet.duties import electing
 from roadpulley.fleet.duties import roll as rolls
-from roadpulley.fleet.duties.electing import RollFile
+from roadpulley.fleet.duties.electing import Electing, RollFile
 from roadpulley.fleet.duties.roll import Change, Known, Roll, RollAsk, Step, changed, first, majority, quiet
 from roadpulley.fleet.duties.terms import Times
 
@@ -76,11 +78,11 @@
     def arrive(self, change: Change, name: str, body: Any) -> None:
         known = self.known[name]
         if isinstance(body, RollAsk):
-            answer = known.asked(body if self.promises else RollAsk(0))
+            self.known[name] = known = known.asked(body if self.promises else RollAsk(0))
             if self.rng.random() < 0.9:
-                change.known(self.now, name, answer)
+                change.known(self.now, name, known.roll)
         else:
-            known.told(body)
+            self.known[name] = known = known.told(body)
             if self.rng.random() < 0.9:
                 before = change.step
                 change.took(self.now, name, known.roll.id)
@@ -147,18 +149,20 @@
     """The first told one voter only, and was gone: that one must not be left alone with its roll."""
     known = {n: Known(first(dict.fromkeys("abc", ""))) for n in "abcd"}
     half = changed(known["a"].roll, 5, {"d": ""}, "")
-    assert known["d"].told(half)
+    known["d"] = known["d"].told(half)
+    assert known["d"].roll is half
     change = Change(0.0, TIMES, known["d"].roll, 6, {"d": ""}, "")
     for _ in range(4):
         for name in change.tick(change.due):
             if change.step is Step.READING:
-                change.known(change.due, name, known[name].asked(RollAsk(6)))
+                known[name] = known[name].asked(RollAsk(6))
+                change.known(change.due, name, known[name].roll)
             else:
-                known[name].told(change.roll)
+                known[name] = known[name].told(change.roll)
                 change.took(change.due, name, known[name].roll.id)
     assert change.step is Step.DONE
     assert {k.roll.id for k in known.values()} == {(1, 6)}
-    assert not known["a"].told(half)  # late
+    assert known["a"].told(half) is known["a"]  # late
 
 
 @pytest.mark.parametrize(
@@ -179,17 +183,38 @@
 
 def test_a_roll_is_remembered_on_disk_with_what_was_promised(tmp_path: Path) -> None:
     file = RollFile(tmp_path, "a", {"a": "", "b": "", "c": ""})
-    file.known.told(changed(file.known.roll, 7, {"d": "127.0.0.1:4"}, ""))
-    file.known.asked(RollAsk(9))
-    file.keep()
+    assert file.go_by(file.known.told(changed(file.known.roll, 7, {"d": "127.0.0.1:4"}, "")))
+    assert file.go_by(file.known.asked(RollAsk(9)))
     again = RollFile(tmp_path, "a", {"a": "", "b": "", "c": ""})
     assert (again.known.roll, again.known.promised) == (file.known.roll, 9)
-    assert not again.known.told(changed(again.known.roll, 8, {"e": ""}, ""))
+    assert again.known.told(changed(again.known.roll, 8, {"e": ""}, "")) is again.known
     (tmp_path / "a.roll").write_text("{")
     with pytest.raises(Bad, match="a.roll"):
         RollFile(tmp_path, "a", {})
 
 
+def test_a_roll_that_cannot_be_kept_is_neither_named_nor_voted_by(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The disk refuses, twice: the second time must not pass for done because the first had half happened."""
+
+    def full(path: Path, data: bytes) -> None:
+        raise OSError(28, "no room")
+
+    taken: list[Roll] = []
+    file = RollFile(tmp_path, "a", {"a": "", "b": "", "c": ""})
+    here = Electing(file, TIMES, Clock(), lambda name, address, body: None, taken.append)
+    newer = changed(here.roll, 7, {"d": ""}, "")
+    monkeypatch.setattr(electing, "replace", full)
+    for _ in range(2):
+        assert here.told(newer).id == (0, 0)
+        assert here.asked(RollAsk(9)) is None
+    assert taken == [] and file.known.promised == 0
+    monkeypatch.undo()
+    assert here.told(newer).id == newer.id and taken == [newer]
+    assert here.asked(RollAsk(9)) is newer and file.known.promised == 9
+
+
 def test_the_wait_outlives_any_lease_by_any_clock() -> None:
     times = Times(lease=4.0, drift=0.2, margin=0.1, answer=0.1)
     assert quiet(times) / (1 + times.drift) >= times.lease / (1 - times.drift)
