--- a/roadpulley/cli/dev.py
+++ b/roadpulley/cli/dev.py
@@ -14,17 +14,16 @@
 import uvloop
 
 from roadpulley.checks import Bad
-from roadpulley.testbed import fleet_scenario
-from roadpulley.testbed.fleet_scenario import FleetScenario
 from roadpulley.testbed.installation import Installation, Outcome, SetupFailed
 from roadpulley.testbed.processes import ChildFailed
-from roadpulley.testbed.scenario import Scenario, find, load, shipped
+from roadpulley.testbed.scenario import FOLDER, Scenario, find, load, shipped
 
 from . import frame
 from .frame import option
 from .live import View, make_view
 
 INTERRUPTED = 130
+FLEETS = FOLDER.parent / "fleets"
 SIGNALS = (signal.SIGINT, signal.SIGTERM, signal.SIGHUP)
 
 
@@ -52,12 +51,9 @@
             for path in shipped().values():
                 scenario = load(path)
                 print(f"{scenario.name:<20} {scenario.seconds:>4.0f} s  {scenario.about}")
-            for path in fleet_scenario.shipped().values():
-                fleet = fleet_scenario.load(path)
-                print(f"{fleet.name:<20} {fleet.seconds:>4.0f} s  {fleet.about}")
-            return 0
+            return list_fleets()
         if (found := of_a_fleet(args.scenario)) is not None:
-            return uvloop.run(play_fleet(fleet_scenario.load(found), args))
+            return uvloop.run(play_fleet(found, args))
         scenario = chosen(args)
         if args.listen is not None and not 1 <= args.listen <= 65535:
             raise Bad("--listen", f"is {args.listen}", "give a port from 1 to 65535")
@@ -67,15 +63,33 @@
         return 2
 
 
+def list_fleets() -> int:
+    try:
+        from roadpulley.testbed import fleet_scenario
+    except ImportError as error:
+        print(f"scenarios of a fleet need {error.name}: install roadpulley[dev]", file=sys.stderr)
+        return 0
+    for path in fleet_scenario.shipped().values():
+        fleet = fleet_scenario.load(path)
+        print(f"{fleet.name:<20} {fleet.seconds:>4.0f} s  {fleet.about}")
+    return 0
+
+
 def of_a_fleet(name: str) -> Path | None:
     """The file of a scenario that is played by instances of a fleet, None for one of gateways."""
-    if name in fleet_scenario.shipped():
-        return fleet_scenario.shipped()[name]
+    own = FLEETS / f"{name}.toml"
+    if own.is_file():
+        return own
     path = Path(name)
     return path if path.is_file() and "\n[fleet]" in path.read_text(errors="replace") else None
 
 
-async def play_fleet(scenario: FleetScenario, args: argparse.Namespace) -> int:
+async def play_fleet(path: Path, args: argparse.Namespace) -> int:
+    try:
+        from roadpulley.testbed import fleet_scenario
+    except ImportError as error:
+        raise Bad(str(path), f"needs {error.name}", "install roadpulley[dev]") from error
+    scenario = fleet_scenario.load(path)
     stop, loop = asyncio.Event(), asyncio.get_running_loop()
     for signum in SIGNALS:
         loop.add_signal_handler(signum, stop.set)
--- a/tests/cli/test_dev.py
+++ b/tests/cli/test_dev.py
@@ -214,3 +214,27 @@
     )
     run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=30)
     assert run.stdout.strip() == "[]"
+
+
+@pytest.mark.parametrize(
+    ("command", "code", "words"),
+    [
+        (["--help"], 0, "Commands:"),
+        (["dev", "--list"], 0, "scenarios of a fleet need msgspec"),
+        (["dev", "--scenario", "holder-stalls"], 2, "install roadpulley[dev]"),
+        (["fleet", "members", "--json"], 2, "install roadpulley[fleet]"),
+        (["check", "deploy/balancer.toml"], 0, "deploy file"),
+    ],
+)
+def test_commands_run_where_the_libraries_of_a_fleet_are_missing(
+    command: list[str], code: int, words: str
+) -> None:
+    """In a process of its own: what is imported at the start counts."""
+    missing = "import sys; sys.modules['msgspec'] = sys.modules['structlog'] = None; "
+    program = missing + f"from roadpulley.cli import main; sys.exit(main({command!r}))"
+    root = Path(__file__).parents[2]
+    done = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, cwd=root, timeout=60
+    )
+    assert done.returncode == code, done.stderr
+    assert words in done.stdout + done.stderr
