--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -177,9 +177,12 @@
             if other != holder:
                 fleet.links.slow(other, holder, 400 * fleet.plan.lease)
         await asyncio.sleep(fleet.plan.lease * 1.5)
-        if fleet.fence("duty-0") != before:
+        acts = fleet.acts("duty-0")
+        await asyncio.sleep(fleet.plan.every * 20)
+        holds = fleet.fence("duty-0") == before and fleet.acts("duty-0") > acts
+        if not holds:
             fleet.links.disturb()
-        return fleet.fence("duty-0") == before
+        return holds
 
     async def play(fleet: Fleet) -> None:
         await fleet.start()
