--- a/benchmarks/duties.py
+++ b/benchmarks/duties.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 from typing import Any
 
-from report import report
+from report import markdown, quantile, report
 
 from roadpulley.fleet.duties.terms import Times
 from roadpulley.testbed.fleet import Fleet, FleetPlan
@@ -121,10 +121,6 @@
         return name, 0, 0, False, str(broken)
 
 
-def quantile(values: list[float], share: float) -> float:
-    return sorted(values)[min(len(values) - 1, int(share * len(values)))] if values else float("nan")
-
-
 def play_all(args: argparse.Namespace) -> dict[str, Any]:
     results, began = [], time.monotonic()
     with ProcessPoolExecutor(args.jobs) as pool:
@@ -199,19 +195,12 @@
     args = parser.parse_args()
     if args.explore:
         rows = explore_all(args)
-        return report(text(rows), rows, OUT / "duties-explored.json")
+        return report(markdown(rows), rows, OUT / "duties-explored.json")
     rows = gaps_all(args) if args.gaps else []
     played = play_all(args) if args.timelines else {"rows": [], "plays": []}
-    words = "\n\n".join(text(each) for each in (rows, played["rows"]) if each)
+    words = "\n\n".join(markdown(each) for each in (rows, played["rows"]) if each)
     return report(words, rows + played["rows"], OUT / "duties.json", plays=played["plays"])
 
 
-def text(rows: list[dict[str, Any]]) -> str:
-    """Rows as a Markdown table."""
-    columns = list(rows[0])
-    lines = [columns, ["---"] * len(columns), *([str(row[c]) for c in columns] for row in rows)]
-    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
-
-
 if __name__ == "__main__":
     sys.exit(main())
--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -15,7 +15,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
-from report import report, side_by_side  # noqa: E402
+from report import markdown, quantile, report, side_by_side  # noqa: E402
 
 from roadpulley.fleet.members.terms import Times  # noqa: E402
 from roadpulley.testbed.members_world import MembersWorld  # noqa: E402
@@ -63,7 +63,7 @@
     found = []
     for kind in kinds:
         of = [d for j, d in zip(jobs, done, strict=True) if j[:3] == kind]
-        known = sorted(k for d in of for k in d["known"])
+        known = [k for d in of for k in d["known"]]
         found.append(
             {
                 "members": kind[0],
@@ -73,8 +73,8 @@
                 "bytes/s": round(mean(of, "bytes")),
                 "false alarms": round(mean(of, "false"), 2),
                 "wrong s": round(mean(of, "wrong"), 1),
-                "death p50 s": round(at(known, 0.5), 1),
-                "death p99 s": round(at(known, 0.99), 1),
+                "death p50 s": round(quantile(known, 0.5), 1),
+                "death p99 s": round(quantile(known, 0.99), 1),
                 "unheard": sum(d["unheard"] for d in of),
                 "met": all(d["met"] for d in of),
             }
@@ -86,17 +86,6 @@
     return sum(d[key] for d in of) / len(of)
 
 
-def at(values: list[float], share: float) -> float:
-    return values[min(len(values) - 1, int(share * len(values)))] if values else float("nan")
-
-
-def text(found: list[dict[str, Any]]) -> str:
-    """A Markdown table; false alarms and wrong seconds are for one member a minute."""
-    columns = list(found[0])
-    lines = [columns, ["---"] * len(columns), *([str(r[c]) for c in columns] for r in found)]
-    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
-
-
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--sizes", type=int, nargs="+", default=[5, 20, 100, 500])
@@ -104,7 +93,7 @@
     parser.add_argument("--out", type=Path, default=OUT)
     args = parser.parse_args()
     found = rows(args.sizes, args.seeds)
-    return report(text(found), found, args.out)
+    return report(markdown(found), found, args.out)
 
 
 if __name__ == "__main__":
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -24,6 +24,18 @@
     return done
 
 
+def markdown(rows: list[dict[str, Any]]) -> str:
+    """A table whose columns are the keys of the first row."""
+    columns = list(rows[0])
+    lines = [columns, ["---"] * len(columns), *([str(r[c]) for c in columns] for r in rows)]
+    return "\n".join("| " + " | ".join(line) + " |" for line in lines)
+
+
+def quantile(values: list[float], share: float) -> float:
+    """The value below which so many are; no number where there are none."""
+    return sorted(values)[min(len(values) - 1, int(share * len(values)))] if values else float("nan")
+
+
 def report(table: str, rows: list[dict[str, Any]], out: Path, **more: object) -> int:
     """Print the table, write the rows; gives the exit code."""
     print(table)
--- a/roadpulley/cli/check.py
+++ b/roadpulley/cli/check.py
@@ -22,6 +22,7 @@
 
 MOST_POLICY_LINES = 1_200  # that are not blank, all policy files together
 SCENARIO_KEYS = {"fault", "load", "node", "counter", "discovery", "gateways", "nodes", "seconds", "about"}
+FLEET_KEYS = {"voters", "fleet"}
 DEPLOY_KEYS = {"run", "sim", "policy", "build"}
 
 
@@ -51,10 +52,26 @@
     if DEPLOY_KEYS & set(raw) and not SCENARIO_KEYS & set(raw) - {"node"}:
         deploy(raw, path.resolve().parent.parent)
         return "deploy file"
+    if FLEET_KEYS & set(raw):
+        return of_a_fleet(path, raw)
     scenario.read(raw, path.stem)
     return "scenario"
 
 
+def of_a_fleet(path: Path, raw: dict[str, Any]) -> str:
+    """Settings of a fleet, or a scenario that is played by one. Raises Bad with the place in the file."""
+    try:
+        from roadpulley.fleet.settings import fleet
+        from roadpulley.testbed import fleet_scenario
+    except ImportError as error:
+        raise Bad("", f"needs {error.name}", "install roadpulley[fleet]") from error
+    if "fleet" in raw:
+        fleet_scenario.read(Table(raw))
+        return "scenario of a fleet"
+    fleet(Table(raw), path.parent)
+    return "settings of a fleet"
+
+
 def parsed(path: Path) -> Any:
     readers: dict[str, Callable[[str], Any]] = {".json": json.loads, ".toml": tomllib.loads}
     if path.suffix not in readers:
--- a/roadpulley/cli/usage.py
+++ b/roadpulley/cli/usage.py
@@ -18,6 +18,7 @@
 import click
 
 from roadpulley.checks import Bad
+from roadpulley.usage.closing import HOUR_S
 
 from . import frame
 from .frame import FOLDER, argument, option
@@ -26,8 +27,6 @@
     from roadpulley.usage.books import Books
     from roadpulley.usage.settings import UsageSettings
 
-HOUR_S = 3_600
-
 
 def command() -> click.Command:
     settings = option("--settings", type=FOLDER, default=Path("deploy/usage.toml"), metavar="FILE")
--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -94,6 +94,7 @@
         self.members: Members | None = None  # once our address is known
         self.met: dict[str, Who] = {}  # who was heard at an address last
         self.timer: asyncio.TimerHandle | None = None
+        self.setting = False
         self.tasks: list[asyncio.Task[None]] = []
         self.loop: asyncio.AbstractEventLoop
         self.control = Control(settings.control, name, self._answer)
@@ -195,8 +196,15 @@
     # ---- time ----
 
     def _set(self) -> None:
+        """Something is due at another time: looked up once, at the end of this turn of the loop."""
+        if self.members is not None and not self.setting:
+            self.setting = True
+            asyncio.get_running_loop().call_soon(self._set_now)
+
+    def _set_now(self) -> None:
         """Wake up for whatever is due next."""
-        if self.members is None:
+        self.setting = False
+        if self.members is None or self.post.transport is None:
             return
         due = min(self.duties.next_at(), self.members.next_at())
         if self.timer is not None:
--- a/roadpulley/fleet/duties/service.py
+++ b/roadpulley/fleet/duties/service.py
@@ -122,9 +122,7 @@
     def offered(self, name: str, rank: int) -> None:
         """Another instance has let go of it."""
         if (holding := self.holdings.get(name)) and not self.leaving:
-            holding.candidate.due = (
-                NEVER_DUE if holding.candidate.state is State.IDLE else holding.candidate.due
-            )
+            holding.candidate.rest()  # what it waited for is over
             holding.candidate.want(self.clock.now(), rank * STEP_S)
             self.changed()
 
--- a/roadpulley/fleet/works/plans.py
+++ b/roadpulley/fleet/works/plans.py
@@ -4,9 +4,9 @@
 from __future__ import annotations
 
 import logging
-import time
 
 from roadpulley.checks import Bad
+from roadpulley.fleet.clock import wall_ms
 from roadpulley.fleet.duties.registers import FileRegister
 from roadpulley.fleet.duties.work import Duty, WorkFailed
 from roadpulley.plans.settings import PlanSettings
@@ -33,7 +33,7 @@
         """Where the feed is behind the book, is of another holding, or holds what is past."""
         try:
             with Store.open(self.settings.store) as store:
-                shelf = Shelf(store, self.settings.feed, wall, self.settings.pool)
+                shelf = Shelf(store, self.settings.feed, wall_ms, self.settings.pool)
                 if not shelf.behind(duty.fence) or not duty.still_mine():
                     return None
                 with self.register.under(duty.fence):
@@ -44,7 +44,3 @@
             raise WorkFailed(f"the book of plans: {error}") from error
         log.info("%s: the feed is at %d under %d", self.name, doc.seq, doc.fence)
         return None
-
-
-def wall() -> int:
-    return int(time.time() * 1000)
--- a/roadpulley/fleet/works/usage.py
+++ b/roadpulley/fleet/works/usage.py
@@ -8,6 +8,7 @@
 from contextlib import contextmanager
 
 from roadpulley.checks import Bad
+from roadpulley.fleet.clock import wall_ms
 from roadpulley.fleet.duties.work import Duty, WorkFailed
 from roadpulley.store import Locked, Store, StoreError, fences
 from roadpulley.usage.books import Books
@@ -69,7 +70,7 @@
             with httpx.Client(
                 base_url=self.settings.sink, headers=headers, timeout=self.settings.timeout_s
             ) as client:
-                pushing = Pushing(books, client, self.name, wall, pause, duty.fence, duty.still_mine)
+                pushing = Pushing(books, client, self.name, wall_ms, pause, duty.fence, duty.still_mine)
                 done = pushing.run()
         if done.pushed or done.parked:
             log.info(
@@ -97,13 +98,9 @@
             collect(self.settings.spool, books)
             periods = Periods(books)
             closed = max((p.end for p in periods.all()), default=0)
-            for each in due(self.calendar, closed, wall() // 1000 // HOUR_S):
+            for each in due(self.calendar, closed, wall_ms() // 1000 // HOUR_S):
                 if not duty.still_mine():
                     break
-                made = periods.close(each.name, each.start, each.end, wall() // 1000 // HOUR_S, wall())
+                made = periods.close(each.name, each.start, each.end, wall_ms() // 1000 // HOUR_S, wall_ms())
                 log.info("%s: closed %s with %d lines", self.name, made.name, made.lines)
         return None
-
-
-def wall() -> int:
-    return int(time.time() * 1000)
--- a/roadpulley/testbed/fleet_scenario.py
+++ b/roadpulley/testbed/fleet_scenario.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 from roadpulley.checks import Bad, Table, read_toml
 
@@ -37,16 +36,16 @@
 def load(path: Path) -> FleetScenario:
     """Raises Bad with the file and the key."""
 
-    def read(raw: dict[str, Any]) -> FleetScenario:
-        table = Table(raw)
-        plan = read_plan(table.table("fleet"))
-        name, about = table.text("name"), table.text("about", "")
-        seconds = table.number("seconds", 10.0, 1, 3600)
-        faults = tuple(read_fault(each, plan, seconds) for each in table.tables("fault"))
-        table.done()
-        return FleetScenario(name, about, seconds, plan, faults)
+    return read_toml(path, lambda raw: read(Table(raw)))
 
-    return read_toml(path, read)
+
+def read(table: Table) -> FleetScenario:
+    plan = read_plan(table.table("fleet"))
+    name, about = table.text("name"), table.text("about", "")
+    seconds = table.number("seconds", 10.0, 1, 3600)
+    faults = tuple(read_fault(each, plan, seconds) for each in table.tables("fault"))
+    table.done()
+    return FleetScenario(name, about, seconds, plan, faults)
 
 
 def read_plan(table: Table) -> FleetPlan:
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -169,3 +169,17 @@
         gateway(changed(path, junk))
     except Bad as error:
         assert "\n" not in str(error)
+
+
+def test_files_of_a_fleet_are_known_for_what_they_are(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    root = Path(__file__).parents[2]
+    stalls = root / "roadpulley/testbed/fleets/holder-stalls.toml"
+    assert main(["check", str(root / "deploy/fleet.toml"), str(stalls)]) == 0
+    said = capsys.readouterr().out
+    assert "a good settings of a fleet" in said and "a good scenario of a fleet" in said
+    bad = tmp_path / "fleet.toml"
+    bad.write_text((root / "deploy/fleet.toml").read_text().replace("7403", "7402"))
+    assert main(["check", str(bad)]) == 1
+    assert f"{bad}: voters.gw3: is at 127.0.0.1:7402, as gw2 is" in capsys.readouterr().err
