--- a/tests/fleet/test_processes.py
+++ b/tests/fleet/test_processes.py
@@ -200,14 +200,21 @@
 
 
 def test_datagrams_later_than_a_holding_are_worth_nothing(tmp_path: Path) -> None:
-    """Every one takes nearly as long as a holding lasts or longer; some come twice, most out of order."""
+    """First each takes 10 s, so that asks and grants come in the middle of later holdings; then each takes
+    about as long as a holding lasts; some come twice, most out of order."""
 
     async def play(fleet: Fleet) -> None:
         await fleet.start()
         await fleet.all_held()
+        fleet.links.disturb(delay_ms=10_000, repeats=0.3)
+        await asyncio.sleep(fleet.plan.lease * 2)
         fleet.links.disturb(delay_ms=700, jitter_ms=900, repeats=0.3)
         await asyncio.sleep(3.0)
         fleet.links.disturb()
+        passed = fleet.links.passed
+        await fleet.all_held()
+        await asyncio.sleep(10.0)  # until the first have come
+        assert fleet.links.passed > passed
         await fleet.all_held()
 
     played(tmp_path, FleetPlan(), play)
