--- a/roadpulley/cli/fleet.py
+++ b/roadpulley/cli/fleet.py
@@ -49,11 +49,11 @@
 
 def structured() -> None:
     """Logs of this subsystem: one JSON object a line, on standard error; ROADPULLEY_LOG=debug tells more."""
-    least = logging.DEBUG if os.environ.get("ROADPULLEY_LOG") == "debug" else logging.INFO
     import structlog
 
     from roadpulley.fleet.clock import Clock
 
+    least = logging.DEBUG if os.environ.get("ROADPULLEY_LOG") == "debug" else logging.INFO
     clock = Clock()
 
     def times(_: Any, __: str, event: Any) -> Any:
@@ -88,13 +88,11 @@
     return Agent(found, named(name, "--name"), works(found, name))
 
 
-async def beside(service: Service, settings: Path, name: str) -> None:
+async def beside(service: Service, agent: Agent) -> None:
     """A gateway's supervisor, with an instance of the fleet on the same loop.
 
     No request passes here, and no worker waits for it: if it breaks, the gateway goes on without.
     """
-    structured()
-    agent = instance(settings, name)
     running = asyncio.ensure_future(agent.run(service.leaving))
     running.add_done_callback(ended)
     try:
@@ -111,8 +109,8 @@
 
 def agent(settings: Path, name: str) -> int:
     """Run one instance until SIGTERM or SIGINT. Raises Bad, OSError."""
-    structured()
     found = instance(settings, name)
+    structured()
 
     async def serve() -> None:
         stop, loop = asyncio.Event(), asyncio.get_running_loop()
--- a/roadpulley/cli/serve.py
+++ b/roadpulley/cli/serve.py
@@ -7,6 +7,7 @@
 import os
 import sys
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 import uvloop
@@ -18,6 +19,9 @@
 from .check import parsed
 from .frame import option
 
+if TYPE_CHECKING:
+    from roadpulley.fleet.agent import Agent
+
 MOST_WORKERS = 256
 
 
@@ -55,6 +59,8 @@
     form = "%(asctime)s %(levelname)s %(name)s: %(message)s"
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format=form)
 
+    agent: Agent | None = None
+
     async def supervise() -> None:
         service = Service(str(path), lambda: workers(args.workers))
         try:
@@ -62,10 +68,10 @@
         except OSError as error:
             right = "give an address of this machine that nobody else listens on"
             raise Bad(f"{path}: listen", f"cannot be taken ({error.strerror})", right) from error
-        if args.fleet:
+        if agent is not None:
             from .fleet import beside
 
-            await beside(service, Path(args.fleet), str(args.name))
+            await beside(service, agent)
         else:
             await service.run()
 
@@ -85,9 +91,10 @@
             read_usage(Path(args.usage))
             os.environ["ROADPULLEY_USAGE"] = str(Path(args.usage).resolve())
         if args.fleet:
-            from .fleet import instance
+            from .fleet import instance, structured
 
-            instance(Path(args.fleet), args.name)
+            agent = instance(Path(args.fleet), args.name)
+            structured()
         uvloop.run(supervise())
     except Bad as error:
         print(f"roadpulley serve: {error}", file=sys.stderr)
--- a/roadpulley/fleet/duties/candidate.py
+++ b/roadpulley/fleet/duties/candidate.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from .terms import (
@@ -124,7 +124,7 @@
     handicap: float = 0.0  # seconds that better candidates are left to try first
     holder: Who = NOBODY  # as a voter told last
     wait_ms: int = 0  # the longest that a voter told for this ballot
-    gave_up: Mono = field(default=NEVER_DUE)  # claiming: when its registers count as out of reach
+    gave_up: Mono = NEVER_DUE  # claiming: when its registers count as out of reach
 
     # ---- questions ----
 
--- a/roadpulley/fleet/members/machine.py
+++ b/roadpulley/fleet/members/machine.py
@@ -47,7 +47,6 @@
 class Probe:
     who: Who
     number: int
-    asked: Mono
     ends: Mono
     helped: bool = False
     helpers: int = 0
@@ -262,7 +261,7 @@
             return
         self.number += 1
         wait = self.times.answer * self.slow
-        self.probe = Probe(who, self.number, now, now + wait)
+        self.probe = Probe(who, self.number, now + wait)
         out.append(Tell(self.where(member), who, Ping(self.number, self._news(who))))
 
     def _remind(self, out: list[Tell]) -> None:
