--- a/roadpulley/cli/fleet_commands.py
+++ b/roadpulley/cli/fleet_commands.py
@@ -106,6 +106,24 @@
     return 0
 
 
+@group.command()
+@NAME
+@AS_JSON
+@click.pass_obj
+def limits(settings: Path, name: str | None, as_json: bool) -> int:
+    """Who gives out the rights of which limits; of those given out by this instance, what is left."""
+    found = answer(settings, name, "limits")
+    if as_json:
+        click.echo(json.dumps(found))
+        return 0
+    if "parts" not in found:
+        raise Bad(f"{settings}: rights", "is missing", "name the limits in [rights.limits.NAME]")
+    click.echo(table(("part", "fence", "given_out_by", "waits_s"), found["parts"]))
+    click.echo(table(("limit", "rate", "burst", "left", "out", "holders"), found["limits"]))
+    click.echo(f"{found['beside']} processes spend beside it. {seen_from(found)}")
+    return 0
+
+
 @group.command("hand-over")
 @click.argument("duty")
 @NAME
--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -30,6 +30,9 @@
 from .members.terms import Ack, Nack, Page, PageAsk, Ping, PingFor, State
 from .peers.envelope import Cause, Codec, Envelope
 from .peers.service import Post
+from .rights.service import Rights, Route
+from .rights.terms import Ask, Given, Serving
+from .rights.terms import Body as ForRights
 from .settings import DutySettings, FleetSettings, named
 from .settings import address as checked
 
@@ -50,7 +53,8 @@
 
 ForMembers: TypeAlias = Ping | PingFor | Ack | Nack | PageAsk | Page
 ForVoters: TypeAlias = Prepare | Accept | Release
-Body: TypeAlias = ForMembers | ForVoters | Promise | Granted | Refused | Offer | Roll | RollAsk | RollTaken
+ForElecting: TypeAlias = Roll | RollAsk | RollTaken
+Body: TypeAlias = ForMembers | ForVoters | Promise | Granted | Refused | Offer | ForElecting | ForRights
 DECODER: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
 MEMBERS = (Ping, PingFor, Ack, Nack, PageAsk, Page)
 
@@ -99,6 +103,19 @@
         self.loop: asyncio.AbstractEventLoop
         self.control = Control(settings.control, name, self._answer)
         self.problems: dict[str, str] = {}
+        self.rights: Rights | None = None
+        if settings.rights is not None:
+            path = settings.control / f"{name}.rights"
+            self.rights = Rights(
+                settings.rights,
+                path,
+                works,
+                self.clock,
+                self.rng,
+                lambda route, body: self.post.send(*route, body),
+                self._routes,
+                self._soon,
+            )
 
     # ---- life ----
 
@@ -108,6 +125,8 @@
         assert self.members is not None
         loop = self.loop = asyncio.get_running_loop()
         await self.control.open()
+        if self.rights is not None:
+            await self.rights.open()
         log.info("begins", boot=self.me.boot, address=self.post.address, votes=self.duties.voter is not None)
         self.tasks.append(loop.create_task(self._arrange()))
         self._tick()
@@ -177,6 +196,8 @@
         if self.timer is not None:
             self.timer.cancel()
         await self.control.close()
+        if self.rights is not None:
+            self.rights.close()
         self.post.close()
         self.executor.shutdown(wait=False, cancel_futures=True)
 
@@ -247,7 +268,10 @@
         return None
 
     def _about_duties(self, who: Who, address: str, body: Any) -> Cause | None:
-        if isinstance(body, Offer):
+        if isinstance(body, Serving | Ask | Given):
+            if self.rights is not None:
+                self.rights.heard((address, who.boot), body)
+        elif isinstance(body, Offer):
             self.duties.offered(body.duty, body.rank)
         elif isinstance(body, RollAsk):
             if known := self.electing.asked(body):
@@ -275,6 +299,12 @@
         for tell in tells:
             self.post.send(tell.address, tell.who.boot, tell.body)
 
+    def _routes(self) -> list[Route]:
+        """To all other instances that are there."""
+        if self.members is None:
+            return []
+        return [(self.members.where(m), m.claim.who.boot) for m in self.members.table.values() if m.there()]
+
     def _ask(self, voter: str, question: Question) -> None:
         if voter == self.name and self.duties.voter is not None:
             asyncio.get_running_loop().call_soon(self._ask_ourselves, question)
@@ -370,6 +400,8 @@
             return duties(self)
         if call == "voters":
             return voters(self)
+        if call == "limits":
+            return {"instance": self.name, "unseen": [], **(self.rights.report() if self.rights else {})}
         if call == "hand-over":
             name = str(args.get("duty"))
             done = self.duties.hand_over(name, "an operator asked for it")
@@ -380,5 +412,5 @@
             return self._wish(dict(args.get("add", {})), str(args.get("remove", "")))
         if call == "change-status":
             return self.electing.status()
-        known = "members, duties, voters, hand-over, run, change, change-status"
+        known = "members, duties, voters, limits, hand-over, run, change, change-status"
         return {"error": f"{call!r} is no call; there are {known}"}
--- /dev/null
+++ b/roadpulley/fleet/rights/allocator.py
@@ -0,0 +1,210 @@
+"""One allocator: what is left of each limit, and which rights are out. Pure. See `terms.py`."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from roadpulley.fleet.duties.terms import Mono
+
+from .terms import UNITS, Ask, Given, Limit, Right, Times
+
+MOST_LIMITS = 100_000  # in memory; those that are full and unused go first
+SWEEP_S = 5.0
+EVEN = 0.5  # of what is there: the most that one ask gets while others ask too
+SHORTEST_WAIT_S, LONGEST_WAIT_S = 0.02, 0.5
+
+
+@dataclass(slots=True)
+class Out:
+    """A right that is out. `ends`: when its holder can surely spend it no more."""
+
+    holder: int
+    units: float
+    ends: Mono
+
+
+@dataclass(slots=True)
+class Account:
+    """Of one holder at one limit: the last answer, and what it wants."""
+
+    number: int
+    given: Given
+    want: float
+    asked_at: Mono
+
+
+@dataclass(slots=True)
+class Book:
+    """One limit."""
+
+    limit: Limit
+    level: float
+    filled_at: Mono
+    held: float = 0.0  # units out
+    out: dict[int, Out] = field(default_factory=dict)
+    ending: list[tuple[Mono, int]] = field(default_factory=list)  # a heap of what is out
+    accounts: dict[int, Account] = field(default_factory=dict)
+
+
+class Allocator:
+    """Since `began`, by its own clock, under one fence; another holding of the duty is another allocator."""
+
+    def __init__(
+        self, fence: int, began: Mono, limits: Mapping[str, Limit], times: Times, rng: random.Random
+    ) -> None:
+        self.fence, self.began, self.times, self.rng = fence, began, times, rng
+        self.limits = dict(limits)
+        self.books: dict[str, Book] = {}
+        self.count = 0  # rights given out
+        self.next_sweep = began + SWEEP_S
+        self.given = self.refused = self.ended = 0.0  # units given out; asked for in vain; ended unheard
+
+    @property
+    def clear_at(self) -> Mono:
+        """From when on nothing that an earlier allocator gave out can be spent.
+
+        Danger: before that it may all be out still. A level that began to fill at once would be given out
+        beside it.
+        """
+        return self.began + self.times.lease
+
+    # ---- what is asked ----
+
+    def asked(self, now: Mono, ask: Ask) -> Given | None:
+        """The answer; None for an ask of the past, or of a limit that there is not."""
+        if ask.fence != self.fence or not (0 <= ask.least <= ask.want < math.inf):
+            return None
+        book = self.book(ask.limit)
+        if book is None:
+            return None
+        self.fill(now, book)
+        known = book.accounts.get(ask.holder)
+        if known is not None and ask.number <= known.number:
+            # Danger: an ask that comes again is answered as before. A second right for it would be out
+            # until its end though nobody holds it.
+            return known.given if ask.number == known.number else None
+        for closed in ask.closed:
+            self.close(book, ask.holder, closed.right, closed.unused)
+        given = self._give(now, book, ask)
+        book.accounts[ask.holder] = Account(ask.number, given, ask.want, now)
+        self._sweep(now)
+        return given
+
+    def close(self, book: Book, holder: int, right: Right, unused: float) -> None:
+        """A right was written off by its holder: what it did not spend may be given out again."""
+        # Danger: numbers begin anew with each fence, and a right that ended here may be given up late. Either
+        # would add units that are out with somebody else.
+        out = book.out.get(right.number) if right.fence == self.fence else None
+        if out is None or out.holder != holder:
+            return
+        del book.out[right.number]
+        book.held -= out.units
+        back = min(max(0.0, unused), out.units)
+        book.level = min(book.level + back, book.limit.burst - book.held)
+
+    def _give(self, now: Mono, book: Book, ask: Ask) -> Given:
+        there = book.level
+        if there < ask.least or there <= UNITS or not ask.want:
+            if ask.want:
+                self.refused += ask.want
+            return Given(
+                ask.holder, ask.number, ask.limit, Right(self.fence, 0), 0.0, self._wait(now, book, ask)
+            )
+        units = min(ask.want, max(ask.least, there * self._part(now, book, ask)))
+        self.count += 1
+        self.given += units
+        ends = now + self.times.lease
+        book.level -= units
+        book.held += units
+        book.out[self.count] = Out(ask.holder, units, ends)
+        heapq.heappush(book.ending, (ends, self.count))
+        return Given(ask.holder, ask.number, ask.limit, Right(self.fence, self.count), units)
+
+    def _part(self, now: Mono, book: Book, ask: Ask) -> float:
+        """Of what is there: its part of what all of late have wanted, and alone all of it."""
+        since = now - self.times.lease
+        others = sum(
+            a.want for holder, a in book.accounts.items() if holder != ask.holder and a.asked_at > since
+        )
+        return 1.0 if not others else min(EVEN, ask.want / (ask.want + others))
+
+    def _wait(self, now: Mono, book: Book, ask: Ask) -> int:
+        """Milliseconds until there may be enough, apart from those that others are told."""
+        lacks = ask.least - book.level
+        fills = lacks / book.limit.rate if book.limit.rate else SHORTEST_WAIT_S
+        wait = max(0.0, self.clear_at - now) + fills
+        wait = min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, wait)) * self.rng.uniform(0.8, 1.2)
+        return int(wait * 1000) if ask.want else 0
+
+    # ---- time ----
+
+    def fill(self, now: Mono, book: Book) -> None:
+        """What time has given back, and which rights have ended, in the order in which both came.
+
+        Danger: filled in one step, a level would rise above what the rights left room for at the time.
+        """
+        while book.ending and book.ending[0][0] <= now:
+            ends, number = heapq.heappop(book.ending)
+            out = book.out.pop(number, None)
+            if out is None:
+                continue  # it was given up
+            self._rise(ends, book)
+            book.held -= out.units
+            self.ended += out.units
+        self._rise(now, book)
+
+    def _rise(self, now: Mono, book: Book) -> None:
+        passed = max(0.0, now - book.filled_at)
+        book.filled_at = max(now, book.filled_at)
+        # Danger: a fast clock would give out more than the rate.
+        risen = book.level + passed * book.limit.rate / (1 + self.times.drift)
+        book.level = min(risen, book.limit.burst - book.held)
+
+    # ---- limits ----
+
+    def book(self, name: str) -> Book | None:
+        """Of a limit, or of one customer of a plan (`PLAN/CUSTOMER`); None where there is no such limit."""
+        if (found := self.books.get(name)) is not None:
+            return found
+        limit = self.limit(name)
+        if limit is None:
+            return None
+        book = self.books[name] = Book(limit, 0.0, self.clear_at)
+        return book
+
+    def limit(self, name: str) -> Limit | None:
+        return self.limits.get(name) or self.limits.get(name.partition("/")[0])
+
+    def retune(self, now: Mono, limits: Mapping[str, Limit]) -> None:
+        """Other limits: what is owed to a limit stays owed. One that is lower than what is out gives out
+        nothing until enough of that has come back."""
+        self.limits = dict(limits)
+        for name, book in list(self.books.items()):
+            self.fill(now, book)
+            limit = self.limit(name)
+            if limit is None:
+                del self.books[name]
+                continue
+            book.level += limit.burst - book.limit.burst
+            book.limit = limit
+
+    def _sweep(self, now: Mono) -> None:
+        """Forget what says nothing any more: holders that have gone, limits that are full again."""
+        if now < self.next_sweep and len(self.books) <= MOST_LIMITS:
+            return
+        self.next_sweep = now + SWEEP_S
+        for name, book in list(self.books.items()):
+            self.fill(now, book)
+            # Danger: an account that went while its last ask may come again would answer that with a second
+            # right; but no answer to it counts after `holds`.
+            since = now - 2 * self.times.lease
+            book.accounts = {h: a for h, a in book.accounts.items() if a.asked_at > since}
+            # Danger: a book that comes back starts as full as time since this allocator's beginning makes it.
+            fills = book.limit.burst / book.limit.rate * (1 + self.times.drift) if book.limit.rate else 0.0
+            whole = book.level >= book.limit.burst - UNITS and now - self.clear_at >= fills
+            if not book.accounts and not book.out and whole:
+                del self.books[name]
--- /dev/null
+++ b/roadpulley/fleet/rights/holder.py
@@ -0,0 +1,242 @@
+"""What one process may spend: its rights, what it asks for, and what it gives up. Pure. See `terms.py`."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from roadpulley.fleet.duties.terms import Mono
+
+from .terms import MOST_CLOSED, UNITS, Ask, Closed, Given, Right, Times
+
+NEVER_DUE = math.inf
+MEMORY_S = 1.0  # of what is wanted: for how long a wish counts
+AHEAD_S = 0.25  # of what is wanted: so much is held before it is needed
+REFILL = 0.5  # of that: under this more is asked for
+TELL = 0.3  # of a lease: after which a right that is used up is told of by itself
+IDLE_S = 10.0  # without a wish: then a limit is forgotten
+
+
+@dataclass(slots=True)
+class Lot:
+    """A right that is held. By our own clock: `until` it may be spent, after `keep` it is given up."""
+
+    right: Right
+    units: float
+    until: Mono
+    keep: Mono
+
+
+@dataclass(slots=True)
+class Open:
+    """The ask that waits for its answer."""
+
+    ask: Ask
+    first_at: Mono
+    again_at: Mono
+    tries: int = 1
+
+
+@dataclass(slots=True)
+class Purse:
+    """Of one limit."""
+
+    limit: str
+    part: int
+    lots: list[Lot] = field(default_factory=list)  # the oldest first
+    closed: list[Closed] = field(default_factory=list)  # to be told
+    tell_at: Mono = NEVER_DUE  # at the latest; with the next ask before that
+    open: Open | None = None
+    wanted: float = 0.0  # lately: a fading sum
+    wanted_at: Mono = 0.0
+    largest: float = 0.0  # of late wishes
+    lacks: float = 0.0  # units of a wish that can't be paid: asked for at once
+    rest_until: Mono = 0.0  # it was told to wait
+
+    def there(self, now: Mono) -> float:
+        return sum(lot.units for lot in self.lots if now < lot.until)
+
+
+class Holder:
+    """`number`: of this process, drawn by chance. `parts`: of all limits, by which allocators share them."""
+
+    def __init__(self, number: int, parts: int, times: Times) -> None:
+        self.number, self.parts, self.times = number, parts, times
+        self.purses: dict[str, Purse] = {}
+        self.fences: dict[int, int] = {}  # by part: the highest that an allocator was heard to serve under
+        self.until: dict[int, Mono] = {}  # by part: for which it serves, as far as we know
+        self.asks = 0
+        self.spent = self.unpaid = self.given_up = 0.0  # units
+
+    # ---- to spend ----
+
+    def take(self, now: Mono, limit: str, units: float, anew: bool = True) -> bool:
+        """Spend so much, if rights are held: look at the clock and spend in one go. Else it may be asked for.
+
+        `anew`: it is not a wish that has waited for an answer.
+
+        Danger: between this and the act the process may be stopped. What is sent on then counts from here.
+        """
+        purse = self._purse(now, limit)
+        if anew:
+            self._want(now, purse, units)
+        if purse.there(now) < units - UNITS:
+            purse.lacks = max(purse.lacks, units)
+            self.unpaid += units
+            return False
+        self.spent += units
+        left = units
+        for lot in purse.lots:
+            if now < lot.until:
+                paid = min(lot.units, left)
+                lot.units, left = lot.units - paid, left - paid
+        purse.lacks = 0.0
+        return True
+
+    def _purse(self, now: Mono, limit: str) -> Purse:
+        if (found := self.purses.get(limit)) is None:
+            found = self.purses[limit] = Purse(limit, part_of(limit, self.parts), wanted_at=now)
+        return found
+
+    def _want(self, now: Mono, purse: Purse, units: float) -> None:
+        fade = math.exp((purse.wanted_at - now) / MEMORY_S)
+        purse.wanted, purse.wanted_at = purse.wanted * fade + units, now
+        purse.largest = max(units, purse.largest * fade)
+
+    # ---- to ask ----
+
+    def serving(self, now: Mono, part: int, fence: int, left: float) -> bool:
+        """An allocator says that it serves; whether it is to be asked."""
+        # Danger: one that was followed by another may say so late. It could give out nothing that counts, but
+        # asks would go to it in vain.
+        if fence < self.fences.get(part, 0):
+            return False
+        if fence > self.fences.get(part, 0):
+            self.fences[part] = fence
+            for purse in self._of(part):
+                purse.open, purse.rest_until = None, 0.0
+                purse.closed.clear()  # the new one does not know these rights
+                purse.tell_at = NEVER_DUE
+        self.until[part] = now + left
+        return True
+
+    def tick(self, now: Mono) -> list[Ask]:
+        """Asks that are due: new ones, and those that were not answered."""
+        out = []
+        for purse in list(self.purses.values()):
+            self._write_off(now, purse)
+            if now - purse.wanted_at > IDLE_S and not purse.lots and not purse.closed and not purse.open:
+                del self.purses[purse.limit]
+            elif ask := self._ask(now, purse):
+                out.append(ask)
+        return out
+
+    def ask_now(self, now: Mono, limit: str) -> Ask | None:
+        """For a wish that waits."""
+        purse = self.purses.get(limit)
+        if purse is None:
+            return None
+        self._write_off(now, purse)
+        return self._ask(now, purse)
+
+    def _ask(self, now: Mono, purse: Purse) -> Ask | None:
+        fence = self.fences.get(purse.part, 0)
+        if not fence or now >= self.until.get(purse.part, 0.0):
+            return None  # nobody serves, as far as we know: what was given up ends by itself
+        if purse.open is not None:
+            return self._again(now, purse, purse.open)
+        want, least = self._need(now, purse)
+        want, least = (0.0, 0.0) if now < purse.rest_until else (want, least)
+        if not want and now < purse.tell_at:
+            return None
+        closed = tuple(purse.closed[:MOST_CLOSED])
+        del purse.closed[:MOST_CLOSED]
+        purse.tell_at = now if purse.closed else NEVER_DUE
+        self.asks += 1
+        ask = Ask(purse.part, fence, self.number, self.asks, purse.limit, want, least, closed)
+        purse.open = Open(ask, now, now + self.times.answer)
+        return ask
+
+    def _again(self, now: Mono, purse: Purse, waiting: Open) -> Ask | None:
+        if now < waiting.again_at:
+            return None
+        if waiting.tries >= self.times.tries:
+            purse.open = None  # whatever was given for it ends by itself
+            purse.rest_until = now + self.times.answer
+            return None
+        waiting.tries += 1
+        waiting.again_at = now + self.times.answer
+        return waiting.ask
+
+    def _need(self, now: Mono, purse: Purse) -> tuple[float, float]:
+        """Units to ask for, and the least that is of use."""
+        ahead = purse.wanted * math.exp((purse.wanted_at - now) / MEMORY_S) / MEMORY_S * AHEAD_S
+        ahead = ahead if ahead >= purse.largest else 0.0  # so few wishes: each is asked for as it comes
+        target, there = max(ahead, purse.lacks), purse.there(now)
+        if there >= (purse.lacks if purse.lacks else target * REFILL):
+            return 0.0, 0.0
+        least = max(0.0, (purse.lacks or purse.largest) - there)
+        return max(least, target - there), least
+
+    # ---- answers, and time ----
+
+    def heard(self, now: Mono, given: Given) -> bool:
+        """An answer; whether there is more to spend now."""
+        purse = self.purses.get(given.limit)
+        waiting = purse.open if purse is not None else None
+        if purse is None or waiting is None or given.number != waiting.ask.number:
+            return False  # Danger: a late or repeated answer would count the same units twice
+        purse.open = None
+        purse.lacks = 0.0
+        if given.wait_ms:
+            purse.rest_until = now + given.wait_ms / 1000
+        until = waiting.first_at + self.times.holds
+        if given.units <= 0:
+            return False
+        purse.lots.append(Lot(given.right, given.units, until, waiting.first_at + self.times.keeps))
+        return True
+
+    def _write_off(self, now: Mono, purse: Purse) -> None:
+        """What is used up or has been held for long is given up, before that is told."""
+        kept = []
+        for lot in purse.lots:
+            if now >= lot.until:
+                continue  # the allocator will find that it has ended
+            if lot.units > UNITS and now < lot.keep:
+                kept.append(lot)
+                continue
+            self._close(now, purse, lot)
+        purse.lots = kept
+
+    def _close(self, now: Mono, purse: Purse, lot: Lot) -> None:
+        if lot.right.fence != self.fences.get(purse.part):
+            return  # nobody is left who gave it out
+        self.given_up += lot.units
+        purse.closed.append(Closed(lot.right, lot.units))
+        # What was all spent is told with the next ask: until then the limit has a little less room.
+        patience = 0.0 if lot.units > UNITS else TELL * self.times.lease
+        purse.tell_at = min(purse.tell_at, now + patience)
+
+    def next_at(self) -> Mono:
+        """When `tick` has something to do, unless a wish comes before."""
+        return min(self._dues(), default=NEVER_DUE)
+
+    def _dues(self) -> Iterator[Mono]:
+        for purse in self.purses.values():
+            if purse.open is not None:
+                yield purse.open.again_at
+            else:
+                yield purse.tell_at
+                if purse.lacks:
+                    yield purse.rest_until
+            yield from (lot.keep for lot in purse.lots)
+
+    def _of(self, part: int) -> Iterator[Purse]:
+        return (purse for purse in self.purses.values() if purse.part == part)
+
+
+def part_of(limit: str, parts: int) -> int:
+    """Which allocator gives out the rights of a limit; the same at every instance and in every version."""
+    return int.from_bytes(hashlib.blake2b(limit.encode(), digest_size=4).digest(), "big") % parts
--- /dev/null
+++ b/roadpulley/fleet/rights/service.py
@@ -0,0 +1,250 @@
+"""The shell of rights at one instance: gives out those of the parts that it holds, passes the rest on.
+
+An instance remembers nothing for the processes beside it: a right is between a holder and an allocator. If
+the instance breaks, what is held can be spent until it ends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import socket
+from collections import Counter, OrderedDict
+from collections.abc import Callable, Iterable, Mapping
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import structlog
+
+from roadpulley.fleet.clock import Clock
+from roadpulley.fleet.duties.terms import Mono
+from roadpulley.fleet.duties.work import Duty
+
+from .allocator import Allocator
+from .settings import RightsSettings
+from .terms import Ask, Body, FromHolder, Given, Hello, Serving, Welcome
+from .work import Giving
+
+SAY_S = 0.25  # between two words of an allocator that it serves
+SERVES_S = 1.0  # for which one word counts
+MOST_HOLDERS = 1_024  # processes beside this instance; those heard least lately go
+
+log = structlog.get_logger("roadpulley.fleet.rights")
+DECODER: msgspec.msgpack.Decoder[FromHolder] = msgspec.msgpack.Decoder(FromHolder)
+ENCODER = msgspec.msgpack.Encoder()
+
+Route = tuple[str, int]  # address and boot of an instance
+
+
+class Rights(asyncio.DatagramProtocol):
+    """`tell` sends a body to an instance; `everybody` gives the routes to all others."""
+
+    def __init__(
+        self,
+        settings: RightsSettings,
+        path: Path,
+        works: Mapping[str, Any],
+        clock: Clock,
+        rng: random.Random,
+        tell: Callable[[Route, Body], None],
+        everybody: Callable[[], Iterable[Route]],
+        soon: Callable[[Callable[[], None]], None],
+    ) -> None:
+        self.settings, self.path, self.clock, self.rng = settings, path, clock, rng
+        self.tell, self.everybody, self.soon = tell, everybody, soon
+        self.ours: dict[int, tuple[Duty, Allocator]] = {}
+        self.known: dict[int, tuple[int, Route, Mono]] = {}  # by part: fence, where, until when
+        self.holders: OrderedDict[int, str] = OrderedDict()  # by number, the path of its socket
+        self.counts: Counter[str] = Counter()
+        self.transport: asyncio.DatagramTransport | None = None
+        self.sock: socket.socket | None = None
+        self.saying: asyncio.TimerHandle | None = None
+        for work in works.values():
+            if isinstance(work, Giving):
+                work.begins = self._begins
+
+    # ---- life ----
+
+    async def open(self) -> None:
+        """Take the path, also from a process that has it still. Raises OSError."""
+        loop = asyncio.get_running_loop()
+        self.path.parent.mkdir(parents=True, exist_ok=True)
+        with suppress(FileNotFoundError):
+            self.path.unlink()
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+        sock.setblocking(False)
+        sock.bind(str(self.path))
+        os.chmod(self.path, 0o600)
+        self.inode = self.path.stat().st_ino
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=sock)
+        self.transport, self.sock = transport, sock
+        self._say()
+
+    def close(self) -> None:
+        if self.saying is not None:
+            self.saying.cancel()
+        if self.transport is not None:
+            self.transport.close()
+            with suppress(OSError):
+                if self.path.stat().st_ino == self.inode:  # else another process has it by now
+                    self.path.unlink()
+
+    # ---- to give out ----
+
+    def _begins(self, part: int, duty: Duty) -> None:
+        """From the thread of the work."""
+        self.soon(lambda: self._begin(part, duty))
+
+    def _begin(self, part: int, duty: Duty) -> None:
+        # Danger: it counts what its forerunners gave out from its own beginning, which is not before theirs
+        # ended: only who holds the duty comes here.
+        settings = self.settings
+        now = self.clock.now()
+        allocator = Allocator(duty.fence, now, settings.limits, settings.times, self.rng)
+        self.ours[part] = duty, allocator
+        log.info("gives out rights", part=part, fence=duty.fence)
+        self._announce()
+
+    def allocator(self, part: int) -> Allocator | None:
+        """Of a part that this instance gives out, now."""
+        duty, allocator = self.ours.get(part, (None, None))
+        if duty is None:
+            return None
+        if not duty.still_mine():
+            del self.ours[part]
+            return None
+        return allocator
+
+    def asked(self, ask: Ask) -> Given | None:
+        allocator = self.allocator(ask.part)
+        if allocator is None:
+            self.counts["asked of one that does not serve"] += 1
+            return None
+        self.counts["asks"] += 1
+        return allocator.asked(self.clock.now(), ask)
+
+    def _say(self) -> None:
+        self._announce()
+        self.saying = asyncio.get_running_loop().call_later(SAY_S, self._say)
+
+    def _announce(self) -> None:
+        for part in list(self.ours):
+            allocator = self.allocator(part)
+            if allocator is not None:
+                serving = Serving(part, allocator.fence, int(SERVES_S * 1000))
+                for route in self.everybody():
+                    self.tell(route, serving)
+                self._to_holders(serving)
+
+    # ---- between instances ----
+
+    def heard(self, route: Route, body: Body) -> None:
+        """A body of another instance."""
+        if isinstance(body, Serving):
+            self._served(route, body)
+        elif isinstance(body, Given):
+            self._to_holder(body.holder, body)
+        elif (given := self.asked(body)) is not None:
+            self.tell(route, given)
+
+    def _served(self, route: Route, serving: Serving) -> None:
+        now = self.clock.now()
+        fence, _, until = self.known.get(serving.part, (0, route, 0.0))
+        if serving.fence < fence:
+            self.counts["words of an earlier allocator"] += 1
+            return
+        self.known[serving.part] = serving.fence, route, now + serving.left_ms / 1000
+        self._to_holders(serving)
+
+    # ---- the processes beside ----
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        try:
+            body = DECODER.decode(data)
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            self.counts["garbled"] += 1
+            return
+        if not isinstance(addr, str) or not addr:
+            self.counts["from nowhere"] += 1
+            return
+        self._met(body.holder, addr)
+        if isinstance(body, Hello):
+            self._welcome(body.holder)
+            return
+        if (given := self.asked(body) if body.part in self.ours else None) is not None:
+            self._to_holder(body.holder, given)
+            return
+        fence, route, until = self.known.get(body.part, (0, ("", 0), 0.0))
+        if fence == body.fence and self.clock.now() < until:
+            self.counts["passed on"] += 1
+            self.tell(route, body)
+
+    def _met(self, holder: int, path: str) -> None:
+        self.holders[holder] = path
+        self.holders.move_to_end(holder)
+        if len(self.holders) > MOST_HOLDERS:
+            self.holders.popitem(last=False)
+
+    def _welcome(self, holder: int) -> None:
+        self._to_holder(holder, Welcome(self.settings.parts, self.settings.times))
+        for part in list(self.ours):
+            if allocator := self.allocator(part):
+                self._to_holder(holder, Serving(part, allocator.fence, int(SERVES_S * 1000)))
+        now = self.clock.now()
+        for part, (fence, _, until) in self.known.items():
+            if part not in self.ours and now < until:
+                self._to_holder(holder, Serving(part, fence, int((until - now) * 1000)))
+
+    def _to_holders(self, body: Any) -> None:
+        for holder in list(self.holders):
+            self._to_holder(holder, body)
+
+    def _to_holder(self, holder: int, body: Any) -> None:
+        path = self.holders.get(holder)
+        if path is None or self.sock is None:
+            self.counts["to nobody"] += 1
+            return
+        try:
+            self.sock.sendto(ENCODER.encode(body), path)
+        except BlockingIOError:
+            self.counts["lost beside"] += 1  # as on a link: it is asked for again
+        except OSError:
+            del self.holders[holder]  # it has ended, perhaps without taking its socket away
+            if Path(path).name.startswith(f"{self.path.name}."):
+                self.path.with_name(Path(path).name).unlink(missing_ok=True)
+
+    def error_received(self, exc: Exception) -> None:
+        self.counts[type(exc).__name__] += 1
+
+    # ---- people ----
+
+    def report(self) -> dict[str, Any]:
+        """What this instance gives out, and who else does, as far as it knows."""
+        now, rows, parts = self.clock.now(), [], []
+        for part in range(self.settings.parts):
+            allocator = self.allocator(part)
+            fence, route, until = self.known.get(part, (0, ("", 0), 0.0))
+            if allocator is None:
+                where = route[0] if now < until else ""
+                parts.append({"part": part, "fence": fence, "given_out_by": where or "nobody seen"})
+                continue
+            full = round(max(0.0, allocator.clear_at - now), 2)
+            parts.append(
+                {"part": part, "fence": allocator.fence, "given_out_by": "this instance", "waits_s": full}
+            )
+            for name, book in allocator.books.items():
+                allocator.fill(now, book)
+                rows.append(
+                    {
+                        "limit": name,
+                        "rate": book.limit.rate,
+                        "burst": book.limit.burst,
+                        "left": round(book.level, 2),
+                        "out": round(book.held, 2),
+                        "holders": len({out.holder for out in book.out.values()}),
+                    }
+                )
+        return {"parts": parts, "limits": rows, "beside": len(self.holders), "counts": dict(self.counts)}
--- /dev/null
+++ b/roadpulley/fleet/rights/settings.py
@@ -0,0 +1,48 @@
+"""`[rights]` of `fleet.toml`: which limits hold over all gateways together, and how long a right lasts."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from roadpulley.checks import Bad, Table
+
+from .terms import MOST_KEY, Limit, Times
+
+MOST_PARTS = 64
+
+
+@dataclass(frozen=True)
+class RightsSettings:
+    """`limits` by name: of a plan (then each customer has its own, `PLAN/CUSTOMER`), a pool or a class."""
+
+    parts: int
+    times: Times
+    limits: Mapping[str, Limit]
+
+
+def read_rights(table: Table, drift: float) -> RightsSettings:
+    """Raises Bad."""
+    parts = table.whole("parts", 1, 1, MOST_PARTS)
+    lease, answer = table.number("lease_s", 1.0, 0.05, 60), table.number("answer_s", 0.05, 0.001, 10)
+    try:
+        times = Times(lease, drift, answer)
+    except ValueError as error:
+        wrong, _, right = str(error).partition("; ")
+        raise Bad(table.at("lease_s"), wrong, right) from error
+    limits = {name: read_limit(name, each) for name, each in rows(table.table("limits"))}
+    table.done()
+    return RightsSettings(parts, times, limits)
+
+
+def rows(table: Table) -> list[tuple[str, Table]]:
+    return [(name, table.table(name)) for name in table.raw]
+
+
+def read_limit(name: str, table: Table) -> Limit:
+    if not name or "/" in name or len(name.encode()) > MOST_KEY // 2:
+        raise Bad(table.path, f"is named {name!r}", f"give 1 to {MOST_KEY // 2} bytes without '/'")
+    rate = table.number("rate", least=0, most=1e9)
+    burst = table.number("burst", least=1e-3, most=1e9)
+    table.done()
+    return Limit(rate, burst)
--- /dev/null
+++ b/roadpulley/fleet/rights/terms.py
@@ -0,0 +1,160 @@
+"""What holders and the allocator of a limit say to each other, and the times that both keep.
+
+A limit is a store of units: it holds `burst`, and `rate` a second come back. Rights to its units are given
+out by one allocator, the holder of a duty, and each right ends soon by itself.
+
+Invariant: over any time from s to t all holders together spend at most `burst + rate * (t - s)`.
+
+| role      | remembers                                     | refuses                                   |
+| --------- | --------------------------------------------- | ----------------------------------------- |
+| allocator | by limit: its level, and each right given out | all, before earlier allocators' rights    |
+|           | until it was given up or has surely ended;    | have ended; an ask again (it is answered  |
+|           | the last answer to each holder                | as before); a right given up twice, late  |
+|           |                                               | or under another fence                    |
+| holder    | its rights, until when by its own clock; the  | an answer to anything but its open ask;   |
+|           | one ask that is open, and when it first asked | to spend a right that has ended or that   |
+|           |                                               | it has given up                           |
+
+Why it holds. Call what a limit holds and what is out of it level and out. A unit spent after s was out at s,
+or was given out after s. The allocator keeps `level + out <= burst` at every moment, not only when it
+looks, and only time adds to that sum: a right that is given up moves its unused units from out to level, one
+that ends moves nothing. A right counts as out from when it was given, for `lease` by the allocator's clock;
+its holder counts from when it asked, which was before, for `holds`, which is shorter by any clock within
+`drift`. So nothing is spent that is not out. A new allocator knows nothing of what its forerunners gave out:
+that may be all of `burst`, for a lease, so that its level begins to fill, from nothing, only then. That two
+of them never give out at once is the invariant of the duty (`duties/terms.py`).
+
+After O'Neil, "The Escrow Transactional Method" (1986); Barbara and Garcia-Molina, "The Demarcation Protocol"
+(1994); Balegas and others, "Extending Eventually Consistent Cloud Databases for Enforcing Numeric Invariants"
+(2015). See docs/design/fleet-limits.md for what differs, and why.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TypeAlias
+
+import msgspec
+
+MOST_KEY = 96  # bytes of a limit's name
+MOST_CLOSED = 16  # rights given up with one ask
+UNITS = 1e-6  # what rounding may leave of a difference
+
+
+class Limit(msgspec.Struct, frozen=True):
+    """Units; `rate` a second. Raises ValueError."""
+
+    rate: float
+    burst: float
+
+    def __post_init__(self) -> None:
+        if not 0 < self.burst < math.inf:
+            raise ValueError(f"burst is {self.burst:g}; give more than 0")
+        if not 0 <= self.rate < math.inf:
+            raise ValueError(f"rate is {self.rate:g}; give 0 or more")
+
+
+class Times(msgspec.Struct, frozen=True):
+    """Seconds, and a share for `drift`. Raises ValueError where they leave a holder no time."""
+
+    lease: float = 1.0  # for which the allocator takes a right for out, by its own clock
+    drift: float = 0.02  # how much faster or slower than true time any clock may run
+    answer: float = 0.05  # after which an ask is sent again
+    tries: int = 3  # of one ask, before it is let go of
+
+    def __post_init__(self) -> None:
+        if not 0 <= self.drift <= 0.25:
+            raise ValueError(f"drift is {self.drift:g}; give a share from 0 to 0.25")
+        if self.answer <= 0 or self.tries < 1:
+            raise ValueError("give an answer above 0 s and 1 try or more")
+        if self.holds < 4 * self.answer:
+            least = 4 * self.answer * (1 + self.drift) / (1 - self.drift)
+            raise ValueError(f"lease is {self.lease:g}; with this drift and answer give {least:.2f} or more")
+
+    @property
+    def holds(self) -> float:
+        """For which a holder may spend a right, from when it first asked for it, by its own clock.
+
+        Danger: a slow holder beside a fast allocator would spend what has been given to another.
+        """
+        return self.lease * (1 - self.drift) / (1 + self.drift)
+
+    @property
+    def keeps(self) -> float:
+        """After this what is left of a right is given up, as somebody else may want it."""
+        return self.holds * 0.7
+
+
+class Right(msgspec.Struct, array_like=True, frozen=True):
+    """The name of one: numbers are counted under each allocator's own fence."""
+
+    fence: int
+    number: int
+
+
+class Closed(msgspec.Struct, array_like=True, frozen=True):
+    """A right that its holder has written off; `unused` units of it were not spent."""
+
+    right: Right
+    unused: float
+
+
+# ---- messages ----
+
+
+class Serving(msgspec.Struct, tag="r-serve", array_like=True, frozen=True):
+    """I give out the rights of this part of all limits. `left_ms`: for how long, unless I say so again."""
+
+    part: int
+    fence: int
+    left_ms: int
+
+
+class Ask(msgspec.Struct, tag="r-ask", array_like=True, frozen=True):
+    """Give me `want` units, or none under `least`. To the allocator of `fence`, with what is given up.
+
+    `holder`: one process that spends, by a number that it drew; `number`: of its asks.
+    """
+
+    part: int
+    fence: int
+    holder: int
+    number: int
+    limit: str
+    want: float
+    least: float
+    closed: tuple[Closed, ...] = ()
+
+
+class Given(msgspec.Struct, tag="r-given", array_like=True, frozen=True):
+    """The answer: units of a right, or none and when to ask again."""
+
+    holder: int
+    number: int
+    limit: str
+    right: Right
+    units: float
+    wait_ms: int = 0
+
+
+Body: TypeAlias = Serving | Ask | Given
+
+
+# ---- between an instance and the processes beside it that spend ----
+
+
+class Hello(msgspec.Struct, tag="r-hello", array_like=True, frozen=True):
+    """Here is a holder. Said again and again, so that an instance that restarts learns of it."""
+
+    holder: int
+
+
+class Welcome(msgspec.Struct, tag="r-welcome", array_like=True, frozen=True):
+    """By what settings rights are asked for."""
+
+    parts: int
+    times: Times
+
+
+FromHolder: TypeAlias = Hello | Ask
+ToHolder: TypeAlias = Welcome | Serving | Given
--- /dev/null
+++ b/roadpulley/fleet/rights/work.py
@@ -0,0 +1,30 @@
+"""Giving out rights as a duty: one instance does it for each part of the limits."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from roadpulley.fleet.duties.work import Duty
+
+DUTY = "fleet.rights."  # and the number of the part
+
+Begins = Callable[[int, Duty], None]
+
+
+class Giving:
+    """It has no registers: what acts under its fence are its answers, and holders refuse lower ones."""
+
+    def __init__(self, part: int) -> None:
+        self.part = part
+        self.begins: Begins | None = None  # of the instance, called from a thread
+        self.duty: Duty | None = None
+
+    def claim(self, fence: int, owner: str) -> int | None:
+        return None
+
+    def act(self, duty: Duty) -> float | None:
+        """The first round of a holding makes an allocator; the loop of the instance does all else."""
+        if duty is not self.duty and self.begins is not None:
+            self.duty = duty
+            self.begins(self.part, duty)
+        return None
--- a/roadpulley/fleet/settings.py
+++ b/roadpulley/fleet/settings.py
@@ -19,6 +19,8 @@
 from .duties.terms import Times
 from .members.terms import Times as MemberTimes
 from .peers.envelope import LEAST_KEY, MOST_KEY
+from .rights.settings import RightsSettings, read_rights
+from .rights.work import DUTY as RIGHTS
 
 NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,31}")
 MOST_DUTIES = 512  # bits of one claim; more would not fit into a datagram with others
@@ -51,6 +53,7 @@
     members: MemberTimes
     duties: Mapping[str, DutySettings]
     settle_s: float  # for which another instance has to be the better one before a duty is handed to it
+    rights: RightsSettings | None = None  # to spend of the limits that hold over all gateways
 
     @property
     def static(self) -> dict[str, str]:
@@ -80,6 +83,8 @@
         right = f"name an odd number from 3 to {MOST_VOTERS}: three bear the loss of one, five of two"
         raise Bad("voters", f"are {len(voters)}", right)
     apart(voters, others)
+    times = lease(table.table("lease"))
+    rights = read_rights(table.table("rights"), times.drift) if table.has("rights") else None
     found = FleetSettings(
         installation,
         key,
@@ -88,10 +93,11 @@
         voters,
         others,
         tuple(address(s, f"seeds[{n}]", key) for n, s in enumerate(seeds)),
-        lease(table.table("lease")),
+        times,
         member_times(table.table("members")),
-        duties(table.table("duties"), folder, {*voters, *others}),
+        {**duties(table.table("duties"), folder, {*voters, *others}), **giving(rights)},
         table.number("settle_s", 10.0, 0.1, 3600),
+        rights,
     )
     table.done()
     return found
@@ -214,6 +220,12 @@
     return found
 
 
+def giving(rights: RightsSettings | None) -> dict[str, DutySettings]:
+    """One duty for each part of the limits."""
+    names = [f"{RIGHTS}{part}" for part in range(rights.parts)] if rights is not None else []
+    return {name: DutySettings(name, "rights", None, "", 60.0, (), ()) for name in names}
+
+
 def instances(table: Table, key: str, known: set[str]) -> tuple[str, ...]:
     if not table.has(key):
         return ()
--- a/roadpulley/fleet/works/__init__.py
+++ b/roadpulley/fleet/works/__init__.py
@@ -31,6 +31,10 @@
         from roadpulley.fleet.duties.probe import Probe
 
         return Probe(duty.name, duty.address, name, duty.every_s)
+    if duty.work == "rights":
+        from roadpulley.fleet.rights.work import DUTY, Giving
+
+        return Giving(int(duty.name.removeprefix(DUTY)))
     assert duty.settings is not None
     if duty.work in ("usage-push", "usage-close"):
         from roadpulley.usage.settings import read_settings
--- a/roadpulley/testbed/fleet.py
+++ b/roadpulley/testbed/fleet.py
@@ -16,8 +16,10 @@
 
 from roadpulley.fleet.clock import OFFSET, RATE
 from roadpulley.fleet.duties.probe import PAUSE
+from roadpulley.fleet.rights.terms import Limit
 
 from .holders import Belief, Judgement, beliefs, judge, read_lines
+from .limits import Spent
 from .links import Links
 from .processes import end_with_parent
 from .register import Register
@@ -47,6 +49,9 @@
     pause: float = 0.0  # between its check and its act
     key: bool = True
     state: bool = False  # whether voters remember used fences on disk
+    limit: Limit | None = None  # of each customer of the plan `paid`, over all gateways
+    rights_lease: float = 1.0
+    parts: int = 1
     seed: int = 1
 
     @property
@@ -79,6 +84,46 @@
             self.process.send_signal(number)
 
 
+@dataclass(frozen=True)
+class Load:
+    """Of one spender: so many wishes a second, each of so many units, that wait for so many seconds."""
+
+    rate: float
+    units: float = 1.0
+    within: float = 0.1
+    limit: str = "paid/acme"
+
+
+@dataclass(kw_only=True)
+class Spender(Member):
+    """`settings`: the socket of its instance."""
+
+    load: Load
+
+
+@dataclass(frozen=True)
+class Wished:
+    """Paid `at` that time or not paid, `after` so many seconds."""
+
+    at: float
+    limit: str
+    units: float
+    paid: bool
+    after: float
+    by: str
+
+
+def read_wishes(spender: Spender) -> list[Wished]:
+    """A last line that was cut off by its end is passed over: what it says was not acted on."""
+    out = []
+    for line in spender.log.read_bytes().splitlines(keepends=True):
+        words = line.decode().split(" ")
+        if line.endswith(b"\n") and len(words) == 5:
+            at, limit, units, paid, after = words
+            out.append(Wished(float(at), limit, float(units), paid == "1", float(after), spender.log.name))
+    return out
+
+
 @dataclass
 class Fleet:
     plan: FleetPlan
@@ -91,6 +136,7 @@
         self.links = Links(self.plan.names, self.rng)
         self.members: dict[str, Member] = {}
         self.beside: list[Member] = []  # second processes of a name
+        self.spenders: list[Spender] = []
 
     async def __aenter__(self) -> Fleet:
         await self.register.start()
@@ -101,7 +147,7 @@
     async def __aexit__(
         self, kind: type[BaseException] | None, error: BaseException | None, _: TracebackType | None
     ) -> None:
-        for member in [*self.members.values(), *self.beside]:
+        for member in [*self.members.values(), *self.beside, *self.spenders]:
             member.signal(signal.SIGKILL)
             if member.process is not None:
                 await member.process.wait()
@@ -135,6 +181,9 @@
         lines += ["[others]", *(row(n) for n in plan.names[plan.voters :])]
         lines += ["[lease]", f"seconds = {plan.lease}", f"drift = {plan.drift}", f"margin_s = {plan.margin}"]
         lines += [f"answer_s = {plan.answer}", "[members]", f"period_s = {plan.period}"]
+        if plan.limit is not None:
+            lines += ["[rights]", f"lease_s = {plan.rights_lease}", f"parts = {plan.parts}"]
+            lines += ["[rights.limits.paid]", f"rate = {plan.limit.rate}", f"burst = {plan.limit.burst}"]
         for duty in plan.duty_names:
             lines += [f"[duties.{duty}]", 'work = "probe"', f'address = "{self.register.address}"']
             lines += [f"every_s = {plan.every}"]
@@ -175,6 +224,31 @@
                 start_new_session=True,
             )
 
+    async def spend(self, name: str, load: Load, rate: float = 1.0) -> Spender:
+        """A process beside an instance that spends what it gets of a limit."""
+        log = self.folder / f"{name}.spender{len(self.spenders)}.log"
+        spender = Spender(name, self.folder / f"run-{name}" / f"{name}.rights", log, rate=rate, load=load)
+        self.spenders.append(spender)
+        await self.spend_again(spender)
+        return spender
+
+    async def spend_again(self, spender: Spender) -> None:
+        parent, load = os.getpid(), spender.load
+        env = {**os.environ, RATE: str(spender.rate)}
+        words = (spender.settings, load.limit, load.rate, load.units, load.within, self.rng.randrange(2**32))
+        with spender.log.open("ab") as log:
+            spender.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "roadpulley.testbed.spender",
+                *(str(word) for word in words),
+                env=env,
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                preexec_fn=lambda: end_with_parent(parent),
+                start_new_session=True,
+            )
+
     def kill(self, *names: str) -> None:
         for name in names:
             self.members[name].signal(signal.SIGKILL)
@@ -236,6 +310,13 @@
         before = {d: self.acts(d) for d in names}
         await self.until(lambda: all(self.acts(d) > before[d] for d in names), "acts of every duty")
 
+    def wishes(self) -> list[Wished]:
+        """Of all spenders, in their order of time."""
+        return sorted((w for s in self.spenders for w in read_wishes(s)), key=lambda w: w.at)
+
+    def spends(self, limit: str) -> list[Spent]:
+        return [Spent(w.at, w.limit, w.units, w.by) for w in self.wishes() if w.paid and w.limit == limit]
+
     def beliefs(self) -> list[Belief]:
         out: list[Belief] = []
         for member in self.members.values():
--- /dev/null
+++ b/roadpulley/testbed/spender.py
@@ -0,0 +1,59 @@
+"""A process that spends rights of a limit beside an instance of the fleet, and writes down every wish.
+
+    python -m roadpulley.testbed.spender SOCKET LIMIT RATE UNITS WITHIN SEED
+
+One line a wish on standard output: when its end was known (for one that is paid, the look at the clock that
+let it), the limit, its units, 1 if it was paid, after how many seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import sys
+from functools import partial
+from pathlib import Path
+
+import uvloop
+
+from roadpulley.fleet.rights.client import Purses
+
+LONGEST_GAP_S = 5.0
+
+
+class Spending:
+    def __init__(self, purses: Purses, limit: str, units: float, within: float) -> None:
+        self.purses, self.limit, self.units, self.within = purses, limit, units, within
+
+    def wish(self) -> None:
+        began = self.purses.clock.true()
+        self.purses.wish(self.limit, self.units, self.within, partial(self.done, began))
+
+    def done(self, began: float, paid: bool) -> None:
+        clock = self.purses.clock
+        at = self.purses.paid_at / clock.rate if paid else clock.true()
+        line = f"{at:.6f} {self.limit} {self.units:g} {int(paid)} {clock.true() - began:.6f}\n"
+        os.write(sys.stdout.fileno(), line.encode())  # one call: a kill leaves whole lines
+
+
+async def run(socket: Path, limit: str, rate: float, units: float, within: float, seed: int) -> None:
+    rng, purses = random.Random(seed), Purses(socket)
+    await purses.open()
+    spending = Spending(purses, limit, units, within)
+    loop = asyncio.get_running_loop()
+    due = loop.time()
+    while True:
+        due = max(due + rng.expovariate(rate), loop.time() - LONGEST_GAP_S)
+        await asyncio.sleep(max(0.0, due - loop.time()))
+        spending.wish()
+
+
+def main(args: list[str]) -> int:
+    socket, limit, rate, units, within, seed = args
+    uvloop.run(run(Path(socket), limit, float(rate), float(units), float(within), int(seed)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
