--- a/mintford/handover.py
+++ b/mintford/handover.py
@@ -5,7 +5,7 @@
 
 from . import interface as api
 from .load import Fleet
-from .quotas import Customer, Quotas
+from .quotas import Quotas
 
 
 def take_part(quotas: Quotas, fleet: Fleet, now: float, part: float) -> api.Estate:
@@ -32,10 +32,7 @@
     for held in estate.customers:
         c = quotas.customers.get(held.customer)
         if c is None:
-            plan = quotas.plan_of(held.customer, held.plan)
-            c = Customer(held.customer, plan, held.spread, now, now, quotas.settings)
-            c.named, quotas.customers[held.customer] = held.plan, c
-            c.ceiling.take_part(quotas.part, 0.0)
+            c = quotas.meet(held.customer, held.plan, held.spread, now, now, 0.0)
             for name, value in held.lease.items():
                 setattr(c, name, value)
             c.tokens = 0.0
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -156,16 +156,19 @@
             self.tidy(now, out)
         c = self.customers.get(event.customer)
         if c is None:
-            plan = self.plan_of(event.customer, event.plan)
-            c = Customer(event.customer, plan, event.spread, now, self.since, self.settings)
-            c.named = event.plan
-            c.ceiling.take_part(self.part, self.part)
-            self.customers[event.customer] = c
+            c = self.meet(event.customer, event.plan, event.spread, now, self.since, self.part)
         self.fill(now, c)
         fade = math.exp((c.asked_at - now) / WANTS_MS)
         c.asked, c.asked_at = c.asked * fade + event.units, now
         return c
 
+    def meet(self, key: str, named: str, spread: int, now: float, since: float, kept: float) -> Customer:
+        """One more customer, with so much of what its part of a ceiling holds since that time."""
+        c = Customer(key, self.plan_of(key, named), spread, now, since, self.settings)
+        c.named, self.customers[key] = named, c
+        c.ceiling.take_part(self.part, kept)
+        return c
+
     def plan_of(self, customer: str, named: str) -> api.Plan:
         """Its own terms, else those of the plan that its requests name; an unknown one has no quota."""
         return self.own.get(customer) or self.plans.get(named) or api.Plan(named)
@@ -199,10 +202,6 @@
         c.tokens = min(most, c.tokens + passed * plan.rate * c.part)
         c.ceiling.fill(passed)
 
-    def short(self, c: Customer, units: float) -> float:
-        """Units that the lease lacks for such a request; 0 or less: it can be paid."""
-        return units - c.tokens if c.plan.rate else 0.0
-
     def take(self, c: Customer, units: float, inside: bool, counted: bool) -> float:
         """Charge a request that is sent on; gives what the store was charged: beyond the quota, nothing."""
         c.ceiling.take(units, counted)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -32,6 +32,7 @@
         self.shedding = Shedding(self.fleet, self.attempts, self.own, chance)
         self.created = -1.0  # the time of the first event
         self.door_open = True  # new requests are taken
+        self.avoided, self.turn_away = self.fleet.avoided, self.own.turn_away
         self.handlers: dict[type, Callable[[float, Any, api.Actions], object]] = {
             api.RequestArrived: self.on_request,
             api.AttemptEnded: self.on_ended,
@@ -40,7 +41,7 @@
             api.BackendsChanged: self.on_list,
             api.AnswerBegan: self.on_began,
             api.LoopLagged: lambda _, event, __: self.own.lagged(event.lag),
-            api.DoorChanged: self.on_door,
+            api.DoorChanged: lambda _, event, __: setattr(self, "door_open", event.open),
             api.SettingsChanged: self.on_settings,
             api.PartChanged: self.on_part,
             api.Inherited: lambda now, event, _: handover.inherit(self.quotas, self.fleet, now, event.estate),
@@ -64,14 +65,6 @@
             handler(now, event, out)
         return out
 
-    def avoided(self, now: float) -> int:
-        """How many backends of the list get no requests now, or next to none."""
-        return self.fleet.avoided(now)
-
-    def turn_away(self, request_class: str) -> float | None:
-        """The time to come back for a request that is refused at the door, None for one that is let in."""
-        return self.own.turn_away(request_class)
-
     # ---- events ----
 
     def on_list(self, now: float, event: api.BackendsChanged, out: api.Actions) -> None:
@@ -94,9 +87,6 @@
         else:
             self.admit(now, request, out)
 
-    def on_door(self, now: float, event: api.DoorChanged, out: api.Actions) -> None:
-        self.door_open = event.open
-
     def on_settings(self, now: float, event: api.SettingsChanged, out: api.Actions) -> None:
         changes.retune(self.quotas, now, self.settings, event.settings)
         self.settings = event.settings
@@ -164,7 +154,7 @@
     def admit(self, now: float, request: Request, out: api.Actions, counted: bool = False) -> None:
         """Send the request on if the lease, the guards and the backends let it, else refuse it."""
         c, kind, plan, units = request.customer, request.kind, request.customer.plan, request.units
-        short = self.quotas.short(c, units)
+        short = units - c.tokens if plan.rate else 0.0  # 0 or less: the lease can pay
         crowded = bool(plan.open_limit) and c.out + 1 > max(1.0, plan.open_limit * c.part)
         strain = (expected := self.shedding.time_to_answer(now)) / max(kind.aim, 1.0)
         earned = RETRY_CALM if strain < CALM else RETRY_SHARE
