--- a/mintford/attempts.py
+++ b/mintford/attempts.py
@@ -26,7 +26,7 @@
         self.expires, self.aim_at = event.expires, min(event.expires, now + kind.aim)
         self.first_aim_at = self.aim_at - gone  # of its client's first try, as far as can be told
         self.attempts, self.check_at, self.most = 0, math.inf, 1  # attempts so far; allowed when it came
-        self.charged = 0.0  # to the customer's store
+        self.charged, self.asked = 0.0, False  # to the customer's store; for a right
         self.marks = "all", "class " + kind.name, "plan " + c.plan.name  # of a backend that this one bears on
         self.live: set[int] = set()  # numbers of the attempts out
         self.tried: set[int] = set()
--- a/mintford/ceilings.py
+++ b/mintford/ceilings.py
@@ -29,10 +29,12 @@
 class Ceiling:
     """Of one customer at one gateway. Amounts are units as guessed; a settlement changes nothing here."""
 
-    def __init__(self, plan: api.Plan, even: float, counted: bool, seconds: float, unit: float) -> None:
-        """`seconds`: since this gateway's start; `unit`: the largest request."""
-        self.shared = share(plan, even, unit) if counted and even < 1 else 0.0
-        own = (1 - self.shared) * even
+    def __init__(
+        self, plan: api.Plan, even: float, counted: bool, seconds: float, unit: float, rights: float = 0.0
+    ) -> None:
+        """`seconds`: since this gateway's start; `unit`: the largest request; `rights`: the part by these."""
+        self.shared = share(plan, even, unit) if counted and even < 1 and not rights else 0.0
+        self.rights, own = rights > 0, (1 - self.shared) * even * (1 - rights)
         self.whole = own * plan.ceiling_rate, own * plan.ceiling_burst  # of this gateway
         self.own_rate, self.own_burst = self.whole  # of this process, which may be one of two
         self.pool_rate, self.pool_burst = self.shared * plan.ceiling_rate, self.shared * plan.ceiling_burst
@@ -61,17 +63,17 @@
         self.pool = min(self.unused, self.pool + seconds * self.pool_rate)
 
     def holds(self, units: float, counted: bool) -> bool:
-        """Whether a request may be sent on; `counted`: a total that was read here holds its units."""
-        return self.own >= units or (counted and self.pool >= units)
+        """Whether a request may be sent on; `counted`: a total read here holds its units, or a right paid."""
+        return self.own >= units or (counted and (self.rights or self.pool >= units))
 
     def lacks(self, units: float) -> bool:
         """Whether only the shared part could pay, so that the request has to be counted first."""
         return self.own < units <= self.pool
 
     def take(self, units: float, counted: bool) -> None:
-        if self.own >= units or not counted:
+        if (self.own >= units and not self.rights) or not counted:
             self.own -= units
-        else:
+        elif not self.rights:
             self.pool, self.unused = self.pool - units, self.unused - units
 
     def spent_elsewhere(self, units: float) -> None:
--- a/mintford/changes.py
+++ b/mintford/changes.py
@@ -58,7 +58,7 @@
         c.tokens = min(c.tokens, plan.burst * c.even)
     # Danger: what was sent on under no ceiling was counted nowhere. As after a restart, nothing of a new one
     # is there until time has given it.
-    c.ceiling = Ceiling(plan, c.even, counted, 0.0, c.unit)
+    c.ceiling = Ceiling(plan, c.even, counted, 0.0, c.unit, quotas.settings.rights)
     c.ceiling.take_part(quotas.part, 1.0)
     if old.ceiling_rate:
         c.ceiling.inherit(old_ceiling)
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -125,6 +125,7 @@
     max_retry_after: float = 0.0
     count_wait: float = 0.0
     most_units: float = 1.0
+    rights: float = 0.0  # the part of each hard ceiling that is spent by rights, not split evenly; 0: none
     offers: Offers = field(default_factory=lambda: Offers())
 
 
@@ -186,6 +187,14 @@
     reading: float
 
 
+@dataclass(slots=True)
+class Granted:
+    """The answer to `Spend`: a right was held for the request, and is spent for it now; or there is none."""
+
+    request: str
+    paid: bool
+
+
 @dataclass(slots=True)
 class TimerFired:
     token: str
@@ -288,6 +297,7 @@
     | AnswerBegan
     | RequestLapsed
     | CounterReplied
+    | Granted
     | TimerFired
     | LoopLagged
     | DoorChanged
@@ -344,6 +354,16 @@
     expire_in: float
 
 
+@dataclass(slots=True)
+class Spend:
+    """Spend units of a customer's ceiling by a right, for a request that waits for `Granted`."""
+
+    request: str
+    plan: str
+    customer: str
+    units: float
+
+
 @dataclass(slots=True)
 class FollowList:
     enable: bool = True
@@ -356,5 +376,5 @@
     estate: Estate
 
 
-Action = Send | Cancel | Refuse | Fail | SetTimer | Count | FollowList | HandOver
+Action = Send | Cancel | Refuse | Fail | SetTimer | Count | Spend | FollowList | HandOver
 Actions = list[Action]
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -62,7 +62,8 @@
         self.store = plan.burst  # of all gateways, as far as this one knows
         self.spilled = 0.0  # over the burst since the last reading
         self.tokens = max(unit, plan.burst * self.even)  # of the lease
-        self.ceiling = Ceiling(plan, self.even, counted, (now - since) / 1000, unit)
+        seconds = (now - since) / 1000
+        self.ceiling = Ceiling(plan, self.even, counted, seconds, unit, settings.rights)
         self.part = self.even  # the lease's part of the quota's rate
         self.lease_end, self.fresh_until, self.read_at = now + LEASE_MS, now, now
         self.heard = self.calling = False  # a reading stands; one is on its way
@@ -239,7 +240,7 @@
             return self.call(now, c, request, out, units, worth)
         if not (c.sparse or c.scarce(now)):
             return False
-        if c.plan.ceiling_rate and c.ceiling.own < units and not c.ceiling.shared:
+        if c.plan.ceiling_rate and c.ceiling.own < units and not c.ceiling.shared and not c.ceiling.rights:
             return False  # it is refused whatever a reading says
         if c.heard and now - c.read_at < FRESH_MS:
             return False
@@ -333,7 +334,7 @@
         else:
             c.unsure[call.period] = c.unsure.get(call.period, 0.0) + call.amount
         c.unsaid -= call.ahead  # now the request is judged: let in, it is charged; else this gives it back
-        return call.request, ok and call.ahead > 0
+        return call.request, ok and call.ahead > 0 and not self.settings.rights
 
     def crowded(self, now: float, outcome: api.Outcome, waited: float) -> None:
         """Take in how a call fared, after this part of the time that is waited for one.
--- a/mintford/reading.py
+++ b/mintford/reading.py
@@ -43,6 +43,7 @@
         max_retry_after=float(caps.get("maxRetryAfter") or 0),
         count_wait=float(info.get("countWait") or 0),
         most_units=float(info.get("unitsTop") or 1),
+        rights=float(raw.get("rights") or 0),
         offers=read_offers(raw),
     )
 
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -37,7 +37,10 @@
             api.RequestArrived: self.on_request,
             api.AttemptEnded: self.on_ended,
             api.TimerFired: self.on_timer,
-            api.CounterReplied: self.on_counted,
+            api.CounterReplied: lambda now, event, out: self.go_on(
+                now, out, *self.quotas.counted(now, event)
+            ),
+            api.Granted: lambda now, event, out: self.go_on(now, out, event.request, event.paid),
             api.BackendsChanged: self.on_list,
             api.AnswerBegan: self.on_began,
             api.LoopLagged: lambda _, event, __: self.own.lagged(event.lag),
@@ -99,8 +102,8 @@
     def on_part(self, now: float, event: api.PartChanged, out: api.Actions) -> None:
         out.append(api.HandOver(handover.take_part(self.quotas, self.fleet, now, event.part)))
 
-    def on_counted(self, now: float, event: api.CounterReplied, out: api.Actions) -> None:
-        waiting, counted = self.quotas.counted(now, event)
+    def go_on(self, now: float, out: api.Actions, waiting: str, counted: bool) -> None:
+        """With a request that has waited for a reading, or for a right."""
         request = self.attempts.requests.get(waiting)
         if request and not request.attempts:
             self.admit(now, request, out, counted)
@@ -161,8 +164,10 @@
         self.attempts.retries = min(RETRY_STORE, self.attempts.retries + earned)
         earns = plan.beyond_earns - plan.beyond_costs if short > 0 or crowded else 1.0
         over_ceiling = bool(plan.ceiling_rate) and not c.ceiling.holds(units, counted)
+        # Danger: allocators go by the ceilings of the settings. Other terms are kept by the even part alone.
+        ask = over_ceiling and c.ceiling.rights and not request.asked and plan in self.settings.plans
         # Refuse early what would be answered too late, and what earns less than it costs.
-        refused = over_ceiling or earns <= 0
+        refused = (over_ceiling and not ask) or earns <= 0
         # What is late already earns next to nothing: it may take what nobody else wants, and no more.
         late = now + self.fleet.typical > request.first_aim_at
         spare = strain < CALM and earns == 1.0 and c.store > PRESSED * plan.burst
@@ -175,6 +180,10 @@
             if c.unsaid < 0:
                 self.quotas.tell(now, c, out)
             return self.attempts.finish(request, out, wait)
+        if ask:
+            request.asked = True
+            self.attempts.watch(now, request, now + 2 * self.settings.count_wait, out)
+            return out.append(api.Spend(request.id, plan.name, c.key, units))
         request.charged = self.quotas.take(c, units, short <= 0, counted)
         self.quotas.tell(now, c, out)
         self.send(now, request, backend, out)
--- a/mintford/wirehost.py
+++ b/mintford/wirehost.py
@@ -113,8 +113,8 @@
             return ["incr", name, expire_in, amount]
         case api.FollowList(enable):
             return ["follow", enable]
-        case api.HandOver():
-            raise ValueError("on this wire a gateway is one process")
+        case api.HandOver() | api.Spend():
+            raise ValueError("on this wire a gateway is one process, and by itself")
 
 
 class Host:
--- a/roadpulley/cli/fleet.py
+++ b/roadpulley/cli/fleet.py
@@ -4,6 +4,7 @@
 
 import argparse
 import asyncio
+import json
 import logging
 import os
 import signal
@@ -88,6 +89,22 @@
     return Agent(found, named(name, "--name"), works(found, name))
 
 
+def rights(agent: Agent, settings: dict[str, Any]) -> None:
+    """Have the workers of a gateway spend by rights, if its ceilings are those of the fleet. Raises Bad."""
+    from roadpulley.workers.worker import RIGHTS, RIGHTS_TOLD, with_rights
+
+    found = agent.settings.rights
+    assert found is not None and agent.rights is not None
+    told = {"part": found.ceilings, "limits": {n: [one.rate, one.burst] for n, one in found.limits.items()}}
+    try:
+        with_rights(settings, told)
+    except ValueError as error:
+        wrong, _, right = str(error).partition("; ")
+        raise Bad("rights.limits", wrong, right) from error
+    os.environ[RIGHTS] = str(agent.rights.path.resolve())
+    os.environ[RIGHTS_TOLD] = json.dumps(told)
+
+
 async def beside(service: Service, agent: Agent) -> None:
     """A gateway's supervisor, with an instance of the fleet on the same loop.
 
--- a/roadpulley/cli/serve.py
+++ b/roadpulley/cli/serve.py
@@ -91,9 +91,11 @@
             read_usage(Path(args.usage))
             os.environ["ROADPULLEY_USAGE"] = str(Path(args.usage).resolve())
         if args.fleet:
-            from .fleet import instance, structured
+            from .fleet import instance, rights, structured
 
             agent = instance(Path(args.fleet), args.name)
+            if agent.settings.rights is not None:
+                rights(agent, parsed(Path(path))["settings"])
             structured()
         uvloop.run(supervise())
     except Bad as error:
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -43,6 +43,15 @@
         """Its answer told its true units."""
 
 
+class Rights(Protocol):
+    """Spends units of limits that hold over all gateways."""
+
+    def wish(
+        self, plan: str, customer: str, units: float, within: float, done: Callable[[bool], None]
+    ) -> None:
+        """`done` is called once, at once or within so many seconds: whether a right was held and is spent."""
+
+
 class Request:
     """One request that is owed a final answer."""
 
@@ -81,6 +90,7 @@
         self.events: deque[api.Event] = deque()
         self.busy = False
         self.meter: Meter | None = None  # counts what is sent on
+        self.rights: Rights | None = None  # where gateways of a fleet have them
         self.look_due, self.behind = math.inf, 0.0  # the next look at the lag; that of the last one
         self.strained = self.lagging = False  # the module turns some away at the door; it was told of a lag
         self.hand_over: Callable[[api.Estate], object] = lambda _: None  # to this gateway's other process
@@ -91,6 +101,7 @@
             api.Fail: lambda action: self.finish(action.request, FAILED),
             api.SetTimer: self.set_timer,
             api.Count: self.count,
+            api.Spend: self.spend,
             api.FollowList: lambda _: None,  # the list is always followed
             api.HandOver: lambda action: self.hand_over(action.estate),
         }
@@ -270,6 +281,15 @@
         else:
             self.counter.add(action.name, action.amount, action.expire_in, self.on_counted)
 
+    def spend(self, action: api.Spend) -> None:
+        def granted(paid: bool) -> None:
+            self.give(api.Granted(action.request, paid))
+
+        if self.rights is None:
+            return granted(False)
+        within = self.settings.count_wait / 1000
+        self.rights.wish(action.plan, action.customer, action.units, within, granted)
+
     def send(self, action: api.Send) -> None:
         request, backend, timeout = action.request, action.backend, action.timeout
         now, owner = now_ms(), self.requests.get(request)
--- a/roadpulley/fleet/rights/client.py
+++ b/roadpulley/fleet/rights/client.py
@@ -18,7 +18,7 @@
 
 from roadpulley.fleet.clock import Clock, from_environment
 
-from .holder import Holder
+from .holder import Holder, limit_of
 from .terms import Ask, Hello, Serving, ToHolder, Welcome
 
 HELLO_S = 0.5
@@ -101,8 +101,11 @@
         self._set()
         return taken
 
-    def wish(self, limit: str, units: float, within: float, done: Callable[[bool], None]) -> None:
+    def wish(
+        self, plan: str, customer: str, units: float, within: float, done: Callable[[bool], None]
+    ) -> None:
         """Spend so much as soon as it is held: `done` is called once, at once or within so many seconds."""
+        limit = limit_of(plan, customer)
         if self.take(limit, units):
             return done(True)
         if not self._asks(limit):
--- a/roadpulley/fleet/rights/holder.py
+++ b/roadpulley/fleet/rights/holder.py
@@ -9,7 +9,7 @@
 
 from roadpulley.fleet.duties.terms import Mono
 
-from .terms import MOST_CLOSED, UNITS, Ask, Closed, Given, Right, Times
+from .terms import MOST_CLOSED, MOST_KEY, UNITS, Ask, Closed, Given, Right, Times
 
 NEVER_DUE = math.inf
 MEMORY_S = 1.0  # of what is wanted: for how long a wish counts
@@ -237,6 +237,13 @@
         return (purse for purse in self.purses.values() if purse.part == part)
 
 
+def limit_of(plan: str, customer: str) -> str:
+    """The name of a customer's own limit; keys may be long, and datagrams are short."""
+    if len(name := f"{plan}/{customer}") <= MOST_KEY // 2:
+        return name
+    return f"{plan[:32]}/{hashlib.blake2b(customer.encode(), digest_size=16).hexdigest()}"
+
+
 def part_of(limit: str, parts: int) -> int:
     """Which allocator gives out the rights of a limit; the same at every instance and in every version."""
     return int.from_bytes(hashlib.blake2b(limit.encode(), digest_size=4).digest(), "big") % parts
--- a/roadpulley/fleet/rights/service.py
+++ b/roadpulley/fleet/rights/service.py
@@ -25,7 +25,7 @@
 
 from .allocator import Allocator
 from .settings import RightsSettings
-from .terms import Ask, Body, FromHolder, Given, Hello, Serving, Welcome
+from .terms import MOST_KEY, Ask, Body, FromHolder, Given, Hello, Serving, Welcome
 from .work import Giving
 
 SAY_S = 0.25  # between two words of an allocator that it serves
@@ -103,7 +103,7 @@
         # ended: only who holds the duty comes here.
         settings = self.settings
         now = self.clock.now()
-        allocator = Allocator(duty.fence, now, settings.limits, settings.times, self.rng)
+        allocator = Allocator(duty.fence, now, settings.given_out, settings.times, self.rng)
         self.ours[part] = duty, allocator
         log.info("gives out rights", part=part, fence=duty.fence)
         self._announce()
@@ -167,6 +167,9 @@
         except (msgspec.DecodeError, msgspec.ValidationError):
             self.counts["garbled"] += 1
             return
+        if isinstance(body, Ask) and len(body.limit.encode()) > MOST_KEY:
+            self.counts["too long a name"] += 1
+            return
         if not isinstance(addr, str) or not addr:
             self.counts["from nowhere"] += 1
             return
--- a/roadpulley/fleet/rights/settings.py
+++ b/roadpulley/fleet/rights/settings.py
@@ -14,16 +14,24 @@
 
 @dataclass(frozen=True)
 class RightsSettings:
-    """`limits` by name: of a plan (then each customer has its own, `PLAN/CUSTOMER`), a pool or a class."""
+    """`limits` by name of a plan: each of its customers has one, `PLAN/CUSTOMER`."""
 
     parts: int
+    ceilings: float  # the part of hard ceilings that is spent by rights; the rest is split evenly
     times: Times
     limits: Mapping[str, Limit]
 
+    @property
+    def given_out(self) -> dict[str, Limit]:
+        """What an allocator has of each limit; the rest every gateway has a part of without asking."""
+        part = self.ceilings
+        return {name: Limit(part * one.rate, part * one.burst) for name, one in self.limits.items()}
+
 
 def read_rights(table: Table, drift: float) -> RightsSettings:
     """Raises Bad."""
     parts = table.whole("parts", 1, 1, MOST_PARTS)
+    ceilings = table.number("ceilings", 0.7, 0.01, 1.0)
     lease, answer = table.number("lease_s", 1.0, 0.05, 60), table.number("answer_s", 0.05, 0.001, 10)
     try:
         times = Times(lease, drift, answer)
@@ -32,7 +40,7 @@
         raise Bad(table.at("lease_s"), wrong, right) from error
     limits = {name: read_limit(name, each) for name, each in rows(table.table("limits"))}
     table.done()
-    return RightsSettings(parts, times, limits)
+    return RightsSettings(parts, ceilings, times, limits)
 
 
 def rows(table: Table) -> list[tuple[str, Table]]:
--- a/roadpulley/testbed/fleet.py
+++ b/roadpulley/testbed/fleet.py
@@ -182,7 +182,7 @@
         lines += ["[lease]", f"seconds = {plan.lease}", f"drift = {plan.drift}", f"margin_s = {plan.margin}"]
         lines += [f"answer_s = {plan.answer}", "[members]", f"period_s = {plan.period}"]
         if plan.limit is not None:
-            lines += ["[rights]", f"lease_s = {plan.rights_lease}", f"parts = {plan.parts}"]
+            lines += ["[rights]", f"lease_s = {plan.rights_lease}", f"parts = {plan.parts}", "ceilings = 1.0"]
             lines += ["[rights.limits.paid]", f"rate = {plan.limit.rate}", f"burst = {plan.limit.burst}"]
         for duty in plan.duty_names:
             lines += [f"[duties.{duty}]", 'work = "probe"', f'address = "{self.register.address}"']
--- a/roadpulley/testbed/spender.py
+++ b/roadpulley/testbed/spender.py
@@ -28,7 +28,8 @@
 
     def wish(self) -> None:
         began = self.purses.clock.true()
-        self.purses.wish(self.limit, self.units, self.within, partial(self.done, began))
+        plan, _, customer = self.limit.partition("/")
+        self.purses.wish(plan, customer, self.units, self.within, partial(self.done, began))
 
     def done(self, began: float, paid: bool) -> None:
         clock = self.purses.clock
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -26,9 +26,27 @@
 from roadpulley.core.settings import Config, ConfigError, parse_config
 
 if TYPE_CHECKING:
+    from roadpulley.fleet.rights.client import Purses
     from roadpulley.usage.meter import Meter, Versions
 
 
+RIGHTS, RIGHTS_TOLD = "ROADPULLEY_RIGHTS", "ROADPULLEY_RIGHTS_TOLD"  # a socket; the ceilings behind it
+
+
+def with_rights(settings: dict[str, Any], told: dict[str, Any]) -> dict[str, Any]:
+    """The settings of a gateway that spends a part of its ceilings by rights. Raises ValueError.
+
+    Danger: where a ceiling was lowered here and not in the fleet's file, its rights would go beyond it.
+    """
+    for plan in settings.get("packages") or ():
+        here = [float(plan.get("neverOverRate") or 0), float(plan.get("hardBurst") or 0)]
+        there = told["limits"].get(str(plan["name"]), [0.0, 0.0])
+        if here != there:
+            right = "give both files the same"
+            raise ValueError(f"the ceiling of {plan['name']} is {here}, in the fleet's file {there}; {right}")
+    return {**settings, "rights": told["part"]}
+
+
 def load() -> Config:
     """The gateway's configuration with this worker's place. Raises ConfigError."""
     path = os.environ["LB_CONFIG"]
@@ -38,6 +56,8 @@
             "worker": int(os.environ["ROADPULLEY_WORKER"]),
             "workers": int(os.environ["ROADPULLEY_WORKERS"]),
         }
+        if told := os.environ.get(RIGHTS_TOLD):
+            raw["settings"] = with_rights(raw["settings"], json.loads(told))
         # An operators' address belongs to one process; which worker would hear a call is chance.
         return replace(parse_config({**raw, **place}), admin=None)
     except (OSError, ValueError, TypeError) as error:
@@ -94,6 +114,18 @@
     return meter
 
 
+async def purses(socket: str) -> Purses:
+    """Spend rights of the fleet's limits from now on. Raises ConfigError."""
+    from roadpulley.fleet.rights.client import Purses
+
+    found = Purses(Path(socket))
+    try:
+        await found.open()
+    except OSError as error:
+        raise ConfigError(f"{socket}: {error}") from error
+    return found
+
+
 async def run() -> None:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
@@ -101,11 +133,12 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: None)  # the supervisor's
     config = load()
     meters: list[Meter] = []
+    rights = await purses(path) if (path := os.environ.get(RIGHTS)) else None
     heart = Heart(int(os.environ["ROADPULLEY_BEAT_FD"]), float(os.environ["ROADPULLEY_BEAT_S"]))
     beating = loop.create_task(heart.beat())
 
     def attach(driver: Driver) -> None:
-        heart.driver = driver
+        heart.driver, driver.rights = driver, rights
         plans, usage = os.environ.get("ROADPULLEY_PLANS"), os.environ.get("ROADPULLEY_USAGE")
         versions = follow(plans, driver) if plans else None
         if usage:
@@ -122,6 +155,8 @@
     )
     for meter in meters:
         await meter.close()
+    if rights is not None:
+        rights.close()
     beating.cancel()
 
 
