--- a/tests/workers/test_workers.py
+++ b/tests/workers/test_workers.py
@@ -107,6 +107,6 @@
                 assert await process.ended(20)  # its log ends with the last of them
                 assert process.process is not None
                 assert process.process.returncode == (0 if number is signal.SIGTERM else -9)
-                assert all(gone(pid) for pid in pids)
+                await until(lambda: all(gone(pid) for pid in pids))  # a moment after their files are closed
 
         uvloop.run(work())
