--- a/roadpulley/testbed/fleet.py
+++ b/roadpulley/testbed/fleet.py
@@ -7,7 +7,6 @@
 import os
 import random
 import signal
-import socket
 import sys
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -23,7 +22,7 @@
 from .links import Links
 from .processes import end_with_parent
 from .register import Register
-from .server import LOCAL
+from .server import LOCAL, free_port
 from .stalling import SECONDS
 
 END_S = 3.0
@@ -326,9 +325,3 @@
 
     def judge(self, least_gap: float = 0.0) -> Judgement:
         return judge(self.beliefs(), self.register.acts, least_gap)
-
-
-def free_port() -> int:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind((LOCAL, 0))
-        return int(sock.getsockname()[1])
--- a/roadpulley/testbed/installation.py
+++ b/roadpulley/testbed/installation.py
@@ -24,12 +24,13 @@
 from .node_machine import Seen
 from .processes import ChildFailed, GatewayProcess
 from .relay import Relay
-from .scenario import Scenario, gateway_names, node_names
-from .server import LOCAL, Origins, Port, Server
+from .scenario import LEAST_VOTERS, Scenario, gateway_names, node_names
+from .server import LOCAL, Origins, Port, Server, free_port
 from .stats import Stats
 
 READY_S = 15.0
 LAG_STEP_MS, LAG_MS = 10.0, 40.0  # how often the loop is looked at; the lag that counts as standing still
+MOST_VOTERS = 5  # of a fleet; the other gateways have no vote
 SEED_BASE = 0x8C1F30D27A5BE964
 
 
@@ -63,6 +64,21 @@
 Say = Callable[[str], None]
 
 
+def fleet_settings(scenario: Scenario, promised: terms.Terms) -> str:
+    """The gateways as instances of a fleet that gives out rights to a part of the ceilings."""
+    names = gateway_names(scenario.gateways)
+    votes = MOST_VOTERS if len(names) >= MOST_VOTERS else LEAST_VOTERS
+    lines = ['installation = "testbed"', 'control = "fleet"', "[voters]"]
+    lines += [f'{name} = "{LOCAL}:{free_port()}"' for name in names[:votes]]
+    lines += ["[others]", *(f'{name} = "{LOCAL}:{free_port()}"' for name in names[votes:])]
+    lines += ["[lease]", "seconds = 2.0", "[rights]", f"ceilings = {scenario.rights}"]
+    for plan in promised.plans.values():
+        if plan.ceiling_rate:
+            lines += [f"[rights.limits.{plan.name}]", f"rate = {plan.ceiling_rate}"]
+            lines += [f"burst = {plan.ceiling_burst}"]
+    return "\n".join(lines) + "\n"
+
+
 class Installation:
     """All parts of one scenario, on loopback. `say` is told of events in words."""
 
@@ -85,6 +101,7 @@
         self.front = Front(scenario.load, self.ledger, scenario.seed, self.on_done, marks_retries=marks)
         self.nodes: dict[str, Node] = {}
         self.at: dict[str, str] = {}  # the node whose address another's relays lead to, by its name
+        self.fleet: Path | None = None  # the settings of the gateways as instances of one
         self.seen: dict[str, Seen] = {}  # by the group of nodes that drops repeats
         self.gateways: dict[str, GatewayProcess] = {}
         self.relays: dict[str, Relay] = {}
@@ -158,6 +175,9 @@
             self.discovery.put(self.host(node))
         for relay in self.relays.values():
             await relay.listen()
+        if self.scenario.rights:
+            self.fleet = self.folder / "fleet.toml"
+            self.fleet.write_text(fleet_settings(self.scenario, self.terms))
         for index, name in enumerate(gateway_names(self.scenario.gateways)):
             await self.add_gateway(index, name)
         self.spawn(self.watch_lag())
@@ -188,7 +208,8 @@
             if any(fault.kind == "upgrade" for fault in self.scenario.faults):
                 listener = port.listener()
         workers = self.scenario.workers
-        process = GatewayProcess(name, self.folder, config, port, self.ledger, workers, listener)
+        more = ["--fleet", str(self.fleet), "--name", name] if self.fleet else []
+        process = GatewayProcess(name, self.folder, config, port, self.ledger, workers, listener, more)
         self.gateways[name] = process
         relay = self.relay(f"clients>{name}", "", lambda: port.number)
         await relay.listen()
--- a/roadpulley/testbed/processes.py
+++ b/roadpulley/testbed/processes.py
@@ -14,6 +14,7 @@
 import socket
 import sys
 from collections import deque
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -58,11 +59,15 @@
         ledger: Ledger,
         workers: str = "",
         listener: socket.socket | None = None,
+        more: Sequence[str] = (),
     ) -> None:
-        """`listener`: outlives the process, which inherits it; so do those that take its place."""
+        """`listener`: outlives the process, which inherits it; so do those that take its place.
+
+        `more`: arguments of `serve`.
+        """
         self.listener, self.path = listener, folder / f"{name}.json"
         self.name, self.folder, self.config, self.port, self.ledger = name, folder, config, port, ledger
-        self.args = ["roadpulley.cli", "serve", "--workers", workers] if workers else ["roadpulley"]
+        self.args = ["roadpulley.cli", "serve", "--workers", workers, *more] if workers else ["roadpulley"]
         self.process: asyncio.subprocess.Process | None = None
         self.lines: deque[str] = deque(maxlen=LOG_LINES)
         self.reader: asyncio.Task[None] | None = None
--- a/roadpulley/testbed/scenario.py
+++ b/roadpulley/testbed/scenario.py
@@ -45,6 +45,9 @@
 )
 
 
+LEAST_VOTERS = 3
+
+
 @dataclass(frozen=True)
 class Fault:
     """One entry of the timeline. Times are seconds; `at` counts from the first request."""
@@ -137,6 +140,7 @@
     gateways: int = 3
     deployment: str = "tiles"  # what it offers: see terms.py
     workers: str = ""  # of each gateway: a number, or a file that holds one; empty: one process, as `run`
+    rights: float = 0.0  # the part of hard ceilings that gateways spend by rights, as instances of a fleet
     nodes: int = 8
     node: NodeKind = field(default_factory=NodeKind)
     counter: CounterKind = field(default_factory=CounterKind)
@@ -189,6 +193,10 @@
     operated = {fault.kind for fault in scenario.faults} & {"pause", "retune", "upgrade"}
     if scenario.workers and operated:
         raise Bad("workers", f"is {scenario.workers!r}", f"leave it out: {min(operated)} is for one process")
+    if scenario.rights and not scenario.workers:
+        raise Bad("workers", "is missing", 'give rights to gateways of serve, as with workers = "1"')
+    if scenario.rights and scenario.gateways < LEAST_VOTERS:
+        raise Bad("gateways", f"are {scenario.gateways}", f"give {LEAST_VOTERS} or more: they are the voters")
     for number, fault in enumerate(scenario.faults):
         path = f"fault[{number}]"
         what = KINDS.get(fault.kind)
@@ -244,6 +252,7 @@
         gateways=top.whole("gateways", 3, 1, 64),
         deployment=top.text("deployment", "tiles", terms.DEPLOYMENTS),
         workers=top.text("workers", ""),
+        rights=top.number("rights", 0.0, 0, 1),
         nodes=top.whole("nodes", 8, 1, 500),
         node=read_node(top.table("node")),
         counter=read_counter(top.table("counter")),
--- a/roadpulley/testbed/server.py
+++ b/roadpulley/testbed/server.py
@@ -120,3 +120,10 @@
         if self.kept is not None:
             self.kept.free()
             self.kept = None
+
+
+def free_port() -> int:
+    """Of a datagram socket: nobody has it just now."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((LOCAL, 0))
+        return int(sock.getsockname()[1])
--- a/tests/fleet/test_beside.py
+++ b/tests/fleet/test_beside.py
@@ -12,8 +12,8 @@
 
 from roadpulley.cli import main
 from roadpulley.testbed import terms
-from roadpulley.testbed.fleet import Fleet, FleetPlan, free_port
-from roadpulley.testbed.server import LOCAL, Port
+from roadpulley.testbed.fleet import Fleet, FleetPlan
+from roadpulley.testbed.server import LOCAL, Port, free_port
 
 pytestmark = pytest.mark.timeout(60)
 
