--- a/roadpulley/cli/serve.py
+++ b/roadpulley/cli/serve.py
@@ -91,11 +91,11 @@
             read_usage(Path(args.usage))
             os.environ["ROADPULLEY_USAGE"] = str(Path(args.usage).resolve())
         if args.fleet:
-            from .fleet import instance, rights, structured
+            from .fleet import instance, structured, workers_use
 
             agent = instance(Path(args.fleet), args.name)
-            if agent.settings.rights is not None:
-                rights(agent, parsed(Path(path))["settings"])
+            if agent.settings.rights is not None or agent.settings.counts is not None:
+                workers_use(agent, parsed(Path(path))["settings"])
             structured()
         uvloop.run(supervise())
     except Bad as error:
--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -18,8 +18,12 @@
 
 from roadpulley.checks import Bad
 
+from .beside import Beside, Said
 from .clock import Clock, from_environment, wall_ms
 from .control import Control
+from .counts.service import Counting
+from .counts.terms import Add, Digest, Parts
+from .counts.terms import Body as ForCounts
 from .duties.electing import Electing, Electoral, RollFile, Wish
 from .duties.memory import Memory
 from .duties.roll import DUTY, Roll, RollAsk, RollTaken, changed
@@ -54,7 +58,9 @@
 ForMembers: TypeAlias = Ping | PingFor | Ack | Nack | PageAsk | Page
 ForVoters: TypeAlias = Prepare | Accept | Release
 ForElecting: TypeAlias = Roll | RollAsk | RollTaken
-Body: TypeAlias = ForMembers | ForVoters | Promise | Granted | Refused | Offer | ForElecting | ForRights
+Body: TypeAlias = (
+    ForMembers | ForVoters | Promise | Granted | Refused | Offer | ForElecting | ForRights | ForCounts
+)
 DECODER: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
 MEMBERS = (Ping, PingFor, Ack, Nack, PageAsk, Page)
 
@@ -103,18 +109,17 @@
         self.loop: asyncio.AbstractEventLoop
         self.control = Control(settings.control, name, self._answer)
         self.problems: dict[str, str] = {}
+        self.beside = Beside(settings.control / f"{name}.beside", self._beside_said)
         self.rights: Rights | None = None
+        self.counting: Counting | None = None
         if settings.rights is not None:
-            path = settings.control / f"{name}.rights"
+            tell = self._tell_route
             self.rights = Rights(
-                settings.rights,
-                path,
-                works,
-                self.clock,
-                self.rng,
-                lambda route, body: self.post.send(*route, body),
-                self._routes,
-                self._soon,
+                settings.rights, self.beside, works, self.clock, self.rng, tell, self._routes, self._soon
+            )
+        if settings.counts is not None:
+            self.counting = Counting(
+                settings.counts, self.me, self.beside, self.clock, self.rng, self._tell_route, self._routes
             )
 
     # ---- life ----
@@ -125,8 +130,10 @@
         assert self.members is not None
         loop = self.loop = asyncio.get_running_loop()
         await self.control.open()
-        if self.rights is not None:
-            await self.rights.open()
+        for part in self._parts():
+            if not self.beside.transport:
+                await self.beside.open()
+            part.open()
         log.info("begins", boot=self.me.boot, address=self.post.address, votes=self.duties.voter is not None)
         self.tasks.append(loop.create_task(self._arrange()))
         self._tick()
@@ -196,8 +203,9 @@
         if self.timer is not None:
             self.timer.cancel()
         await self.control.close()
-        if self.rights is not None:
-            self.rights.close()
+        for part in self._parts():
+            part.close()
+        self.beside.close()
         self.post.close()
         self.executor.shutdown(wait=False, cancel_futures=True)
 
@@ -271,6 +279,9 @@
         if isinstance(body, Serving | Ask | Given):
             if self.rights is not None:
                 self.rights.heard((address, who.boot), body)
+        elif isinstance(body, Parts | Digest):
+            if self.counting is not None:
+                self.counting.heard((address, who.boot), body)
         elif isinstance(body, Offer):
             self.duties.offered(body.duty, body.rank)
         elif isinstance(body, RollAsk):
@@ -299,6 +310,19 @@
         for tell in tells:
             self.post.send(tell.address, tell.who.boot, tell.body)
 
+    def _parts(self) -> list[Rights | Counting]:
+        return [part for part in (self.rights, self.counting) if part is not None]
+
+    def _beside_said(self, body: Said) -> None:
+        if isinstance(body, Add):
+            if self.counting is not None:
+                self.counting.asked(body)
+        elif self.rights is not None:
+            self.rights.beside_said(body)
+
+    def _tell_route(self, route: Route, body: Any) -> None:
+        self.post.send(*route, body)
+
     def _routes(self) -> list[Route]:
         """To all other instances that are there."""
         if self.members is None:
@@ -392,7 +416,7 @@
     # ---- people ----
 
     def _answer(self, call: str, args: dict[str, Any]) -> dict[str, Any]:
-        from .report import duties, members, voters
+        from .report import duties, limits, members, voters
 
         if call == "members":
             return members(self)
@@ -401,7 +425,7 @@
         if call == "voters":
             return voters(self)
         if call == "limits":
-            return {"instance": self.name, "unseen": [], **(self.rights.report() if self.rights else {})}
+            return limits(self)
         if call == "hand-over":
             name = str(args.get("duty"))
             done = self.duties.hand_over(name, "an operator asked for it")
--- /dev/null
+++ b/roadpulley/fleet/beside.py
@@ -0,0 +1,95 @@
+"""The socket at which an instance hears the processes beside it, on the same machine: Unix datagrams.
+
+Lost ones are asked for again, as on a link. An instance remembers nothing for those processes but where they
+listen, so that it may break and come back under them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from collections import Counter, OrderedDict
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any, TypeAlias
+
+import msgspec
+
+from .counts.terms import Add
+from .rights.terms import FromHolder
+
+MOST_HOLDERS = 1_024  # processes beside this instance; those heard least lately go
+
+Said: TypeAlias = FromHolder | Add
+DECODER: msgspec.msgpack.Decoder[Said] = msgspec.msgpack.Decoder(Said)
+ENCODER = msgspec.msgpack.Encoder()
+
+
+class Beside(asyncio.DatagramProtocol):
+    """`taken` gets what a process says; `tell` answers it by its number."""
+
+    def __init__(self, path: Path, taken: Callable[[Said], None]) -> None:
+        self.path, self.taken = path, taken
+        self.holders: OrderedDict[int, str] = OrderedDict()  # by number, the path of its socket
+        self.counts: Counter[str] = Counter()
+        self.transport: asyncio.DatagramTransport | None = None
+        self.sock: socket.socket | None = None
+        self.inode = 0
+
+    async def open(self) -> None:
+        """Take the path, also from a process that has it still. Raises OSError."""
+        self.path.parent.mkdir(parents=True, exist_ok=True)
+        with suppress(FileNotFoundError):
+            self.path.unlink()
+        self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
+        self.sock.setblocking(False)
+        self.sock.bind(str(self.path))
+        os.chmod(self.path, 0o600)
+        self.inode = self.path.stat().st_ino
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=self.sock)
+
+    def close(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+            with suppress(OSError):
+                if self.path.stat().st_ino == self.inode:  # else another process has it by now
+                    self.path.unlink()
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        try:
+            body = DECODER.decode(data)
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            self.counts["garbled"] += 1
+            return
+        if not isinstance(addr, str) or not addr:
+            self.counts["from nowhere"] += 1
+            return
+        self.holders[body.holder] = addr
+        self.holders.move_to_end(body.holder)
+        if len(self.holders) > MOST_HOLDERS:
+            self.holders.popitem(last=False)
+        self.taken(body)
+
+    def tell_all(self, body: Any) -> None:
+        for holder in list(self.holders):
+            self.tell(holder, body)
+
+    def tell(self, holder: int, body: Any) -> None:
+        path = self.holders.get(holder)
+        if path is None or self.sock is None:
+            self.counts["to nobody"] += 1
+            return
+        try:
+            self.sock.sendto(ENCODER.encode(body), path)
+        except BlockingIOError:
+            self.counts["lost beside"] += 1  # as on a link: it is asked for again
+        except OSError:
+            del self.holders[holder]  # it has ended, perhaps without taking its socket away
+            if Path(path).name.startswith(f"{self.path.name}."):
+                self.path.with_name(Path(path).name).unlink(missing_ok=True)
+
+    def error_received(self, exc: Exception) -> None:
+        self.counts[type(exc).__name__] += 1
--- /dev/null
+++ b/roadpulley/fleet/counts/terms.py
@@ -0,0 +1,69 @@
+"""What instances say to each other about counts.
+
+A number is the sum of what each process of an instance (its name and boot: an owner) has added. Only the
+owner changes its part, and gives each change a higher version; everybody else keeps the highest that it was
+told. So merging takes the higher version, in any order, again and again: commutative, associative and
+idempotent. What an owner that is gone had told somebody stays counted until the number itself ends.
+
+After Shapiro and others, "Conflict-free Replicated Data Types" (2011); Almeida, Shoker, Baquero, "Delta State
+Replicated Data Types" (2018). See docs/design/fleet-limits.md.
+"""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import msgspec
+
+from roadpulley.fleet.duties.terms import Who
+
+MOST_NAME = 80  # bytes of a number's name
+PAGE = 16  # parts in one body, so that it fits into a datagram
+BUCKETS = 16  # of the numbers of one owner, compared by one hash each
+
+
+class Part(msgspec.Struct, array_like=True, frozen=True):
+    """What one owner has added to one number. `left_ms`: until everybody forgets the number."""
+
+    name: str
+    version: int
+    total: float
+    left_ms: int
+
+
+class Parts(msgspec.Struct, tag="c-parts", array_like=True, frozen=True):
+    """Of one owner, whoever sends them."""
+
+    owner: Who
+    parts: tuple[Part, ...]
+
+
+class Digest(msgspec.Struct, tag="c-digest", array_like=True, frozen=True):
+    """One hash for each bucket of an owner's numbers; an empty one where nothing is known of it."""
+
+    owner: Who
+    buckets: tuple[int, ...]
+
+
+Body: TypeAlias = Parts | Digest
+
+
+# ---- between an instance and the processes beside it ----
+
+
+class Add(msgspec.Struct, tag="c-add", array_like=True, frozen=True):
+    """Add to a number, once: asked again it has the same `number`, counted by the process that asks."""
+
+    holder: int
+    number: int
+    name: str
+    amount: float
+    keep_ms: int
+
+
+class Added(msgspec.Struct, tag="c-added", array_like=True, frozen=True):
+    """The number as this instance sees it, with what was added."""
+
+    holder: int
+    number: int
+    total: float
--- a/roadpulley/fleet/report.py
+++ b/roadpulley/fleet/report.py
@@ -131,6 +131,16 @@
     }
 
 
+def limits(agent: Agent) -> dict[str, Any]:
+    """Which rights are given out here, and what is counted."""
+    found: dict[str, Any] = {"instance": agent.name, "unseen": []}
+    if agent.rights is not None:
+        found |= agent.rights.report()
+    if agent.counting is not None:
+        found["counting"] = agent.counting.report()
+    return found
+
+
 def unseen_voters(agent: Agent) -> list[str]:
     assert agent.members is not None
     alive = {m.who.name for m in agent.members.there() if m.state.name == "ALIVE"}
--- a/roadpulley/fleet/rights/client.py
+++ b/roadpulley/fleet/rights/client.py
@@ -6,26 +6,18 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import secrets
-import socket
 from collections.abc import Callable
-from contextlib import suppress
-from dataclasses import dataclass, field
-from pathlib import Path
-
-import msgspec
+from dataclasses import dataclass
+from typing import Any
 
 from roadpulley.fleet.clock import Clock, from_environment
+from roadpulley.fleet.line import Line
 
 from .holder import Holder, limit_of
-from .terms import Ask, Hello, Serving, ToHolder, Welcome
+from .terms import Given, Hello, Serving, Welcome
 
-HELLO_S = 0.5
+LOOK_S = 0.5  # between two looks at the clock at the most
 LEAST_WAIT_S = 0.001  # of the timer's own rounding
-NUMBER_BITS = 53
-DECODER: msgspec.msgpack.Decoder[ToHolder] = msgspec.msgpack.Decoder(ToHolder)
-ENCODER = msgspec.msgpack.Encoder()
 
 
 @dataclass(eq=False)
@@ -38,54 +30,24 @@
     timer: asyncio.TimerHandle | None = None
 
 
-@dataclass
-class Purses(asyncio.DatagramProtocol):
-    """`instance`: the socket of the instance, `roadpulley fleet` makes it beside its own."""
-
-    instance: Path
-    clock: Clock = field(default_factory=from_environment)
+class Purses:
+    """What a process holds of all limits."""
 
-    def __post_init__(self) -> None:
-        self.number = secrets.randbits(NUMBER_BITS) or 1
-        self.path = self.instance.with_name(f"{self.instance.name}.{self.number:x}")
+    def __init__(self, line: Line, clock: Clock | None = None) -> None:
+        self.line, self.clock = line, clock or from_environment()
         self.machine: Holder | None = None  # until an instance has told the settings
         self.waiting: dict[str, list[Wish]] = {}
         self.timer: asyncio.TimerHandle | None = None
-        self.hello: asyncio.TimerHandle | None = None
-        self.sock: socket.socket | None = None
-        self.unsent = 0
         self.paid_at = 0.0  # by our clock: the last look at it before an act
-
-    # ---- life ----
-
-    async def open(self) -> None:
-        """Raises OSError where the folder can't be written."""
-        loop = asyncio.get_running_loop()
-        self.path.parent.mkdir(parents=True, exist_ok=True)  # the instance may not have started yet
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        sock.bind(str(self.path))
-        os.chmod(self.path, 0o600)
-        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=sock)
-        self.sock = sock
-        self._hello()
+        line.listeners.append(self._heard)
 
     def close(self) -> None:
         """Wishes that wait are not paid; rights that are held end by themselves."""
-        for timer in (self.timer, self.hello):
-            if timer is not None:
-                timer.cancel()
+        if self.timer is not None:
+            self.timer.cancel()
         for limit in list(self.waiting):
             for wish in self.waiting.pop(limit):
                 self._end(wish, False)
-        if self.sock is not None:
-            self.transport.close()
-            with suppress(OSError):
-                self.path.unlink()
-
-    def _hello(self) -> None:
-        self._send(Hello(self.number))
-        self.hello = asyncio.get_running_loop().call_later(HELLO_S, self._hello)
 
     # ---- to spend ----
 
@@ -97,7 +59,7 @@
         taken = self.machine.take(now, limit, units)
         self.paid_at = now
         if ask := self.machine.ask_now(now, limit):
-            self._send(ask)
+            self.line.send(ask)
         self._set()
         return taken
 
@@ -137,7 +99,7 @@
         while rows and self.machine.take(now, limit, rows[0].units, anew=False):
             self._end(rows.pop(0), True)
         if ask := self.machine.ask_now(now, limit):
-            self._send(ask)
+            self.line.send(ask)
         if self._asks(limit):
             self.waiting[limit] = rows + self.waiting.get(limit, [])
         else:
@@ -146,35 +108,25 @@
 
     # ---- messages ----
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
-        try:
-            body = DECODER.decode(data)
-        except (msgspec.DecodeError, msgspec.ValidationError):
+    def _heard(self, body: Any) -> None:
+        if not isinstance(body, Welcome | Serving | Given):
             return
         now = self.clock.now()
         if isinstance(body, Welcome):
             if self.machine is None or self.machine.parts != body.parts:
-                self.machine = Holder(self.number, body.parts, body.times)
-                self._send(Hello(self.number))  # who serves is told again, now that it can be kept
+                self.machine = Holder(self.line.number, body.parts, body.times)
+                self.line.send(Hello(self.line.number))  # who serves is told again, now that it can be kept
         elif self.machine is None:
             return
         elif isinstance(body, Serving):
             self.machine.serving(now, body.part, body.fence, body.left_ms / 1000)
-        elif body.holder == self.number:
+        elif body.holder == self.line.number:
             limit, waited = body.limit, self._asks(body.limit)
             self.machine.heard(now, body)
             if waited and not self._asks(limit):
                 self._pay(limit)
         self._set()
 
-    def _send(self, body: Hello | Ask) -> None:
-        if self.sock is None:
-            return
-        try:
-            self.sock.sendto(ENCODER.encode(body), str(self.instance))
-        except OSError:
-            self.unsent += 1  # no instance there just now, or it reads too slowly: as if lost on a link
-
     # ---- time ----
 
     def _set(self) -> None:
@@ -183,12 +135,12 @@
         if self.timer is not None:
             self.timer.cancel()
         wait = max(0.0, (self.machine.next_at() - self.clock.now()) / self.clock.rate)
-        self.timer = asyncio.get_running_loop().call_later(min(wait, HELLO_S) + LEAST_WAIT_S, self._tick)
+        self.timer = asyncio.get_running_loop().call_later(min(wait, LOOK_S) + LEAST_WAIT_S, self._tick)
 
     def _tick(self) -> None:
         assert self.machine is not None
         for ask in self.machine.tick(self.clock.now()):
-            self._send(ask)
+            self.line.send(ask)
         for limit in [name for name in self.waiting if not self._asks(name)]:
             self._pay(limit)
         self._set()
--- a/roadpulley/fleet/rights/service.py
+++ b/roadpulley/fleet/rights/service.py
@@ -7,18 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
-import socket
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
-from contextlib import suppress
-from pathlib import Path
 from typing import Any
 
-import msgspec
 import structlog
 
+from roadpulley.fleet.beside import Beside
 from roadpulley.fleet.clock import Clock
 from roadpulley.fleet.duties.terms import Mono
 from roadpulley.fleet.duties.work import Duty
@@ -30,22 +26,19 @@
 
 SAY_S = 0.25  # between two words of an allocator that it serves
 SERVES_S = 1.0  # for which one word counts
-MOST_HOLDERS = 1_024  # processes beside this instance; those heard least lately go
 
 log = structlog.get_logger("roadpulley.fleet.rights")
-DECODER: msgspec.msgpack.Decoder[FromHolder] = msgspec.msgpack.Decoder(FromHolder)
-ENCODER = msgspec.msgpack.Encoder()
 
 Route = tuple[str, int]  # address and boot of an instance
 
 
-class Rights(asyncio.DatagramProtocol):
+class Rights:
     """`tell` sends a body to an instance; `everybody` gives the routes to all others."""
 
     def __init__(
         self,
         settings: RightsSettings,
-        path: Path,
+        beside: Beside,
         works: Mapping[str, Any],
         clock: Clock,
         rng: random.Random,
@@ -53,14 +46,11 @@
         everybody: Callable[[], Iterable[Route]],
         soon: Callable[[Callable[[], None]], None],
     ) -> None:
-        self.settings, self.path, self.clock, self.rng = settings, path, clock, rng
+        self.settings, self.beside, self.clock, self.rng = settings, beside, clock, rng
         self.tell, self.everybody, self.soon = tell, everybody, soon
         self.ours: dict[int, tuple[Duty, Allocator]] = {}
         self.known: dict[int, tuple[int, Route, Mono]] = {}  # by part: fence, where, until when
-        self.holders: OrderedDict[int, str] = OrderedDict()  # by number, the path of its socket
         self.counts: Counter[str] = Counter()
-        self.transport: asyncio.DatagramTransport | None = None
-        self.sock: socket.socket | None = None
         self.saying: asyncio.TimerHandle | None = None
         for work in works.values():
             if isinstance(work, Giving):
@@ -68,29 +58,12 @@
 
     # ---- life ----
 
-    async def open(self) -> None:
-        """Take the path, also from a process that has it still. Raises OSError."""
-        loop = asyncio.get_running_loop()
-        self.path.parent.mkdir(parents=True, exist_ok=True)
-        with suppress(FileNotFoundError):
-            self.path.unlink()
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
-        sock.setblocking(False)
-        sock.bind(str(self.path))
-        os.chmod(self.path, 0o600)
-        self.inode = self.path.stat().st_ino
-        transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=sock)
-        self.transport, self.sock = transport, sock
+    def open(self) -> None:
         self._say()
 
     def close(self) -> None:
         if self.saying is not None:
             self.saying.cancel()
-        if self.transport is not None:
-            self.transport.close()
-            with suppress(OSError):
-                if self.path.stat().st_ino == self.inode:  # else another process has it by now
-                    self.path.unlink()
 
     # ---- to give out ----
 
@@ -137,7 +110,7 @@
                 serving = Serving(part, allocator.fence, int(SERVES_S * 1000))
                 for route in self.everybody():
                     self.tell(route, serving)
-                self._to_holders(serving)
+                self.beside.tell_all(serving)
 
     # ---- between instances ----
 
@@ -146,7 +119,7 @@
         if isinstance(body, Serving):
             self._served(route, body)
         elif isinstance(body, Given):
-            self._to_holder(body.holder, body)
+            self.beside.tell(body.holder, body)
         elif (given := self.asked(body)) is not None:
             self.tell(route, given)
 
@@ -157,70 +130,33 @@
             self.counts["words of an earlier allocator"] += 1
             return
         self.known[serving.part] = serving.fence, route, now + serving.left_ms / 1000
-        self._to_holders(serving)
+        self.beside.tell_all(serving)
 
     # ---- the processes beside ----
 
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        try:
-            body = DECODER.decode(data)
-        except (msgspec.DecodeError, msgspec.ValidationError):
-            self.counts["garbled"] += 1
-            return
-        if isinstance(body, Ask) and len(body.limit.encode()) > MOST_KEY:
-            self.counts["too long a name"] += 1
-            return
-        if not isinstance(addr, str) or not addr:
-            self.counts["from nowhere"] += 1
-            return
-        self._met(body.holder, addr)
+    def beside_said(self, body: FromHolder) -> None:
+        """From a process beside this instance."""
         if isinstance(body, Hello):
-            self._welcome(body.holder)
+            return self._welcome(body.holder)
+        if len(body.limit.encode()) > MOST_KEY:
+            self.counts["too long a name"] += 1
             return
         if (given := self.asked(body) if body.part in self.ours else None) is not None:
-            self._to_holder(body.holder, given)
-            return
+            return self.beside.tell(body.holder, given)
         fence, route, until = self.known.get(body.part, (0, ("", 0), 0.0))
         if fence == body.fence and self.clock.now() < until:
             self.counts["passed on"] += 1
             self.tell(route, body)
 
-    def _met(self, holder: int, path: str) -> None:
-        self.holders[holder] = path
-        self.holders.move_to_end(holder)
-        if len(self.holders) > MOST_HOLDERS:
-            self.holders.popitem(last=False)
-
     def _welcome(self, holder: int) -> None:
-        self._to_holder(holder, Welcome(self.settings.parts, self.settings.times))
+        self.beside.tell(holder, Welcome(self.settings.parts, self.settings.times))
         for part in list(self.ours):
             if allocator := self.allocator(part):
-                self._to_holder(holder, Serving(part, allocator.fence, int(SERVES_S * 1000)))
+                self.beside.tell(holder, Serving(part, allocator.fence, int(SERVES_S * 1000)))
         now = self.clock.now()
         for part, (fence, _, until) in self.known.items():
             if part not in self.ours and now < until:
-                self._to_holder(holder, Serving(part, fence, int((until - now) * 1000)))
-
-    def _to_holders(self, body: Any) -> None:
-        for holder in list(self.holders):
-            self._to_holder(holder, body)
-
-    def _to_holder(self, holder: int, body: Any) -> None:
-        path = self.holders.get(holder)
-        if path is None or self.sock is None:
-            self.counts["to nobody"] += 1
-            return
-        try:
-            self.sock.sendto(ENCODER.encode(body), path)
-        except BlockingIOError:
-            self.counts["lost beside"] += 1  # as on a link: it is asked for again
-        except OSError:
-            del self.holders[holder]  # it has ended, perhaps without taking its socket away
-            if Path(path).name.startswith(f"{self.path.name}."):
-                self.path.with_name(Path(path).name).unlink(missing_ok=True)
-
-    def error_received(self, exc: Exception) -> None:
-        self.counts[type(exc).__name__] += 1
+                self.beside.tell(holder, Serving(part, fence, int((until - now) * 1000)))
 
     # ---- people ----
 
@@ -250,4 +186,9 @@
                         "holders": len({out.holder for out in book.out.values()}),
                     }
                 )
-        return {"parts": parts, "limits": rows, "beside": len(self.holders), "counts": dict(self.counts)}
+        return {
+            "parts": parts,
+            "limits": rows,
+            "beside": len(self.beside.holders),
+            "counts": dict(self.counts + self.beside.counts),
+        }
--- a/roadpulley/fleet/settings.py
+++ b/roadpulley/fleet/settings.py
@@ -15,6 +15,7 @@
 
 from roadpulley.checks import Bad, Table, read_toml
 
+from .counts.service import CountsSettings, read_counts
 from .duties.roll import MOST_VOTERS
 from .duties.terms import Times
 from .members.terms import Times as MemberTimes
@@ -53,6 +54,7 @@
     members: MemberTimes
     duties: Mapping[str, DutySettings]
     settle_s: float  # for which another instance has to be the better one before a duty is handed to it
+    counts: CountsSettings | None = None  # numbers that all add to, in place of a counter
     rights: RightsSettings | None = None  # to spend of the limits that hold over all gateways
 
     @property
@@ -97,6 +99,7 @@
         member_times(table.table("members")),
         {**duties(table.table("duties"), folder, {*voters, *others}), **giving(rights)},
         table.number("settle_s", 10.0, 0.1, 3600),
+        read_counts(table.table("counts")) if table.has("counts") else None,
         rights,
     )
     table.done()
--- a/roadpulley/testbed/fleet.py
+++ b/roadpulley/testbed/fleet.py
@@ -226,7 +226,7 @@
     async def spend(self, name: str, load: Load, rate: float = 1.0) -> Spender:
         """A process beside an instance that spends what it gets of a limit."""
         log = self.folder / f"{name}.spender{len(self.spenders)}.log"
-        spender = Spender(name, self.folder / f"run-{name}" / f"{name}.rights", log, rate=rate, load=load)
+        spender = Spender(name, self.folder / f"run-{name}" / f"{name}.beside", log, rate=rate, load=load)
         self.spenders.append(spender)
         await self.spend_again(spender)
         return spender
--- a/roadpulley/testbed/spender.py
+++ b/roadpulley/testbed/spender.py
@@ -17,6 +17,7 @@
 
 import uvloop
 
+from roadpulley.fleet.line import Line
 from roadpulley.fleet.rights.client import Purses
 
 LONGEST_GAP_S = 5.0
@@ -39,8 +40,9 @@
 
 
 async def run(socket: Path, limit: str, rate: float, units: float, within: float, seed: int) -> None:
-    rng, purses = random.Random(seed), Purses(socket)
-    await purses.open()
+    rng, line = random.Random(seed), Line(socket)
+    purses = Purses(line)
+    await line.open()
     spending = Spending(purses, limit, units, within)
     loop = asyncio.get_running_loop()
     due = loop.time()
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -17,20 +17,23 @@
 import sys
 from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 import uvloop
 
 from roadpulley.__main__ import serve
+from roadpulley.core.counter import Counter
 from roadpulley.core.driver import Driver
 from roadpulley.core.settings import Config, ConfigError, parse_config
 
 if TYPE_CHECKING:
-    from roadpulley.fleet.rights.client import Purses
+    from roadpulley.fleet.line import Line
     from roadpulley.usage.meter import Meter, Versions
 
 
-RIGHTS, RIGHTS_TOLD = "ROADPULLEY_RIGHTS", "ROADPULLEY_RIGHTS_TOLD"  # a socket; the ceilings behind it
+BESIDE = "ROADPULLEY_BESIDE"  # the socket of the instance of a fleet
+RIGHTS_TOLD = "ROADPULLEY_RIGHTS_TOLD"  # the ceilings that its rights are of
+COUNTS = "ROADPULLEY_COUNTS"  # set where it counts
 
 
 def with_rights(settings: dict[str, Any], told: dict[str, Any]) -> dict[str, Any]:
@@ -114,11 +117,11 @@
     return meter
 
 
-async def purses(socket: str) -> Purses:
-    """Spend rights of the fleet's limits from now on. Raises ConfigError."""
-    from roadpulley.fleet.rights.client import Purses
+async def beside(socket: str) -> Line:
+    """The way to the instance of the fleet on this machine. Raises ConfigError."""
+    from roadpulley.fleet.line import Line
 
-    found = Purses(Path(socket))
+    found = Line(Path(socket))
     try:
         await found.open()
     except OSError as error:
@@ -126,6 +129,18 @@
     return found
 
 
+def use_fleet(line: Line, driver: Driver) -> None:
+    """Spend rights of its limits, and count with it, as the supervisor said."""
+    if os.environ.get(RIGHTS_TOLD):
+        from roadpulley.fleet.rights.client import Purses
+
+        driver.rights = Purses(line)
+    if os.environ.get(COUNTS):
+        from roadpulley.fleet.counts.client import PeerCounter
+
+        driver.counter = cast(Counter, PeerCounter(line, driver.timers, driver.settings.count_wait))
+
+
 async def run() -> None:
     loop, stop = asyncio.get_running_loop(), asyncio.Event()
     for signum in (signal.SIGTERM, signal.SIGINT):
@@ -133,12 +148,14 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: None)  # the supervisor's
     config = load()
     meters: list[Meter] = []
-    rights = await purses(path) if (path := os.environ.get(RIGHTS)) else None
+    line = await beside(path) if (path := os.environ.get(BESIDE)) else None
     heart = Heart(int(os.environ["ROADPULLEY_BEAT_FD"]), float(os.environ["ROADPULLEY_BEAT_S"]))
     beating = loop.create_task(heart.beat())
 
     def attach(driver: Driver) -> None:
-        heart.driver, driver.rights = driver, rights
+        heart.driver = driver
+        if line is not None:
+            use_fleet(line, driver)
         plans, usage = os.environ.get("ROADPULLEY_PLANS"), os.environ.get("ROADPULLEY_USAGE")
         versions = follow(plans, driver) if plans else None
         if usage:
@@ -155,8 +172,8 @@
     )
     for meter in meters:
         await meter.close()
-    if rights is not None:
-        rights.close()
+    if line is not None:
+        line.close()
     beating.cancel()
 
 
