--- a/benchmarks/fleet_limits.py
+++ b/benchmarks/fleet_limits.py
@@ -3,6 +3,7 @@
     python benchmarks/fleet_limits.py --drawn 5000
     python benchmarks/fleet_limits.py --against
     python benchmarks/fleet_limits.py --processes 20 --seconds 20
+    python benchmarks/fleet_limits.py --gateways 8 --seconds 20
 
 What is spent is judged beside one exact store; `used` is the part of the burst that was used at once at the
 most, of all that is promised 1. Seconds and shares are of this machine, a limit that is kept is not.
@@ -23,6 +24,7 @@
 from typing import Any
 
 import msgspec
+import uvloop
 from report import markdown, quantile, report, side_by_side
 
 from mintford.ceilings import Ceiling
@@ -32,8 +34,12 @@
 from roadpulley.fleet.rights.holder import Holder
 from roadpulley.fleet.rights.terms import Ask, Given, Limit, Times
 from roadpulley.testbed.fleet import Fleet, FleetPlan, Load
+from roadpulley.testbed.installation import Installation, Outcome
 from roadpulley.testbed.limits import Holds, use
+from roadpulley.testbed.quotas import uses
 from roadpulley.testbed.rights_world import World, drawn, sharp
+from roadpulley.testbed.scenario import DiscoveryKind, Fault, Scenario
+from roadpulley.testbed.scenario import Load as ClientLoad
 
 OUT = Path(__file__).resolve().parent / "out"
 KEY = "paid/acme"
@@ -87,7 +93,7 @@
 
 
 @dataclass
-class Outcome:
+class Tally:
     tries: int = 0
     within: int = 0  # that an exact store of the quota had the units for
     refused: int = 0  # of these
@@ -200,7 +206,7 @@
     }
     row: dict[str, Any] = {"gateways": gateways, "load": load, "skew": skew, "seed": seed}
     for name, kind in kinds.items():
-        found, quota = Outcome(), Quota()
+        found, quota = Tally(), Quota()
         for one in arrivals:
             taken = kind.take(one)
             within = quota.holds(one)
@@ -333,6 +339,55 @@
     return rows
 
 
+# ---- gateways that serve clients ----
+
+MODES = {
+    "counter, even split": {},
+    "counter, rights": {"rights": 0.7},
+    "peers, even split": {"counts": True},
+    "peers, rights": {"counts": True, "rights": 0.7},
+}
+
+
+def served(size: int, mode: str, fault: str, seconds: float, seed: int) -> dict[str, Any]:
+    """What customers were let in beside one exact store of each, and whether every rule held."""
+    faults = (Fault(0.3 * seconds, fault, seconds=0.4 * seconds),) if fault else ()
+    scenario = Scenario(
+        name="limits",
+        seconds=seconds,
+        seed=seed,
+        gateways=size,
+        workers="1",
+        nodes=2 * size,
+        discovery=DiscoveryKind(notice_ms=0.0),
+        load=ClientLoad(rate=12.0 * size, heavy=0.33, spread=size, retries=1),
+        faults=faults,
+        **MODES[mode],
+    )
+
+    async def work() -> Outcome:
+        async with Installation(scenario) as world:
+            return await world.run()
+
+    outcome = uvloop.run(work())
+    row: dict[str, Any] = {"gateways": size, "mode": mode, "fault": fault or "none"}
+    for plan, used in uses(outcome.ledger, outcome.terms, 1000 * SETTLED_S).items():
+        row[f"{plan}: let in of due"] = round(used.share, 3)
+    row["served"] = round(outcome.stats.all.ends["served"] / outcome.stats.all.asked, 3)
+    row["rules"] = "held" if outcome.verdict.ok else "; ".join(outcome.verdict.lines())
+    row["over"] = 0 if outcome.verdict.rules["ceilings"].ok else 1
+    return row
+
+
+def gateways(size: int, seconds: float, seeds: list[int]) -> list[dict[str, Any]]:
+    rows = []
+    for fault in ("", "counter-lost"):
+        for mode in MODES:
+            rows.append(served(size, mode, fault, seconds, seeds[0]))
+            print(rows[-1], file=sys.stderr, flush=True)
+    return rows
+
+
 def main() -> int:
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
@@ -340,6 +395,7 @@
     parser.add_argument("--drawn", type=int, default=0, help="histories in virtual time")
     parser.add_argument("--against", action="store_true", help="beside the even split")
     parser.add_argument("--processes", type=int, default=0, help="instances, each with a process that spends")
+    parser.add_argument("--gateways", type=int, default=0, help="that serve clients, each with one worker")
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--seeds", type=int, nargs="+", default=[1, 2])
     parser.add_argument("--out", type=Path, default=OUT / "fleet_limits.json")
@@ -347,6 +403,7 @@
     todo = [partial(histories, args.drawn, args.seeds[0])] if args.drawn else []
     todo += [partial(against, args.seeds, 120.0)] if args.against else []
     todo += [partial(processes, args.processes, args.seconds, args.seeds[0])] if args.processes else []
+    todo += [partial(gateways, args.gateways, args.seconds, args.seeds)] if args.gateways else []
     code = 0
     for one in todo:
         rows = one()
--- a/roadpulley/checks.py
+++ b/roadpulley/checks.py
@@ -90,6 +90,12 @@
             raise Bad(self.at(key), f"is {shown(value)}", nearest(value, choices) or right)
         return value
 
+    def flag(self, key: str, default: bool) -> bool:
+        found = self.take(key, default, "give true or false")
+        if not isinstance(found, bool):
+            raise Bad(self.at(key), f"is {found!r}", "give true or false")
+        return found
+
     def texts(self, key: str) -> tuple[str, ...]:
         right = "give a list of texts"
         value = self.take(key, ..., right)
--- a/roadpulley/testbed/fleet.py
+++ b/roadpulley/testbed/fleet.py
@@ -50,6 +50,7 @@
     state: bool = False  # whether voters remember used fences on disk
     limit: Limit | None = None  # of each customer of the plan `paid`, over all gateways
     rights_lease: float = 1.0
+    counts: bool = False  # whether instances are a counter together
     parts: int = 1
     seed: int = 1
 
@@ -183,6 +184,7 @@
         if plan.limit is not None:
             lines += ["[rights]", f"lease_s = {plan.rights_lease}", f"parts = {plan.parts}", "ceilings = 1.0"]
             lines += ["[rights.limits.paid]", f"rate = {plan.limit.rate}", f"burst = {plan.limit.burst}"]
+        lines += ["[counts]"] if plan.counts else []
         for duty in plan.duty_names:
             lines += [f"[duties.{duty}]", 'work = "probe"', f'address = "{self.register.address}"']
             lines += [f"every_s = {plan.every}"]
--- a/roadpulley/testbed/installation.py
+++ b/roadpulley/testbed/installation.py
@@ -65,13 +65,17 @@
 
 
 def fleet_settings(scenario: Scenario, promised: terms.Terms) -> str:
-    """The gateways as instances of a fleet that gives out rights to a part of the ceilings."""
+    """The gateways as instances of a fleet that counts, or gives out rights to a part of the ceilings."""
     names = gateway_names(scenario.gateways)
     votes = MOST_VOTERS if len(names) >= MOST_VOTERS else LEAST_VOTERS
     lines = ['installation = "testbed"', 'control = "fleet"', "[voters]"]
     lines += [f'{name} = "{LOCAL}:{free_port()}"' for name in names[:votes]]
     lines += ["[others]", *(f'{name} = "{LOCAL}:{free_port()}"' for name in names[votes:])]
-    lines += ["[lease]", "seconds = 2.0", "[rights]", f"ceilings = {scenario.rights}"]
+    lines += ["[lease]", "seconds = 2.0"]
+    lines += ["[counts]"] if scenario.counts else []
+    if not scenario.rights:
+        return "\n".join(lines) + "\n"
+    lines += ["[rights]", f"ceilings = {scenario.rights}"]
     for plan in promised.plans.values():
         if plan.ceiling_rate:
             lines += [f"[rights.limits.{plan.name}]", f"rate = {plan.ceiling_rate}"]
@@ -175,7 +179,7 @@
             self.discovery.put(self.host(node))
         for relay in self.relays.values():
             await relay.listen()
-        if self.scenario.rights:
+        if self.scenario.rights or self.scenario.counts:
             self.fleet = self.folder / "fleet.toml"
             self.fleet.write_text(fleet_settings(self.scenario, self.terms))
         for index, name in enumerate(gateway_names(self.scenario.gateways)):
--- a/roadpulley/testbed/scenario.py
+++ b/roadpulley/testbed/scenario.py
@@ -141,6 +141,7 @@
     deployment: str = "tiles"  # what it offers: see terms.py
     workers: str = ""  # of each gateway: a number, or a file that holds one; empty: one process, as `run`
     rights: float = 0.0  # the part of hard ceilings that gateways spend by rights, as instances of a fleet
+    counts: bool = False  # whether gateways of a fleet count together, in place of the counter
     nodes: int = 8
     node: NodeKind = field(default_factory=NodeKind)
     counter: CounterKind = field(default_factory=CounterKind)
@@ -193,9 +194,10 @@
     operated = {fault.kind for fault in scenario.faults} & {"pause", "retune", "upgrade"}
     if scenario.workers and operated:
         raise Bad("workers", f"is {scenario.workers!r}", f"leave it out: {min(operated)} is for one process")
-    if scenario.rights and not scenario.workers:
-        raise Bad("workers", "is missing", 'give rights to gateways of serve, as with workers = "1"')
-    if scenario.rights and scenario.gateways < LEAST_VOTERS:
+    fleet = scenario.rights > 0 or scenario.counts
+    if fleet and not scenario.workers:
+        raise Bad("workers", "is missing", 'a fleet is of gateways of serve, as with workers = "1"')
+    if fleet and scenario.gateways < LEAST_VOTERS:
         raise Bad("gateways", f"are {scenario.gateways}", f"give {LEAST_VOTERS} or more: they are the voters")
     for number, fault in enumerate(scenario.faults):
         path = f"fault[{number}]"
@@ -253,6 +255,7 @@
         deployment=top.text("deployment", "tiles", terms.DEPLOYMENTS),
         workers=top.text("workers", ""),
         rights=top.number("rights", 0.0, 0, 1),
+        counts=top.flag("counts", False),
         nodes=top.whole("nodes", 8, 1, 500),
         node=read_node(top.table("node")),
         counter=read_counter(top.table("counter")),
