--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 # Tests mostly wait for sockets and timers, so a few at once cost each other little time. The long ones over
 # processes stand side by side in one file: who is through with his own share takes tests from the others.
-TEST_JOBS ?= 6
+TEST_JOBS ?= 4
 BIN = $(VENV)/bin
 
 # The request path compiled, from the same source; in an environment of its own. It needs a C compiler.
--- a/tests/testbed/test_scenarios.py
+++ b/tests/testbed/test_scenarios.py
@@ -155,21 +155,16 @@
     return uvloop.run(work())
 
 
-@pytest.fixture(scope="module")
-def short_forms() -> dict[str, Outcome]:
+def test_the_scenarios_that_ship_hold_every_rule_and_show_what_they_are_about() -> None:
+    """Several at once, and all in one test: tests of their own would each play them all in their worker."""
     wholes = [load(path) for path in shipped().values()]
-    outcomes = play_all([whole.scaled(whole.short) for whole in wholes], at_once=4)
-    return {outcome.scenario.name: outcome for outcome in outcomes}
-
-
-@pytest.mark.parametrize("name", sorted(shipped()))
-def test_a_scenario_that_ships_holds_every_rule_and_shows_what_it_is_about(
-    short_forms: dict[str, Outcome], name: str
-) -> None:
-    outcome = short_forms[name]
-    held(outcome)
-    assert outcome.stats.all.asked > 100
-    SHOWS[name](outcome)
+    for outcome in play_all([whole.scaled(whole.short) for whole in wholes], at_once=4):
+        name = outcome.scenario.name
+        print(name)
+        held(outcome)
+        assert outcome.stats.all.asked > 100, name
+        SHOWS[name](outcome)
+    assert {whole.name for whole in wholes} == set(SHOWS)
 
 
 # ---- hard cases ----
@@ -274,18 +269,14 @@
 ]
 
 
-@pytest.fixture(scope="module")
-def troubled() -> dict[str, Outcome]:
+def test_each_kind_of_trouble_leaves_every_rule_standing() -> None:
     small = Scenario(seconds=3.5, seed=3, gateways=2, nodes=4, load=Load(rate=30))
     outcomes = play_all([small.with_(name=f.kind, faults=(f,)) for f in TROUBLES], at_once=5)
-    return {outcome.scenario.name: outcome for outcome in outcomes}
-
-
-@pytest.mark.parametrize("kind", [fault.kind for fault in TROUBLES])
-def test_each_kind_of_trouble_leaves_every_rule_standing(troubled: dict[str, Outcome], kind: str) -> None:
-    outcome = troubled[kind]
-    held(outcome)
-    assert outcome.stats.all.ends["served"] > 0.5 * outcome.stats.all.asked
+    assert len(outcomes) == len(TROUBLES)
+    for outcome in outcomes:
+        print(outcome.scenario.name)
+        held(outcome)
+        assert outcome.stats.all.ends["served"] > 0.5 * outcome.stats.all.asked
 
 
 def test_a_gateway_that_is_not_ended_by_the_timeline_ends_the_run_in_one_line() -> None:
