--- a/tests/fleet/test_rights_gateways.py
+++ b/tests/fleet/test_rights_gateways.py
@@ -47,13 +47,7 @@
     return uvloop.run(work())
 
 
-def test_ceilings_hold_while_gateways_spend_by_rights() -> None:
-    outcome, asks = played(SCENARIO)
-    assert outcome.verdict.ok, "\n".join(outcome.verdict.lines())
-    assert asks > 50
-
-
-def test_ceilings_hold_while_the_gateway_that_gives_out_rights_is_killed() -> None:
+def test_ceilings_hold_while_the_gateways_that_give_out_rights_are_killed() -> None:
     """Any of them may be it: two of the five are killed one after the other, and come back."""
     faults = tuple(Fault(at, "kill", name, seconds=1.0) for at, name in ((3.0, "n0"), (5.5, "n1")))
     outcome, asks = played(SCENARIO.with_(faults=faults))
