--- a/roadpulley/fleet/counts/machine.py
+++ b/roadpulley/fleet/counts/machine.py
@@ -4,7 +4,6 @@
 
 import hashlib
 import math
-import random
 from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -42,8 +41,8 @@
 
 
 class Counts:
-    def __init__(self, me: Who, rng: random.Random) -> None:
-        self.me, self.rng = me, rng
+    def __init__(self, me: Who) -> None:
+        self.me = me
         self.numbers: dict[str, Number] = {}
         self.owners: dict[Who, Owned] = defaultdict(Owned)
         self.version = 0
--- a/roadpulley/fleet/counts/service.py
+++ b/roadpulley/fleet/counts/service.py
@@ -53,7 +53,7 @@
     ) -> None:
         self.settings, self.beside, self.clock, self.rng = settings, beside, clock, rng
         self.tell, self.everybody = tell, everybody
-        self.machine = Counts(me, rng)
+        self.machine = Counts(me)
         self.adds = self.refused = 0
         self.timer: asyncio.TimerHandle | None = None
         self.compare_at: Mono = 0.0
--- a/tests/fleet/test_counts.py
+++ b/tests/fleet/test_counts.py
@@ -19,7 +19,7 @@
 
 
 def machine(name: str = "a", boot: int = 1, kind: type[Counts] = Counts) -> Counts:
-    return kind(Who(name, boot), random.Random(1))
+    return kind(Who(name, boot))
 
 
 def added(
@@ -222,8 +222,8 @@
 class SameOwner(Counts):
     """A process that restarts goes on under its old boot, with versions from the start."""
 
-    def __init__(self, me: Who, rng: random.Random) -> None:
-        super().__init__(Who(me.name, 1), rng)
+    def __init__(self, me: Who) -> None:
+        super().__init__(Who(me.name, 1))
 
 
 @pytest.mark.parametrize("kind", [AddsUp, AnyVersion, NeverCompares, OnlyOwn, SameOwner])
