--- a/tests/fleet/test_works.py
+++ b/tests/fleet/test_works.py
@@ -147,7 +147,7 @@
     assert Close("close", settings).claim(4, "b") is None
     with Store.open(settings.store) as store, pytest.raises(LowFence):
         late = Periods(Books(fences.Fenced(store, "close", 3)))
-        late.close("late", found[-1].end, now, now, 1)
+        late.close("late", found[-1].end, now + 1, now + 1, 1)
     with Store.open(settings.store) as store:
         assert Periods(Books(store)).all() == found
 
