--- a/benchmarks/fleet_limits.py
+++ b/benchmarks/fleet_limits.py
@@ -33,9 +33,10 @@
 from roadpulley.fleet.rights.allocator import Allocator
 from roadpulley.fleet.rights.holder import Holder
 from roadpulley.fleet.rights.terms import Ask, Given, Limit, Times
+from roadpulley.testbed.auditor import Bucket
 from roadpulley.testbed.fleet import Fleet, FleetPlan, Load
 from roadpulley.testbed.installation import Installation, Outcome
-from roadpulley.testbed.limits import Holds, use
+from roadpulley.testbed.limits import Holds, Spent, use
 from roadpulley.testbed.quotas import uses
 from roadpulley.testbed.rights_world import World, drawn, sharp
 from roadpulley.testbed.scenario import DiscoveryKind, Fault, Scenario
@@ -99,7 +100,7 @@
     refused: int = 0  # of these
     messages: int = 0
     size: int = 0
-    spends: list[tuple[float, float]] = field(default_factory=list)
+    spends: list[Spent] = field(default_factory=list)
 
 
 def tries(seed: int, gateways: int, seconds: float, load: float, skew: float) -> list[Try]:
@@ -114,21 +115,6 @@
     return out
 
 
-class Quota:
-    """One exact store of a plan's quota: which tries are within it."""
-
-    def __init__(self) -> None:
-        self.level, self.at = DEAREST.burst, 0.0
-
-    def holds(self, one: Try) -> bool:
-        self.level = min(DEAREST.burst, self.level + (one.at - self.at) * DEAREST.rate)
-        self.at = one.at
-        if self.level < one.units:
-            return False
-        self.level -= one.units
-        return True
-
-
 class Split:
     """As today: an even part of the ceiling at each gateway, shared further only where that is no sliver."""
 
@@ -206,17 +192,18 @@
     }
     row: dict[str, Any] = {"gateways": gateways, "load": load, "skew": skew, "seed": seed}
     for name, kind in kinds.items():
-        found, quota = Tally(), Quota()
+        found, quota = Tally(), Bucket(DEAREST.rate, DEAREST.burst, 0.0)
         for one in arrivals:
             taken = kind.take(one)
-            within = quota.holds(one)
+            within = quota.fill(1000 * one.at) >= one.units
+            quota.level -= one.units if within else 0.0
             if taken:
-                found.spends.append((one.at, one.units))
+                found.spends.append(Spent(one.at, KEY, one.units, name))
             if one.at > SETTLED_S:
                 found.tries += 1
                 found.within += within
                 found.refused += within and not taken
-        exact = level_least(found.spends)
+        exact = use(found.spends, [Holds(0.0, DEAREST.ceiling_rate, DEAREST.ceiling_burst)]).least
         row[name] = {
             "within": found.within,
             "refused": found.refused,
@@ -228,15 +215,6 @@
     return row
 
 
-def level_least(spends: list[tuple[float, float]]) -> float:
-    """How low one exact store of the ceiling came: under 0 all together went over it."""
-    level, at, least = DEAREST.ceiling_burst, 0.0, DEAREST.ceiling_burst
-    for when, units in spends:
-        level = min(DEAREST.ceiling_burst, level + (when - at) * DEAREST.ceiling_rate) - units
-        at, least = when, min(least, level)
-    return least
-
-
 def against(seeds: list[int], seconds: float) -> list[dict[str, Any]]:
     jobs = [
         (gateways, load, skew, seed, seconds)
--- a/roadpulley/cli/serve.py
+++ b/roadpulley/cli/serve.py
@@ -78,7 +78,8 @@
     try:
         if not path:
             raise Bad("--config", "is missing, and LB_CONFIG is not set", "name the gateway's configuration")
-        gateway(parsed(Path(path))).done()
+        raw = parsed(Path(path))
+        gateway(raw).done()
         workers(args.workers)
         if args.plans:
             from roadpulley.plans.settings import read_settings
@@ -95,7 +96,7 @@
 
             agent = instance(Path(args.fleet), args.name)
             if agent.settings.rights is not None or agent.settings.counts is not None:
-                workers_use(agent, parsed(Path(path))["settings"])
+                workers_use(agent, raw["settings"])
             structured()
         uvloop.run(supervise())
     except Bad as error:
--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -33,8 +33,8 @@
 from .members.machine import Members, Tell
 from .members.terms import Ack, Nack, Page, PageAsk, Ping, PingFor, State
 from .peers.envelope import Cause, Codec, Envelope
-from .peers.service import Post
-from .rights.service import Rights, Route
+from .peers.service import Post, Route
+from .rights.service import Rights
 from .rights.terms import Ask, Given, Serving
 from .rights.terms import Body as ForRights
 from .settings import DutySettings, FleetSettings, named
@@ -131,7 +131,7 @@
         loop = self.loop = asyncio.get_running_loop()
         await self.control.open()
         for part in self._parts():
-            if not self.beside.transport:
+            if self.beside.socket is None:
                 await self.beside.open()
             part.open()
         log.info("begins", boot=self.me.boot, address=self.post.address, votes=self.duties.voter is not None)
--- a/roadpulley/fleet/beside.py
+++ b/roadpulley/fleet/beside.py
@@ -7,17 +7,15 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import socket
 from collections import Counter, OrderedDict
 from collections.abc import Callable
-from contextlib import suppress
 from pathlib import Path
 from typing import Any, TypeAlias
 
 import msgspec
 
 from .counts.terms import Add
+from .place import Datagrams, Place
 from .rights.terms import FromHolder
 
 MOST_HOLDERS = 1_024  # processes beside this instance; those heard least lately go
@@ -34,29 +32,15 @@
         self.path, self.taken = path, taken
         self.holders: OrderedDict[int, str] = OrderedDict()  # by number, the path of its socket
         self.counts: Counter[str] = Counter()
-        self.transport: asyncio.DatagramTransport | None = None
-        self.sock: socket.socket | None = None
-        self.inode = 0
+        self.socket: Datagrams | None = None
 
     async def open(self) -> None:
-        """Take the path, also from a process that has it still. Raises OSError."""
-        self.path.parent.mkdir(parents=True, exist_ok=True)
-        with suppress(FileNotFoundError):
-            self.path.unlink()
-        self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM)
-        self.sock.setblocking(False)
-        self.sock.bind(str(self.path))
-        os.chmod(self.path, 0o600)
-        self.inode = self.path.stat().st_ino
-        loop = asyncio.get_running_loop()
-        self.transport, _ = await loop.create_datagram_endpoint(lambda: self, sock=self.sock)
+        """Raises OSError."""
+        self.socket = await Place(self.path).datagrams(self)
 
     def close(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
-            with suppress(OSError):
-                if self.path.stat().st_ino == self.inode:  # else another process has it by now
-                    self.path.unlink()
+        if self.socket is not None:
+            self.socket.close()
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         try:
@@ -79,11 +63,11 @@
 
     def tell(self, holder: int, body: Any) -> None:
         path = self.holders.get(holder)
-        if path is None or self.sock is None:
+        if path is None or self.socket is None:
             self.counts["to nobody"] += 1
             return
         try:
-            self.sock.sendto(ENCODER.encode(body), path)
+            self.socket.send(ENCODER.encode(body), path)
         except BlockingIOError:
             self.counts["lost beside"] += 1  # as on a link: it is asked for again
         except OSError:
--- a/roadpulley/fleet/control.py
+++ b/roadpulley/fleet/control.py
@@ -7,12 +7,13 @@
 import os
 import socket
 from collections.abc import Callable
-from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 from roadpulley.checks import Bad
 
+from .place import Place
+
 MOST_LINE = 64 * 1024
 ANSWER_S = 5.0
 LONGEST_PATH = 100  # bytes; sockets allow 107
@@ -24,7 +25,7 @@
     def __init__(self, folder: Path, name: str, answer: Answer) -> None:
         self.path, self.answer = folder / f"{name}.sock", answer
         self.server: asyncio.Server | None = None
-        self.inode = 0
+        self.place = Place(self.path)
 
     async def open(self) -> None:
         """Take the path, also from a process that has it still: the newer one answers. Raises OSError,
@@ -33,12 +34,9 @@
             raise Bad(
                 "control", f"{self.path} is too long for a socket", f"give at most {LONGEST_PATH} bytes"
             )
-        self.path.parent.mkdir(parents=True, exist_ok=True)
-        with suppress(FileNotFoundError):
-            self.path.unlink()
+        self.place.clear()
         self.server = await asyncio.start_unix_server(self._serve, str(self.path), limit=MOST_LINE)
-        os.chmod(self.path, 0o600)
-        self.inode = self.path.stat().st_ino
+        self.place.taken()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -55,9 +53,7 @@
     async def close(self) -> None:
         if self.server is not None:
             self.server.close()
-            with suppress(OSError):
-                if self.path.stat().st_ino == self.inode:  # else another process has it by now
-                    self.path.unlink()
+            self.place.leave()
 
 
 def ask(folder: Path, name: str, call: str, **args: Any) -> dict[str, Any]:
--- a/roadpulley/fleet/counts/machine.py
+++ b/roadpulley/fleet/counts/machine.py
@@ -25,13 +25,6 @@
     bucket: int
 
 
-@dataclass(slots=True)
-class Number:
-    """One number: what each owner added."""
-
-    by: dict[Who, Kept] = field(default_factory=dict)
-
-
 @dataclass(slots=True)
 class Owned:
     """The numbers of one owner. `hashes` by bucket: of names and versions, whatever their order."""
@@ -43,7 +36,7 @@
 class Counts:
     def __init__(self, me: Who) -> None:
         self.me = me
-        self.numbers: dict[str, Number] = {}
+        self.numbers: dict[str, dict[Who, Kept]] = {}  # by name, what each owner added
         self.owners: dict[Who, Owned] = defaultdict(Owned)
         self.version = 0
         self.changed: dict[str, None] = {}  # of ours: not told yet, the oldest first
@@ -78,8 +71,7 @@
         return self.total(now, name)
 
     def total(self, now: Mono, name: str) -> float:
-        number = self.numbers.get(name)
-        return sum(k.total for k in number.by.values() if k.until > now) if number else 0.0
+        return sum(kept.total for kept in self.numbers.get(name, {}).values() if kept.until > now)
 
     def _forget_answers(self, now: Mono) -> None:
         while self.answered:
@@ -152,24 +144,23 @@
     # ---- what is kept ----
 
     def _of(self, name: str, owner: Who) -> Kept | None:
-        number = self.numbers.get(name)
-        return number.by.get(owner) if number is not None else None
+        return self.numbers.get(name, {}).get(owner)
 
     def _keep(self, name: str, owner: Who, version: int, total: float, until: Mono) -> None:
         self._drop(name, owner)
         bucket = bucket_of(name)
-        self.numbers.setdefault(name, Number()).by[owner] = Kept(version, total, until, bucket)
+        self.numbers.setdefault(name, {})[owner] = Kept(version, total, until, bucket)
         owned = self.owners[owner]
         owned.names.add(name)
         owned.hashes[bucket] ^= hash_of(name, version)
         self.parts += 1
 
     def _drop(self, name: str, owner: Who) -> None:
-        number = self.numbers.get(name)
-        kept = number.by.pop(owner, None) if number is not None else None
-        if number is None or kept is None:
+        number = self.numbers.get(name, {})
+        kept = number.pop(owner, None)
+        if kept is None:
             return
-        if not number.by:
+        if not number:
             del self.numbers[name]
         owned = self.owners[owner]
         owned.names.discard(name)
@@ -178,7 +169,7 @@
 
     def sweep(self, now: Mono) -> None:
         """Forget numbers that have ended, and owners of whom nothing is left."""
-        ended = [(n, o) for n, number in self.numbers.items() for o, k in number.by.items() if k.until <= now]
+        ended = [(n, o) for n, number in self.numbers.items() for o, k in number.items() if k.until <= now]
         for name, owner in ended:
             self._drop(name, owner)
         for owner in [o for o, owned in self.owners.items() if not owned.names and o != self.me]:
--- a/roadpulley/fleet/counts/service.py
+++ b/roadpulley/fleet/counts/service.py
@@ -16,14 +16,13 @@
 from roadpulley.fleet.beside import Beside
 from roadpulley.fleet.clock import Clock
 from roadpulley.fleet.duties.terms import Mono, Who
+from roadpulley.fleet.peers.service import Route
 
 from .machine import Counts
 from .terms import MOST_NAME, Add, Body
 
 SWEEP_S = 5.0
 
-Route = tuple[str, int]  # address and boot of an instance
-
 
 @dataclass(frozen=True)
 class CountsSettings:
@@ -55,18 +54,19 @@
         self.tell, self.everybody = tell, everybody
         self.machine = Counts(me)
         self.adds = self.refused = 0
-        self.timer: asyncio.TimerHandle | None = None
-        self.compare_at: Mono = 0.0
+        self.saying: asyncio.TimerHandle | None = None  # while there is something to say
+        self.comparing: asyncio.TimerHandle | None = None
         self.sweep_at: Mono = 0.0
 
     def open(self) -> None:
-        self._say()
+        self._look()
 
     def close(self) -> None:
         """What was added last is told before the end."""
-        if self.timer is not None:
-            self.timer.cancel()
-        self._news()
+        for timer in (self.saying, self.comparing):
+            if timer is not None:
+                timer.cancel()
+        self._say()
 
     def asked(self, ask: Add) -> None:
         self.adds += 1
@@ -75,23 +75,24 @@
             self.refused += 1
         else:
             self.beside.tell(ask.holder, answer)
+            if self.saying is None and self.machine.changed:
+                self.saying = asyncio.get_running_loop().call_later(self.settings.say, self._say)
 
     def heard(self, route: Route, body: Body) -> None:
         for answer in self.machine.heard(self.clock.now(), body):
             self.tell(route, answer)
 
-    def _say(self) -> None:
+    def _look(self) -> None:
         now = self.clock.now()
-        self._news()
-        if now >= self.compare_at:
-            self.compare_at = now + self.settings.compare * self.rng.uniform(0.5, 1.5)
-            self._compare()
+        self._compare()
         if now >= self.sweep_at:
             self.sweep_at = now + SWEEP_S
             self.machine.sweep(now)
-        self.timer = asyncio.get_running_loop().call_later(self.settings.say, self._say)
+        wait = self.settings.compare * self.rng.uniform(0.5, 1.5)  # not all at once
+        self.comparing = asyncio.get_running_loop().call_later(wait, self._look)
 
-    def _news(self) -> None:
+    def _say(self) -> None:
+        self.saying = None
         news = self.machine.news(self.clock.now())
         for route in self.everybody() if news else ():
             for parts in news:
--- a/roadpulley/fleet/peers/service.py
+++ b/roadpulley/fleet/peers/service.py
@@ -17,6 +17,8 @@
     256 * 1024
 )  # bytes that the kernel may hold for us; beyond that datagrams are lost, as on a link
 
+Route = tuple[str, int]  # address and boot of an instance
+
 Taken = Callable[
     [Envelope, str], Cause | None
 ]  # with the sender's address; gives why it was dropped after all
--- a/roadpulley/fleet/rights/service.py
+++ b/roadpulley/fleet/rights/service.py
@@ -18,6 +18,7 @@
 from roadpulley.fleet.clock import Clock
 from roadpulley.fleet.duties.terms import Mono
 from roadpulley.fleet.duties.work import Duty
+from roadpulley.fleet.peers.service import Route
 
 from .allocator import Allocator
 from .settings import RightsSettings
@@ -29,8 +30,6 @@
 
 log = structlog.get_logger("roadpulley.fleet.rights")
 
-Route = tuple[str, int]  # address and boot of an instance
-
 
 class Rights:
     """`tell` sends a body to an instance; `everybody` gives the routes to all others."""
--- a/roadpulley/testbed/limits.py
+++ b/roadpulley/testbed/limits.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from .auditor import Bucket
+
 ROUNDING = 1e-4  # units, of many sums
 
 
@@ -48,19 +50,19 @@
 
 def use(spends: Iterable[Spent], terms: Sequence[Holds]) -> Use:
     """Beside one exact store: it stands at the least where, over some stretch of time, most was spent."""
-    level, at = terms[0].burst, terms[0].since
     now, rest = terms[0], list(terms[1:])
-    found = Use(least=level, burst=now.burst)
+    store = Bucket(now.rate, now.burst, 1000 * now.since)
+    found = Use(least=now.burst, burst=now.burst)
     for spent in sorted(spends, key=lambda s: s.at):
         while rest and rest[0].since <= spent.at:
-            level = min(now.burst, level + (rest[0].since - at) * now.rate)
-            level += max(0.0, rest[0].burst - now.burst)  # what is owed stays owed, and no more
-            at, now = rest[0].since, rest.pop(0)
-            level = min(level, now.burst)
+            now, before = rest.pop(0), now
+            store.fill(1000 * now.since)
+            store.level += max(0.0, now.burst - before.burst)  # what is owed stays owed, and no more
+            store.rate, store.burst = now.rate, now.burst
             found.burst = max(found.burst, now.burst)
-        level = min(now.burst, level + max(0.0, spent.at - at) * now.rate) - spent.units
-        at = max(at, spent.at)
+        store.fill(1000 * spent.at)
+        store.level -= spent.units
         found.units += spent.units
-        if level < found.least:
-            found.least, found.least_at = level, spent.at
+        if store.level < found.least:
+            found.least, found.least_at = store.level, spent.at
     return found
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -17,12 +17,11 @@
 import sys
 from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING, Any, cast
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
 from roadpulley.__main__ import serve
-from roadpulley.core.counter import Counter
 from roadpulley.core.driver import Driver
 from roadpulley.core.settings import Config, ConfigError, parse_config
 
@@ -138,7 +137,7 @@
     if os.environ.get(COUNTS):
         from roadpulley.fleet.counts.client import PeerCounter
 
-        driver.counter = cast(Counter, PeerCounter(line, driver.timers, driver.settings.count_wait))
+        driver.counter = PeerCounter(line, driver.timers, driver.settings.count_wait)
 
 
 async def run() -> None:
