--- a/tests/fleet/test_rights.py
+++ b/tests/fleet/test_rights.py
@@ -230,7 +230,12 @@
         made.ask_now(0.0, f"paid/{n}")
     looked: list[str] = []
     real = made.ask_now
-    made.ask_now = lambda now, limit: looked.append(limit) or real(now, limit)  # type: ignore[method-assign,func-returns-value]
+
+    def seen(now: float, limit: str) -> Ask | None:
+        looked.append(limit)
+        return real(now, limit)
+
+    made.ask_now = seen  # type: ignore[method-assign]
     made.take(0.01, "paid/7", 1.0)
     assert made.tick(0.01) == []
     assert looked == []
