--- a/mintford/attempts.py
+++ b/mintford/attempts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections import deque
 from collections.abc import Iterator
 
@@ -10,26 +9,22 @@
 from .guards import END_MS, harmless, may_repeat
 from .load import Backend
 from .quotas import Customer
+from .records import RequestRecord
 
 WHEEL_MS = 4.0  # requests due within this share one timer: small beside any patience
 TOLD_MS = 50.0  # how far apart the patience of two tries may be by the way here alone
 RETRY_SHARE, RETRY_CALM, RETRY_STORE = 0.15, 0.6, 10.0  # extra attempts earned a request; when calm; the most
 
 
-class Request:
-    """One request that is owed a final answer."""
+class Request(RequestRecord):
+    """One request that is owed a final answer, and where its next attempt may go."""
 
     def __init__(
         self, event: api.RequestArrived, kind: api.RequestClass, c: Customer, now: float, gone: float
     ) -> None:
-        self.id, self.kind, self.customer, self.units = event.request, kind, c, event.units
-        self.expires, self.aim_at = event.expires, min(event.expires, now + kind.aim)
+        super().__init__(event, kind, c.plan.name)
+        self.customer, self.aim_at = c, min(event.expires, now + kind.aim)
         self.first_aim_at = self.aim_at - gone  # of its client's first try, as far as can be told
-        self.attempts, self.check_at, self.most = 0, math.inf, 1  # attempts so far; allowed when it came
-        self.charged, self.asked = 0.0, False  # to the customer's store; for a right
-        self.marks = "all", "class " + kind.name, "plan " + c.plan.name  # of a backend that this one bears on
-        self.live: set[int] = set()  # numbers of the attempts out
-        self.tried: set[int] = set()
         self.ran: list[Attempt] = []  # attempts that may have run or are out, the earliest first
 
     def may_go(self, now: float, b: Backend) -> bool:
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -9,16 +9,14 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import random
 from collections import deque
-from dataclasses import dataclass
-from enum import Enum
 
 from . import interface as api
 from .ceilings import Ceiling
 from .guards import NEVER_RAN
+from .records import Call, CustomerRecord, Kind
 
 LEASE_MS = 15_000.0  # the design's lease
 REFRESH_MS = 500.0  # between refreshes at least: shares follow a shift, calls stay under requests
@@ -46,38 +44,22 @@
 EVENLY, UNKNOWN = 0.8, 0.7  # how far time is taken to have paid back what was spent unseen
 
 
-class Customer:
+class Customer(CustomerRecord):
     """One customer at this gateway: its lease and its local buckets. All amounts are units of quota."""
 
     def __init__(
         self, key: str, plan: api.Plan, spread: int, now: float, since: float, settings: api.Settings
     ) -> None:
         unit, counted = settings.most_units, settings.may_count and plan.rate > 0
-        self.key, self.named, self.even = key, plan.name, 1 / max(1, spread)  # even: a gateway's even share
-        self.digest = hashlib.blake2b(key.encode(), digest_size=16).hexdigest()  # keys may be long
+        super().__init__(key, plan.name, spread, unit, now)
         # Danger: epochs that end for all customers at once would bring all their gateways' calls at once.
         self.phase = int(self.digest[:8], 16) % PHASES * EPOCH_MS / PHASES
-        self.unit, self.filled_at, self.out = unit, now, 0
         self.settle_terms(plan)
         self.store = plan.burst  # of all gateways, as far as this one knows
-        self.spilled = 0.0  # over the burst since the last reading
         self.tokens = max(unit, plan.burst * self.even)  # of the lease
         seconds = (now - since) / 1000
         self.ceiling = Ceiling(plan, self.even, counted, seconds, unit, settings.rights)
-        self.part = self.even  # the lease's part of the quota's rate
-        self.lease_end, self.fresh_until, self.read_at = now + LEASE_MS, now, now
-        self.heard = self.calling = False  # a reading stands; one is on its way
-        self.failed, self.quiet_until = 0, now  # calls one after the other; until when there are no more
-        self.unsaid = 0.0  # sent on and settled, not yet added
-        self.mine, self.others = 0.0, 0.0  # lately sent on, here and elsewhere: fading sums
-        self.totals: dict[int, float] = {}  # the last reading of this epoch, and of the last
-        self.unsure: dict[int, float] = {}  # by epoch: said, and never answered
-        self.left = math.nan  # of the store, as first guessed; no number once it is followed
-        self.ended = True  # the end of the last epoch is read, if it is needed
-        self.tail = 0.0  # what others added to the last epoch after this gateway's last reading of it
-        self.asked, self.asked_at = 0.0, now  # lately asked, refused ones too: a fading sum
-        self.wants_told = -1  # the period
-        self.telling, self.wanted, self.wants = 0.0, 0.0, 0.0  # wants here, told in this and the last; of all
+        self.lease_end = now + LEASE_MS
 
     def epoch(self, now: float) -> tuple[int, float]:
         """The epoch of its numbers, and how old that is in milliseconds."""
@@ -108,28 +90,6 @@
         return not self.heard or self.tokens - gone < SCARCE * self.unit
 
 
-class Kind(Enum):
-    """Of a call: adds what was spent, reads the epoch before, tells or reads wants."""
-
-    SPENT = 1
-    ENDED = 2
-    WANTS = 3
-
-
-@dataclass(slots=True)
-class Call:
-    """One call to the counter that is under way."""
-
-    customer: str
-    kind: Kind
-    period: int  # an epoch, or a period of the wants
-    amount: float
-    request: str  # the id of the request that waits for it
-    since: float  # when the last reading before it was taken, in ms
-    at: float  # when it was made
-    ahead: float = 0.0  # of the amount: units of that request, which is not judged yet
-
-
 class Quotas:
     """All customers of this gateway, and its calls to the counter that are under way."""
 
--- a/setup.py
+++ b/setup.py
@@ -18,6 +18,7 @@
     "mintford/handover.py",
     "mintford/load.py",
     "mintford/quotas.py",
+    "mintford/records.py",
     "mintford/rules.py",
     "mintford/shedding.py",
     "roadpulley/core/backends.py",
