--- a/roadpulley/cli/fleet.py
+++ b/roadpulley/cli/fleet.py
@@ -29,7 +29,7 @@
 
 def command() -> click.Command:
     try:
-        from .fleet_commands import group
+        from .fleet_orders import group  # that of fleet_commands, with the commands of both
     except ImportError as error:
         return missing(str(error.name))
     return group
--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -32,6 +32,10 @@
 from .duties.work import Work
 from .members.machine import Members, Tell
 from .members.terms import Ack, Nack, Page, PageAsk, Ping, PingFor, State
+from .orders.keeper import Keeper
+from .orders.service import Orders
+from .orders.terms import Body as ForOrders
+from .orders.terms import Order, Poll
 from .peers.envelope import Cause, Codec, Envelope
 from .peers.service import Post, Route
 from .rights.service import Rights
@@ -59,7 +63,16 @@
 ForVoters: TypeAlias = Prepare | Accept | Release
 ForElecting: TypeAlias = Roll | RollAsk | RollTaken
 Body: TypeAlias = (
-    ForMembers | ForVoters | Promise | Granted | Refused | Offer | ForElecting | ForRights | ForCounts
+    ForMembers
+    | ForVoters
+    | Promise
+    | Granted
+    | Refused
+    | Offer
+    | ForElecting
+    | ForRights
+    | ForCounts
+    | ForOrders
 )
 DECODER: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
 MEMBERS = (Ping, PingFor, Ack, Nack, PageAsk, Page)
@@ -112,6 +125,7 @@
         self.beside = Beside(settings.control / f"{name}.beside", self._beside_said)
         self.rights: Rights | None = None
         self.counting: Counting | None = None
+        self.orders: Orders | None = None
         if settings.rights is not None:
             tell = self._tell_route
             self.rights = Rights(
@@ -122,6 +136,23 @@
                 settings.counts, self.me, self.beside, self.clock, self.rng, self._tell_route, self._routes
             )
 
+        if settings.orders is not None:
+            self.orders = Orders(
+                settings.orders,
+                Keeper(settings.state, name),
+                name,
+                self.beside,
+                works,
+                self.clock,
+                settings.times.answer,
+                self._tell_route,
+                self._route_to,
+                self._routes,
+                lambda: self.electing.roll,
+                self._soon,
+                self._ordered,
+            )
+
     # ---- life ----
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -282,6 +313,9 @@
         elif isinstance(body, Parts | Digest):
             if self.counting is not None:
                 self.counting.heard((address, who.boot), body)
+        elif isinstance(body, ForOrders):
+            if self.orders is not None:
+                self.orders.heard((address, who.boot), who.name, body)
         elif isinstance(body, Offer):
             self.duties.offered(body.duty, body.rank)
         elif isinstance(body, RollAsk):
@@ -310,13 +344,16 @@
         for tell in tells:
             self.post.send(tell.address, tell.who.boot, tell.body)
 
-    def _parts(self) -> list[Rights | Counting]:
-        return [part for part in (self.rights, self.counting) if part is not None]
+    def _parts(self) -> list[Rights | Counting | Orders]:
+        return [part for part in (self.rights, self.counting, self.orders) if part is not None]
 
     def _beside_said(self, body: Said) -> None:
         if isinstance(body, Add):
             if self.counting is not None:
                 self.counting.asked(body)
+        elif isinstance(body, Poll):
+            if self.orders is not None:
+                self.orders.beside_said(body)
         elif self.rights is not None:
             self.rights.beside_said(body)
 
@@ -329,6 +366,19 @@
             return []
         return [(self.members.where(m), m.claim.who.boot) for m in self.members.table.values() if m.there()]
 
+    def _route_to(self, voter: str) -> Route | None:
+        """To whoever was heard at a voter's address last."""
+        address = self.address_of(voter)
+        known = self.met.get(address, NOBODY)
+        return (address, known.boot) if known != NOBODY and known.name == voter else None
+
+    def _ordered(self) -> None:
+        """Other limits of operators hold here."""
+        if self.rights is not None and self.orders is not None and self.settings.orders is not None:
+            part, lease = self.rights.settings.ceilings, self.settings.orders.open_lease
+            found = {o.limit_name: o.limit(part, lease) for o in self.orders.standing if o.limits}
+            self.rights.ordered(found)
+
     def _ask(self, voter: str, question: Question) -> None:
         if voter == self.name and self.duties.voter is not None:
             asyncio.get_running_loop().call_soon(self._ask_ourselves, question)
@@ -426,6 +476,8 @@
             return voters(self)
         if call == "limits":
             return limits(self)
+        if call in ("order", "order-status", "orders", "orders-force"):
+            return self._about_orders(call, args)
         if call == "hand-over":
             name = str(args.get("duty"))
             done = self.duties.hand_over(name, "an operator asked for it")
@@ -436,5 +488,21 @@
             return self._wish(dict(args.get("add", {})), str(args.get("remove", "")))
         if call == "change-status":
             return self.electing.status()
-        known = "members, duties, voters, limits, hand-over, run, change, change-status"
+        known = "members, duties, voters, limits, orders, hand-over, run, change, change-status, order"
         return {"error": f"{call!r} is no call; there are {known}"}
+
+    def _about_orders(self, call: str, args: dict[str, Any]) -> dict[str, Any]:
+        from .report import orders
+
+        if self.orders is None:
+            return {"error": "no orders are followed here: [orders] is missing in the fleet's settings"}
+        if call == "orders":
+            return orders(self, self.orders)
+        if call == "order-status":
+            return self.orders.status(str(args.get("ticket")))
+        if call == "orders-force":
+            return self.orders.force()
+        order = msgspec.convert(list(args["order"]), Order)
+        if order.limits and self.rights is None:
+            return {"error": "limits need [rights] in the fleet's settings"}
+        return self.orders.call(order, bool(args.get("lift")))
--- a/roadpulley/fleet/beside.py
+++ b/roadpulley/fleet/beside.py
@@ -15,12 +15,13 @@
 import msgspec
 
 from .counts.terms import Add
+from .orders.terms import Poll
 from .place import Datagrams, Place
 from .rights.terms import FromHolder
 
 MOST_HOLDERS = 1_024  # processes beside this instance; those heard least lately go
 
-Said: TypeAlias = FromHolder | Add
+Said: TypeAlias = FromHolder | Add | Poll
 DECODER: msgspec.msgpack.Decoder[Said] = msgspec.msgpack.Decoder(Said)
 ENCODER = msgspec.msgpack.Encoder()
 
--- a/roadpulley/fleet/line.py
+++ b/roadpulley/fleet/line.py
@@ -14,13 +14,14 @@
 import msgspec
 
 from .counts.terms import Added
+from .orders.terms import Sheet, Standing
 from .place import Datagrams, Place
 from .rights.terms import Hello, ToHolder
 
 HELLO_S = 0.5
 NUMBER_BITS = 53
 
-Heard: TypeAlias = ToHolder | Added
+Heard: TypeAlias = ToHolder | Added | Standing | Sheet
 DECODER: msgspec.msgpack.Decoder[Heard] = msgspec.msgpack.Decoder(Heard)
 ENCODER = msgspec.msgpack.Encoder()
 
--- /dev/null
+++ b/roadpulley/fleet/orders/even.py
@@ -0,0 +1,57 @@
+"""The parts of ordered rates that each gateway spends without asking. Pure.
+
+A gateway of n has 1/n of what allocators do not give out. It begins with nothing: one that restarted does
+not know what it sent before, and time gives it back what that can have been.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from roadpulley.fleet.duties.terms import Mono
+
+from .terms import Order
+
+
+@dataclass(slots=True)
+class Bucket:
+    """Units; `rate` a second."""
+
+    rate: float
+    burst: float
+    level: float
+    at: Mono
+
+    def fill(self, now: Mono) -> None:
+        self.level = min(self.burst, self.level + max(0.0, now - self.at) * self.rate)
+        self.at = max(now, self.at)
+
+
+class EvenParts:
+    """`part`: of each rate that is split evenly, among so many processes."""
+
+    def __init__(self, part: float, among: int) -> None:
+        self.part = part / max(1, among)
+        self.buckets: dict[str, Bucket] = {}
+
+    def ordered(self, now: Mono, orders: Iterable[Order]) -> None:
+        """Other orders: what is spent of a limit stays spent, also where it is lifted and ordered again."""
+        for order in orders:
+            if order.kind != "rate":
+                continue
+            rate, burst = self.part * order.rate, self.part * order.burst
+            bucket = self.buckets.setdefault(order.limit_name, Bucket(rate, burst, 0.0, now))
+            bucket.fill(now)
+            bucket.level += burst - bucket.burst if burst < bucket.burst else 0.0
+            bucket.rate, bucket.burst = rate, burst
+
+    def take(self, now: Mono, limit: str, units: float) -> bool:
+        bucket = self.buckets.get(limit)
+        if bucket is None:
+            return False
+        bucket.fill(now)
+        if bucket.level < units:
+            return False
+        bucket.level -= units
+        return True
--- /dev/null
+++ b/roadpulley/fleet/orders/follower.py
@@ -0,0 +1,111 @@
+"""Who goes by orders: an instance, or a process beside one. Pure. See `terms.py`."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from roadpulley.fleet.duties.terms import Mono
+
+from .terms import NOTHING, Book, Gathering, Poll, Sheet, Standing, Version
+
+WAITS = 2.0  # polls: after so long an answer counts no more
+
+
+@dataclass(frozen=True)
+class Terms:
+    """Seconds. `poll`: between two asks; `holds`: for which an answer counts. `keep`: also after that."""
+
+    poll: float = 0.3
+    holds: float = 5.0
+    keep: bool = True
+    drift: float = 0.02
+
+    @property
+    def most(self) -> float:
+        """For which an answer counts by our own clock, whatever it is told: a slow one must not go beyond."""
+        return self.holds * (1 - self.drift)
+
+
+class Follower:
+    """`holder`: of a process beside an instance, 0 for an instance."""
+
+    def __init__(self, terms: Terms, holder: int = 0) -> None:
+        self.terms, self.holder = terms, holder
+        self.book = Book()
+        self.until: Mono = -math.inf  # for which the book is known to be the newest, or nearly
+        self.asked_at: Mono = -math.inf  # when what we go by was asked for
+        self.fence = 0  # the highest that was heard to publish
+        self.number = 0
+        self.open: dict[int, Mono] = {}  # asks that may still be answered, and when they were made
+        self.answered: Standing | None = None  # whose book has not come whole yet
+        self.gathering = Gathering()
+        self.due: Mono = 0.0
+        self.stale_said = False
+        self.ages: list[float] = []  # of what was gone by, when it was superseded or confirmed
+
+    # ---- to ask ----
+
+    def tick(self, now: Mono) -> Poll | None:
+        if now < self.due:
+            return None
+        self.due = now + self.terms.poll
+        self.number += 1
+        since = now - WAITS * self.terms.poll
+        self.open = {n: at for n, at in self.open.items() if at >= since} | {self.number: now}
+        return Poll(self.holder, self.number, self.book.id)
+
+    def news(self, now: Mono, fence: int, id: Version) -> bool:
+        """Somebody says that it publishes; whether it is to be asked."""
+        if fence < self.fence:
+            return False
+        self.fence = fence
+        if id > self.book.id:
+            self.due = min(self.due, now)
+        return True
+
+    # ---- answers ----
+
+    def standing(self, now: Mono, said: Standing) -> bool:
+        """Whether we go by another book now, or again by ours."""
+        # Danger: an answer that was long on its way would make an old book count from now.
+        if said.number not in self.open or said.fence < self.fence or said.id < self.book.id:
+            return False
+        self.fence = said.fence
+        self.answered = said
+        return self._go_by(now)
+
+    def sheet(self, now: Mono, sheet: Sheet) -> bool:
+        book = self.gathering.add(sheet)
+        if book is not None and self.answered is not None and book.id == self.answered.id:
+            return self._go_by(now, book)
+        return False
+
+    def _go_by(self, now: Mono, book: Book | None = None) -> bool:
+        said = self.answered
+        if said is None or said.number not in self.open:
+            return False
+        book = book or self.book
+        if book.id != said.id:
+            return False  # its sheets are on their way
+        asked_at = self.open.pop(said.number)
+        self.answered = None
+        before, was_fresh = self.book.id, self.fresh(now)
+        if self.asked_at > -math.inf:
+            self.ages.append(now - self.asked_at)
+        self.book, self.asked_at = book, asked_at
+        self.until = max(self.until, asked_at + min(said.holds, self.terms.most))
+        return before != book.id or not was_fresh
+
+    # ---- what holds ----
+
+    def fresh(self, now: Mono) -> bool:
+        return now < self.until
+
+    def goes_by(self, now: Mono) -> Book:
+        """The book that holds here, now."""
+        return self.book if self.fresh(now) or self.terms.keep else Book(NOTHING)
+
+    def left(self, now: Mono) -> float:
+        """For which an answer to a process beside may say that it holds."""
+        return max(0.0, self.until - now)
--- /dev/null
+++ b/roadpulley/fleet/orders/keeper.py
@@ -0,0 +1,73 @@
+"""What one voter keeps of orders, and where. Pure but for the file. See `terms.py`."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+import structlog
+
+from roadpulley.checks import Bad
+from roadpulley.fleet.duties.memory import replace
+
+from .terms import Book, Keeps
+
+log = structlog.get_logger("roadpulley.fleet.orders")
+
+
+class Kept(msgspec.Struct, frozen=True):
+    """Asked or told something, it gives what is kept by then: itself if nothing changes."""
+
+    book: Book = Book()
+    promised: int = 0
+    whole: bool = False
+
+    def looked(self, fence: int) -> Kept:
+        return Kept(self.book, fence, self.whole) if fence > self.promised else self
+
+    def told(self, book: Book) -> Kept:
+        """A publisher has it take a book."""
+        # Danger: a publisher that stood still would undo what was ordered under a higher fence since.
+        if book.id.fence < self.promised or (self.whole and book.id <= self.book.id):
+            return self
+        # A voter that lost its memory takes what a publisher has; a majority that is whole stands behind it.
+        return Kept(max(book, self.book, key=lambda b: b.id), book.id.fence, True)
+
+    def says(self) -> Keeps:
+        return Keeps(self.promised, self.book.id, self.whole)
+
+
+class Keeper:
+    """`folder`: where it remembers, if anywhere. Raises Bad for a file that can't be read."""
+
+    def __init__(self, folder: Path | None, name: str) -> None:
+        self.path = folder / f"{name}.orders" if folder is not None else None
+        self.kept = Kept()
+        if self.path is not None and self.path.exists():
+            try:
+                self.kept = msgspec.json.decode(self.path.read_bytes(), type=Kept)
+            except (OSError, msgspec.DecodeError) as error:
+                right = "bring it back, or remove it: then it counts as one that lost its memory"
+                raise Bad(str(self.path), f"can't be read ({error})", right) from error
+
+    def go_by(self, kept: Kept) -> bool:
+        """From now on, once it is on disk; gives whether it is.
+
+        Danger: what is answered and not kept could be broken after a restart.
+        """
+        if kept is not self.kept and self.path is not None:
+            try:
+                self.path.parent.mkdir(parents=True, exist_ok=True)
+                replace(self.path, msgspec.json.encode(kept))
+            except OSError as error:
+                log.error("orders cannot be kept", path=str(self.path), why=str(error))
+                return False
+        self.kept = kept
+        return True
+
+    def looked(self, fence: int) -> Keeps | None:
+        """None: nothing is said, as it could not be kept."""
+        return self.kept.says() if self.go_by(self.kept.looked(fence)) else None
+
+    def told(self, book: Book) -> Keeps | None:
+        return self.kept.says() if self.go_by(self.kept.told(book)) else None
--- /dev/null
+++ b/roadpulley/fleet/orders/publisher.py
@@ -0,0 +1,188 @@
+"""One holding of the duty to publish orders. Pure: answers, wishes and the time in, whom to tell out."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+
+from roadpulley.fleet.duties.roll import Roll, majority
+from roadpulley.fleet.duties.terms import Mono
+
+from .terms import MOST_ORDERS, Book, Keeps, Order, Outcome, Version, Wish, judged
+
+MOST_WISHES = 64  # that wait for the one that is being made
+MOST_DONE = 256  # outcomes that are remembered, for calls that come again
+SLOW = 5.0  # times the answer: between two tries at a voter whose vote is not waited for
+FOLLOWS_S = 3.0  # since its last poll: a follower counts as there
+
+
+class Step(Enum):
+    READING = "reading"  # what a majority keeps
+    TAKING = "having it taken"  # the last book made, by a majority
+    READY = "ready"
+    OVERTAKEN = "overtaken"  # a higher fence was seen
+
+
+@dataclass(slots=True)
+class Seen:
+    """A follower, as it polled last."""
+
+    id: Version
+    at: Mono
+
+
+class Publisher:
+    """`ours`: the highest book known here. `answer`: seconds until a voter is asked again."""
+
+    def __init__(self, fence: int, roll: Roll, ours: Book, answer: float) -> None:
+        self.fence, self.roll, self.book, self.answer = fence, roll, ours, answer
+        self.step = Step.READING
+        self.heard: dict[str, bool] = {}  # voters that were read, and whether their memory is whole
+        self.took: set[str] = set()  # of `book`
+        self.due: dict[str, Mono] = {}
+        self.forced = False  # an operator has said to go on with whom there is
+        self.making: Wish | None = None
+        self.wishes: deque[Wish] = deque()
+        self.done: dict[str, Outcome] = {}
+        self.followers: dict[str, Seen] = {}
+        self.published: Book | None = None  # the last that was acknowledged under this fence
+        self.recovered = 0  # voters that had lost their memory when a book was read without enough whole ones
+
+    # ---- voters ----
+
+    def adopt(self, roll: Roll) -> None:
+        """Other voters count from now on; the new one has nothing yet."""
+        self.roll = roll
+        if self.step is Step.READY:
+            # Danger: the majority that has the book may be none of these voters.
+            self._make(self.book.orders)
+
+    def kept(self, voter: str, keeps: Keeps, book: Book | None) -> None:
+        """A voter's answer. `book`: what it keeps, where that has come whole."""
+        if keeps.promised > self.fence or keeps.id.fence > self.fence:
+            self.step = Step.OVERTAKEN
+            return
+        if self.step is Step.READING:
+            if keeps.id > self.book.id:
+                if book is None or book.id != keeps.id:
+                    return  # Danger: read without its book, a newer one than ours would be undone
+                self.book = book
+            if keeps.promised == self.fence:
+                self.heard[voter] = keeps.whole
+        elif keeps.id == self.book.id and keeps.whole:
+            self.took.add(voter)
+        self._look()
+
+    def _look(self) -> None:
+        if self.step is Step.READING and self._read():
+            self.recovered = 0 if self._enough(self._whole()) else self._blank()
+            self._make(self.book.orders)
+        elif self.step is Step.TAKING and self._enough(self.took):
+            self.step, self.published = Step.READY, self.book
+            if self.making is not None:
+                self.recovered = 0
+                self._end(self.making, "")
+            self._next()
+
+    def _read(self) -> bool:
+        if self._enough(self._whole()):
+            return True
+        # Danger: with some that lost their memory, one that is out of reach may alone know the newest book.
+        return self.everyone() <= set(self.heard) or (self.forced and self._enough(set(self.heard)))
+
+    def _whole(self) -> set[str]:
+        return {voter for voter, whole in self.heard.items() if whole}
+
+    def _blank(self) -> int:
+        return len(self.heard) - len(self._whole())
+
+    def _enough(self, names: set[str]) -> bool:
+        rolls: tuple[Mapping[str, str], ...] = (self.roll.before, self.roll.voters)
+        return all(len(names & set(voters)) >= majority(voters) for voters in rolls)
+
+    def everyone(self) -> set[str]:
+        return {*self.roll.before, *self.roll.voters}
+
+    def force(self) -> None:
+        """Go on although too few voters have their memory: what only others knew is lost."""
+        self.forced = True
+        self._look()
+
+    # ---- books ----
+
+    def _make(self, orders: tuple[Order, ...]) -> None:
+        # Danger: numbers go on from the book before, so that no two books have one version.
+        self.book = Book(Version(self.fence, self.book.id.number + 1), orders)
+        self.step, self.took, self.due = Step.TAKING, set(), {}
+
+    def wish(self, wish: Wish) -> Outcome | None:
+        """An operator's call; its outcome where that is known."""
+        if known := self.done.get(wish.ticket):
+            return known
+        if not wish.lift and (why := judged(wish.order)):
+            return self._end(wish, why)
+        if len(self.wishes) >= MOST_WISHES:
+            return Outcome(wish.ticket, self.book.id, "too many calls wait; try again")
+        waiting = [*self.wishes, *([self.making] if self.making else [])]
+        if all(wish.ticket != other.ticket for other in waiting):
+            self.wishes.append(wish)
+        self._next()
+        return self.done.get(wish.ticket)
+
+    def _next(self) -> None:
+        while self.wishes and self.step is Step.READY:
+            self.making = wish = self.wishes.popleft()
+            others = tuple(o for o in self.book.orders if o.key != wish.order.key)
+            if any(o.ticket == wish.ticket for o in self.book.orders):
+                self._end(wish, "")  # the publisher before had it taken, and could not say so
+            elif wish.lift and len(others) == len(self.book.orders):
+                self._end(wish, "there is no such order")
+            elif not wish.lift and len(others) >= MOST_ORDERS:
+                self._end(wish, f"there are {MOST_ORDERS} orders already; lift one")
+            else:
+                self._make(others if wish.lift else (*others, wish.order))
+
+    def _end(self, wish: Wish, why: str) -> Outcome:
+        if self.making is wish:
+            self.making = None
+        outcome = self.done[wish.ticket] = Outcome(wish.ticket, self.book.id, why)
+        while len(self.done) > MOST_DONE:
+            del self.done[next(iter(self.done))]
+        return outcome
+
+    # ---- followers ----
+
+    def polled(self, now: Mono, name: str, id: Version) -> None:
+        self.followers[name] = Seen(id, now)
+
+    def following(self, now: Mono) -> tuple[int, int]:
+        """Instances that go by the newest book, and those that polled lately."""
+        there = [seen for seen in self.followers.values() if now - seen.at < FOLLOWS_S]
+        return sum(seen.id == self.book.id for seen in there), len(there)
+
+    # ---- time ----
+
+    def tick(self, now: Mono, wall_ms: int) -> list[str]:
+        """Voters to be looked at, while it reads; else those that are to take the book."""
+        if self.step is Step.OVERTAKEN:
+            return []
+        if self.step is Step.READY:
+            standing = self.book.standing(wall_ms)
+            if len(standing) < len(self.book.orders):
+                self._make(standing)
+        over = set(self.heard) if self.step is Step.READING else self.took
+        again = self.answer * (SLOW if self.step is Step.READY else 1.0)
+        due = [v for v in sorted(self.everyone() - over) if now >= self.due.get(v, 0.0)]
+        self.due |= dict.fromkeys(due, now + again)
+        return due
+
+    def missing(self) -> str:
+        """What it waits for, for people."""
+        if self.step is not Step.READING:
+            return ""
+        silent, blank = sorted(self.everyone() - set(self.heard)), self._blank()
+        if not blank:
+            return f"a majority of {', '.join(sorted(self.everyone()))}"
+        return f"{', '.join(silent)}: {blank} voters have lost their memory, and these may know a newer book"
--- /dev/null
+++ b/roadpulley/fleet/orders/service.py
@@ -0,0 +1,415 @@
+"""The shell of orders at one instance: keeps for the publisher, publishes if that is its duty, follows."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import structlog
+
+from roadpulley.fleet.beside import Beside
+from roadpulley.fleet.clock import Clock, wall_ms
+from roadpulley.fleet.duties.roll import Roll
+from roadpulley.fleet.duties.terms import Mono
+from roadpulley.fleet.duties.work import Duty
+from roadpulley.fleet.peers.service import Route
+
+from .follower import Follower
+from .keeper import Keeper
+from .publisher import Publisher, Step
+from .settings import OrdersSettings
+from .terms import (
+    NOTHING,
+    Body,
+    Book,
+    Gathering,
+    Keeps,
+    Look,
+    News,
+    Order,
+    Outcome,
+    Poll,
+    Sheet,
+    Standing,
+    Version,
+    Wish,
+    sheets,
+)
+from .work import Publishing
+
+TICK_S = 0.02  # between two looks at what is due
+NEWS_S = 0.5  # between two words of a publisher that it publishes
+SERVES_S = 1.5  # for which one word counts
+ASK_AGAIN_S = 0.25  # after which a publisher is told a call again
+CALL_S = 20.0  # for which a call is tried
+MOST_CALLS = 64
+AGES = 4_096  # of what was gone by, the latest
+
+log = structlog.get_logger("roadpulley.fleet.orders")
+
+
+class Call:
+    """One call of an operator at this instance, until its outcome is known."""
+
+    def __init__(self, wish: Wish, now: Mono) -> None:
+        self.wish, self.began, self.due = wish, now, now
+        self.outcome: Outcome | None = None
+
+
+class Orders:
+    """`to` gives the route to a voter, `everybody` those to all others; `changed` hears of another book."""
+
+    def __init__(
+        self,
+        settings: OrdersSettings,
+        keeper: Keeper,
+        name: str,
+        beside: Beside,
+        works: Mapping[str, Any],
+        clock: Clock,
+        answer: float,
+        tell: Callable[[Route, Any], None],
+        to: Callable[[str], Route | None],
+        everybody: Callable[[], Iterable[Route]],
+        roll: Callable[[], Roll],
+        soon: Callable[[Callable[[], None]], None],
+        changed: Callable[[], None],
+    ) -> None:
+        self.settings, self.keeper, self.name, self.beside = settings, keeper, name, beside
+        self.clock, self.answer, self.tell, self.to = clock, answer, tell, to
+        self.everybody, self.roll, self.soon, self.changed = everybody, roll, soon, changed
+        self.follower = Follower(settings.terms)
+        self.duty: Duty | None = None
+        self.publisher: Publisher | None = None
+        self.where: tuple[Route, Mono] | None = None  # the publisher, and until when one word counts
+        self.keeping: dict[Route, Gathering] = {}  # sheets that this keeper is to take
+        self.shown: dict[str, Gathering] = {}  # sheets that voters show
+        self.said: dict[str, tuple[Keeps, Book | None]] = {}
+        self.calls: dict[str, Call] = {}
+        self.ages: deque[float] = deque(maxlen=AGES)
+        self.counts: Counter[str] = Counter()
+        self.fresh = False
+        self.standing: tuple[Order, ...] = ()  # the orders that hold here
+        self.news_at: Mono = 0.0
+        self.task: asyncio.Task[None] | None = None
+        for work in works.values():
+            if isinstance(work, Publishing):
+                work.begins = self._begins
+                work.highest = lambda: max(self.follower.book.id.fence, self.follower.fence)
+
+    # ---- life ----
+
+    def open(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self._run())
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK_S)
+
+    def _tick(self) -> None:
+        now = self.clock.now()
+        if publisher := self._publishing():
+            self._publish(now, publisher)
+        if poll := self.follower.tick(now):
+            self._poll(now, poll)
+        for call in list(self.calls.values()):
+            self._try(now, call)
+        self._look(now)
+
+    def _look(self, now: Mono) -> None:
+        """Whether other orders hold here now, also as some have ended or none are heard any more."""
+        fresh, book = self.follower.fresh(now), self.follower.goes_by(now)
+        standing = book.standing(wall_ms())
+        if fresh != self.fresh and self.follower.book.id != NOTHING:
+            words = "orders are followed" if fresh else "no publisher of orders is heard"
+            kept = "kept" if self.settings.terms.keep else "let go"
+            log.info(words, id=list(book.id), orders=len(standing), **({} if fresh else {"they_are": kept}))
+        self.ages.extend(self.follower.ages)
+        self.follower.ages.clear()
+        self.fresh = fresh
+        if standing != self.standing:
+            self.standing = standing
+            log.info("orders", id=list(book.id), orders=len(standing))
+            self.changed()
+
+    # ---- to publish ----
+
+    def _begins(self, duty: Duty) -> None:
+        """From the thread of the work."""
+        self.soon(lambda: self._begin(duty))
+
+    def _begin(self, duty: Duty) -> None:
+        ours = max(self.follower.book, self.keeper.kept.book, key=lambda b: b.id)
+        self.duty, self.publisher = duty, Publisher(duty.fence, self.roll(), ours, self.answer)
+        self.shown, self.said = {}, {}
+        log.info("publishes orders", fence=duty.fence, knows=list(ours.id))
+
+    def _publishing(self) -> Publisher | None:
+        """While the duty is ours.
+
+        Danger: this may be out of date the moment after. What is sent then goes under our fence: voters that
+        have promised a higher one refuse it, and followers that have heard of one.
+        """
+        if self.duty is None or not self.duty.still_mine() or self.publisher is None:
+            self.publisher = None
+            return None
+        return self.publisher
+
+    def _publish(self, now: Mono, publisher: Publisher) -> None:
+        if publisher.roll.id != self.roll().id:
+            publisher.adopt(self.roll())
+        for voter in publisher.tick(now, wall_ms()):
+            for body in self._asks(publisher):
+                self._to_voter(voter, body)
+        if publisher.published is not None and now >= self.news_at:
+            self.news_at = now + NEWS_S
+            self._news(publisher, publisher.published.id)
+
+    def _asks(self, publisher: Publisher) -> list[Look | Sheet]:
+        if publisher.step is Step.READING:
+            return [Look(publisher.fence)]
+        return list(sheets(publisher.book, take=True))
+
+    def _news(self, publisher: Publisher, id: Version) -> None:
+        for route in self.everybody():
+            self.tell(route, News(publisher.fence, id))
+
+    def _to_voter(self, voter: str, body: Look | Sheet) -> None:
+        if voter == self.name:
+            asyncio.get_running_loop().call_soon(self._ourselves, body)
+        elif route := self.to(voter):
+            self.tell(route, body)
+
+    def _ourselves(self, body: Look | Sheet) -> None:
+        for answer in self._kept(("", 0), body):
+            self._answered(self.name, answer)
+
+    def _answered(self, voter: str, body: Keeps | Sheet) -> None:
+        """What a voter keeps; the last of its sheets may come after the word."""
+        publisher = self._publishing()
+        if publisher is None:
+            return
+        if isinstance(body, Sheet):
+            book = self.shown.setdefault(voter, Gathering()).add(body)
+            keeps = self.said[voter][0] if voter in self.said else None
+            if book is None or keeps is None:
+                return
+            self.said[voter] = keeps, book
+        else:
+            book = self.said[voter][1] if voter in self.said else None
+            self.said[voter] = body, book
+        before = publisher.published
+        publisher.kept(voter, *self.said[voter])
+        if publisher.step is Step.OVERTAKEN:
+            log.warning("a higher fence publishes orders", fence=publisher.fence, voter=voter)
+        elif publisher.published is not None and publisher.published is not before:
+            self._published(publisher, publisher.published)
+
+    def _published(self, publisher: Publisher, book: Book) -> None:
+        lost = publisher.recovered  # voters without a memory, where too few had theirs
+        log.info("orders are acknowledged", id=list(book.id), orders=len(book.orders), lost=lost)
+        self.follower.news(self.clock.now(), publisher.fence, book.id)
+        self._news(publisher, book.id)
+        for ticket in list(self.calls):
+            if outcome := publisher.done.get(ticket):
+                self._known(outcome)
+
+    # ---- a voter ----
+
+    def _kept(self, route: Route, body: Look | Sheet) -> list[Keeps | Sheet]:
+        if isinstance(body, Look):
+            keeps = self.keeper.looked(body.fence)
+            return [keeps, *sheets(self.keeper.kept.book)] if keeps else []
+        book = self.keeping.setdefault(route, Gathering()).add(body)
+        if book is None:
+            return []
+        del self.keeping[route]
+        keeps = self.keeper.told(book)
+        return [keeps] if keeps else []
+
+    # ---- to follow ----
+
+    def _poll(self, now: Mono, poll: Poll) -> None:
+        if self._publishing() is not None:
+            self._standing(now, poll, self.name, lambda body: self._heard_standing(body))
+        elif self.where is not None and now < self.where[1]:
+            self.tell(self.where[0], poll)
+
+    def _standing(self, now: Mono, poll: Poll, name: str, say: Callable[[Standing | Sheet], None]) -> None:
+        """Answer one who follows, as the publisher."""
+        publisher = self._publishing()
+        if publisher is None or publisher.published is None:
+            return
+        publisher.polled(now, name, poll.id)
+        book = publisher.published
+        say(Standing(poll.holder, poll.number, publisher.fence, book.id, self.settings.terms.holds))
+        if poll.id != book.id:
+            for sheet in sheets(book):
+                say(sheet)
+
+    def _heard_standing(self, body: Standing | Sheet) -> None:
+        now = self.clock.now()
+        if isinstance(body, Standing):
+            changed = self.follower.standing(now, body)
+        else:
+            changed = self.follower.sheet(now, body)
+        if changed:
+            self._look(now)
+
+    # ---- between instances ----
+
+    def heard(self, route: Route, name: str, body: Body) -> None:
+        """A body of another instance; `name` says which."""
+        now = self.clock.now()
+        match body:
+            case News():
+                if self.follower.news(now, body.fence, body.id):
+                    self.where = route, now + SERVES_S
+                else:
+                    self.counts["words of an earlier publisher"] += 1
+            case Poll():
+                self._standing(now, body, name, lambda answer: self.tell(route, answer))
+            case Standing():
+                self._heard_standing(body)
+            case Wish():
+                if outcome := self._wished(body):
+                    self.tell(route, outcome)
+            case Outcome():
+                self._known(body)
+            case Keeps():
+                self._answered(name, body)
+            case Look():
+                for answer in self._kept(route, body):
+                    self.tell(route, answer)
+            case Sheet():
+                self._sheet(route, name, body)
+
+    def _sheet(self, route: Route, name: str, sheet: Sheet) -> None:
+        if sheet.take:
+            for answer in self._kept(route, sheet):
+                self.tell(route, answer)
+            return
+        if self.publisher is not None:
+            self._answered(name, sheet)
+        self._heard_standing(sheet)
+
+    # ---- the processes beside ----
+
+    def beside_said(self, poll: Poll) -> None:
+        """A process beside follows this instance, for no longer than this instance itself may."""
+        now, book = self.clock.now(), self.follower.goes_by(self.clock.now())
+        holds = self.follower.left(now)
+        said = Standing(poll.holder, poll.number, book.id.fence, book.id, holds)
+        self.beside.tell(poll.holder, said)
+        if poll.id != book.id:
+            for sheet in sheets(book):
+                self.beside.tell(poll.holder, sheet)
+
+    # ---- operators ----
+
+    def call(self, order: Order, lift: bool) -> dict[str, Any]:
+        """Begin an operator's call; `status` tells what came of it."""
+        now, ticket = self.clock.now(), secrets.token_hex(8)
+        self.calls = {t: c for t, c in self.calls.items() if now - c.began < 2 * CALL_S}
+        if len(self.calls) >= MOST_CALLS:
+            return {"error": "too many calls at once: try again"}
+        fields = {name: getattr(order, name) for name in order.__struct_fields__}
+        self.calls[ticket] = Call(Wish(ticket, Order(**(fields | {"ticket": ticket})), lift), now)
+        self._tick()
+        return self.status(ticket)
+
+    def status(self, ticket: str) -> dict[str, Any]:
+        call = self.calls.get(ticket)
+        if call is None:
+            return {"step": "unknown", "ticket": ticket, "why": "it is not known here any more"}
+        if call.outcome is None:
+            over = self.clock.now() - call.began > CALL_S
+            why = "no publisher answers; whether it is ordered is not known" if over else self._waits()
+            return {"step": "failed" if over else "waiting", "ticket": ticket, "why": why}
+        outcome = call.outcome
+        step = "failed" if outcome.why else "done"
+        return {"step": step, "ticket": ticket, "why": outcome.why, "id": list(outcome.id)}
+
+    def _waits(self) -> str:
+        if self.publisher is not None:
+            return f"{self.publisher.step.value} {self.publisher.missing()}".strip()
+        return "for the publisher" if self.where else "for a publisher: none was heard"
+
+    def _try(self, now: Mono, call: Call) -> None:
+        if call.outcome is not None or now < call.due or now - call.began > CALL_S:
+            return
+        call.due = now + ASK_AGAIN_S
+        if self._publishing() is not None:
+            if outcome := self._wished(call.wish):
+                self._known(outcome)
+        elif self.where is not None and now < self.where[1]:
+            self.tell(self.where[0], call.wish)
+
+    def _wished(self, wish: Wish) -> Outcome | None:
+        publisher = self._publishing()
+        if publisher is None:
+            return None
+        outcome = publisher.wish(wish)
+        self._publish(self.clock.now(), publisher)
+        return outcome
+
+    def _known(self, outcome: Outcome) -> None:
+        if call := self.calls.get(outcome.ticket):
+            call.outcome = call.outcome or outcome
+
+    def force(self) -> dict[str, Any]:
+        """Have the publisher, if it is here, go on without the voters whose memory it waits for."""
+        publisher = self._publishing()
+        if publisher is not None:
+            publisher.force()
+        return {"done": publisher is not None, "instance": self.name}
+
+    def report(self) -> dict[str, Any]:
+        now, follower = self.clock.now(), self.follower
+        book, wall = follower.goes_by(now), wall_ms()
+        found: dict[str, Any] = {
+            "id": list(book.id),
+            "known": "newest" if follower.fresh(now) else "not heard lately",
+            "age_s": round(now - follower.asked_at, 2) if follower.asked_at > 0 else None,
+            "cut_off": "keep" if self.settings.terms.keep else "let-go",
+            "orders": [row(order, wall) for order in book.standing(wall)],
+            "counts": dict(self.counts),
+        }
+        if publisher := self._publishing():
+            same, there = publisher.following(now)
+            found["publishes"] = {
+                "fence": publisher.fence,
+                "step": publisher.step.value,
+                "waits_for": publisher.missing(),
+                "id": list(publisher.book.id),
+                "follow_it": same,
+                "polled_lately": there,
+            }
+        return found
+
+
+def row(order: Order, wall: int) -> dict[str, Any]:
+    """One order for people."""
+    if order.kind == "rate":
+        what = f"{order.rate:g}/s, burst {order.burst:g}"
+    elif order.kind == "open":
+        what = f"{order.most} open"
+    else:
+        what = ""
+    left = f"{(order.ends_ms - wall) / 1000:.0f}" if order.ends_ms else ""
+    return {
+        "order": order.kind,
+        "of": f"{order.scope} {order.subject}",
+        "what": what,
+        "left_s": left,
+        "who": order.who,
+        "why": order.why,
+    }
--- /dev/null
+++ b/roadpulley/fleet/orders/settings.py
@@ -0,0 +1,31 @@
+"""`[orders]` of `fleet.toml`: how soon orders are followed, and what holds where none are heard."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from roadpulley.checks import Bad, Table
+
+from .follower import Terms
+
+CUT_OFF = ("keep", "let-go")
+
+
+@dataclass(frozen=True)
+class OrdersSettings:
+    """`open_lease`: seconds that a right to have something open lasts; requests have to end within it."""
+
+    terms: Terms
+    open_lease: float
+
+
+def read_orders(table: Table, drift: float) -> OrdersSettings:
+    """Raises Bad."""
+    poll, holds = table.number("poll_s", 0.3, 0.02, 60), table.number("holds_s", 5.0, 0.1, 3600)
+    cut_off = table.text("cut_off", "keep", among=CUT_OFF)
+    lease = table.number("open_lease_s", 15.0, 0.5, 600)
+    table.done()
+    if holds < 4 * poll:
+        right = f"give {4 * poll:g} or more: three asks may be lost"
+        raise Bad(table.at("holds_s"), f"is {holds:g}, and is asked for every {poll:g} s", right)
+    return OrdersSettings(Terms(poll, holds, cut_off == "keep", drift), lease)
--- /dev/null
+++ b/roadpulley/fleet/orders/terms.py
@@ -0,0 +1,231 @@
+"""What operators order of the whole fleet, and what instances say to each other about it.
+
+All orders stand in one book. The holder of a duty makes each next book from the last; its number is the fence
+of that holding and a count, and the higher one supersedes.
+
+Invariants:
+1. Books that were acknowledged form one line: each was made from the one before, none is lost or undone.
+2. Nobody goes by a book for longer than `holds` after it asked the publisher for the newest one, unless it
+   was told to keep its orders while it hears nothing; then it says so.
+
+| role      | remembers                                     | refuses                                        |
+| --------- | --------------------------------------------- | ---------------------------------------------- |
+| keeper    | the highest fence that looked at it, the book | a book under a lower fence, or not above its   |
+| (a voter) | that it took last, both on disk where it has  | own; to count as one whose memory is whole,    |
+|           | one; whether its memory is whole              | until it has taken a book since it lost it     |
+| publisher | the last book that it made, who took it, what | to publish before a majority was read and has  |
+|           | it has still to make                          | taken the last book under the new fence; to    |
+|           |                                               | answer once it may hold the duty no more       |
+| follower  | the book that it goes by, until when by its   | a lower book; an answer to an ask that is no   |
+| (all)     | own clock; the ask that is open               | longer open; news of a lower fence             |
+
+Why 1 holds: a book is acknowledged once majorities of the voters, and of those before them while they change,
+have taken it. The next publisher reads as many that promise to take nothing of a lower fence, goes on from
+the highest book among them, and has it taken under its own fence before anything else. Two majorities share a
+voter. A voter that lost its memory might have taken and promised anything, so it counts for neither until a
+publisher has had it take a book; where too few are whole, all voters are waited for, as then nothing is left
+that could know better, or an operator says to go on without. After Lamport, "Paxos made simple" (2001), with
+the fence as the ballot; Burrows, "The Chubby lock service" (2006), on caches with leases.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from typing import NamedTuple, TypeAlias
+
+import msgspec
+
+from roadpulley.fleet.rights.terms import MOST_KEY, OPEN, Limit
+
+MOST_ORDERS = 64
+MOST_SUBJECT, MOST_WHY, MOST_WHO = 64, 96, 32  # bytes
+PAGE = 3  # orders in one sheet, so that it fits into a datagram
+MOST_SECONDS = 366 * 86_400.0
+
+# What each kind may be ordered of. A pool is a zone of backends, as discovery's list names them.
+SCOPES = {
+    "rate": ("class", "customer", "plan", "pool"),
+    "open": ("class", "customer", "plan", "pool"),
+    "block": ("customer",),
+    "shed": ("class",),
+    "keep-off": ("backend",),
+}
+
+
+class Version(NamedTuple):
+    """Of a book; the higher one supersedes."""
+
+    fence: int
+    number: int
+
+
+NOTHING = Version(0, 0)
+
+
+class Order(msgspec.Struct, array_like=True, frozen=True):
+    """One order. `rate` a second and `burst`, or `most` open at once; `ends_ms`: wall clock, 0 for never.
+
+    `ticket`: of the call that gave it, so that one that is asked again is not taken for another.
+    """
+
+    kind: str
+    scope: str
+    subject: str
+    rate: float = 0.0
+    burst: float = 0.0
+    most: int = 0
+    ends_ms: int = 0
+    who: str = ""
+    why: str = ""
+    ticket: str = ""
+
+    @property
+    def key(self) -> tuple[str, str, str]:
+        """Of orders with one key the later one stands alone."""
+        return self.kind, self.scope, self.subject
+
+    @property
+    def limits(self) -> bool:
+        return self.kind in ("rate", "open")
+
+    @property
+    def limit_name(self) -> str:
+        """That of its limit, as rights to it are asked for. Subjects may be long, datagrams are short."""
+        name = f"{OPEN if self.kind == 'open' else '@rate:'}{self.scope}:{self.subject}"
+        if len(name.encode()) <= MOST_KEY // 2:
+            return name
+        return f"{name[:12]}{hashlib.blake2b(name.encode(), digest_size=16).hexdigest()}"
+
+    def limit(self, part: float, open_lease: float) -> Limit:
+        """What allocators give out: `part` of a rate, all that may be open at once."""
+        if self.kind == "open":
+            return Limit(0.0, float(self.most), open_lease)
+        return Limit(part * self.rate, part * self.burst)
+
+
+def judged(order: Order) -> str:
+    """What is wrong with an order, and what would be right; empty where it can be taken."""
+    if order.kind not in SCOPES:
+        return f"{order.kind!r} is no order; give one of {', '.join(SCOPES)}"
+    if order.scope not in SCOPES[order.kind]:
+        return f"{order.kind} of a {order.scope!r}; give {' or '.join(SCOPES[order.kind])}"
+    if not 0 < len(order.subject.encode()) <= MOST_SUBJECT:
+        return f"the {order.scope} is {order.subject!r}; give 1 to {MOST_SUBJECT} bytes"
+    if order.scope == "backend" and not order.subject.isdecimal():
+        return f"the backend is {order.subject!r}; give its number, as discovery lists it"
+    if order.kind == "rate" and not (0 <= order.rate < math.inf and 1 <= order.burst < math.inf):
+        return f"rate {order.rate:g}, burst {order.burst:g}; give 0 or more a second, a burst of 1 or more"
+    if order.kind == "open" and not 1 <= order.most <= 10**6:
+        return f"at most {order.most} open; give 1 to 1,000,000, or block it"
+    if len(order.why.encode()) > MOST_WHY or len(order.who.encode()) > MOST_WHO:
+        return f"too many words; give at most {MOST_WHY} bytes of why and {MOST_WHO} of who"
+    return ""
+
+
+class Book(msgspec.Struct, array_like=True, frozen=True):
+    id: Version = NOTHING
+    orders: tuple[Order, ...] = ()
+
+    def standing(self, wall_ms: int) -> tuple[Order, ...]:
+        """Those that have not ended."""
+        return tuple(o for o in self.orders if not o.ends_ms or o.ends_ms > wall_ms)
+
+
+# ---- messages ----
+
+
+class Look(msgspec.Struct, tag="o-look", array_like=True, frozen=True):
+    """From the publisher of this fence: promise to take nothing of a lower one, and show what you keep."""
+
+    fence: int
+
+
+class Keeps(msgspec.Struct, tag="o-keeps", array_like=True, frozen=True):
+    """The answer of a keeper to a look or to sheets; what it keeps comes in sheets beside it.
+
+    `whole`: it has taken a book since it last lost its memory, or never lost it.
+    """
+
+    promised: int
+    id: Version
+    whole: bool
+
+
+class Sheet(msgspec.Struct, tag="o-sheet", array_like=True, frozen=True):
+    """A part of a book. `take`: from the publisher to a keeper, which is to take it up."""
+
+    id: Version
+    sheets: int
+    index: int
+    orders: tuple[Order, ...]
+    take: bool = False
+
+
+class News(msgspec.Struct, tag="o-news", array_like=True, frozen=True):
+    """I publish under this fence; the newest book is this one."""
+
+    fence: int
+    id: Version
+
+
+class Poll(msgspec.Struct, tag="o-poll", array_like=True, frozen=True):
+    """What is the newest book? `holder`: of a process beside an instance, 0 between instances."""
+
+    holder: int
+    number: int
+    id: Version
+
+
+class Standing(msgspec.Struct, tag="o-standing", array_like=True, frozen=True):
+    """The newest book, which may be gone by for `holds` seconds from when it was asked for."""
+
+    holder: int
+    number: int
+    fence: int
+    id: Version
+    holds: float
+
+
+class Wish(msgspec.Struct, tag="o-wish", array_like=True, frozen=True):
+    """An operator's call, for the publisher: give this order, or lift the one of its key."""
+
+    ticket: str
+    order: Order
+    lift: bool
+
+
+class Outcome(msgspec.Struct, tag="o-outcome", array_like=True, frozen=True):
+    """What came of it: `id` of the acknowledged book with it, or why not."""
+
+    ticket: str
+    id: Version
+    why: str
+
+
+Body: TypeAlias = Look | Keeps | Sheet | News | Poll | Standing | Wish | Outcome
+
+
+def sheets(book: Book, take: bool = False) -> list[Sheet]:
+    parts = [book.orders[n : n + PAGE] for n in range(0, len(book.orders), PAGE)] or [()]
+    return [Sheet(book.id, len(parts), n, part, take) for n, part in enumerate(parts)]
+
+
+class Gathering:
+    """Sheets of one sender, until a book is whole; of several books, the highest."""
+
+    def __init__(self) -> None:
+        self.id = NOTHING
+        self.found: dict[int, Sheet] = {}
+
+    def add(self, sheet: Sheet) -> Book | None:
+        """The book that this one makes whole."""
+        most = math.ceil(MOST_ORDERS / PAGE)
+        if sheet.id < self.id or not 0 <= sheet.index < sheet.sheets <= most:
+            return None
+        if sheet.id > self.id:
+            self.id, self.found = sheet.id, {}
+        self.found[sheet.index] = sheet
+        if len(self.found) < sheet.sheets:
+            return None
+        return Book(self.id, tuple(o for n in range(sheet.sheets) for o in self.found[n].orders))
--- /dev/null
+++ b/roadpulley/fleet/orders/work.py
@@ -0,0 +1,29 @@
+"""Publishing orders as a duty: one instance does it. What it touches are the voters, which keep books."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from roadpulley.fleet.duties.work import Duty
+
+DUTY = "fleet.orders"
+
+
+class Publishing:
+    """`begins` and `highest` are the instance's own: the loop of the instance does all else."""
+
+    def __init__(self) -> None:
+        self.begins: Callable[[Duty], None] | None = None
+        self.highest: Callable[[], int] = lambda: 0
+        self.duty: Duty | None = None
+
+    def claim(self, fence: int, owner: str) -> int | None:
+        """Voters refuse a fence below one that they promised; what is known of that here is told at once."""
+        highest = self.highest()
+        return highest if highest >= fence else None
+
+    def act(self, duty: Duty) -> float | None:
+        if duty is not self.duty and self.begins is not None:
+            self.duty = duty
+            self.begins(duty)
+        return None
--- a/roadpulley/fleet/report.py
+++ b/roadpulley/fleet/report.py
@@ -10,6 +10,7 @@
 
 if TYPE_CHECKING:
     from .agent import Agent
+    from .orders.service import Orders
 
 
 def members(agent: Agent) -> dict[str, Any]:
@@ -141,6 +142,11 @@
     return found
 
 
+def orders(agent: Agent, found: Orders) -> dict[str, Any]:
+    """What operators have ordered, as it holds here."""
+    return {"instance": agent.name, "unseen": unseen_voters(agent), **found.report()}
+
+
 def unseen_voters(agent: Agent) -> list[str]:
     assert agent.members is not None
     alive = {m.who.name for m in agent.members.there() if m.state.name == "ALIVE"}
--- a/roadpulley/fleet/rights/allocator.py
+++ b/roadpulley/fleet/rights/allocator.py
@@ -10,7 +10,7 @@
 
 from roadpulley.fleet.duties.terms import Mono
 
-from .terms import UNITS, Ask, Given, Limit, Right, Times
+from .terms import UNITS, Ask, Given, Limit, Right, Times, returns
 
 MOST_LIMITS = 100_000  # in memory; of a further one nothing is given out
 SWEEP_S = 5.0
@@ -44,6 +44,7 @@
     limit: Limit
     level: float
     filled_at: Mono
+    returns: bool = False  # its units come back with the end of what they were spent on
     held: float = 0.0  # units out
     out: dict[int, Out] = field(default_factory=dict)
     ending: list[tuple[Mono, int]] = field(default_factory=list)  # a heap of what is out
@@ -101,9 +102,14 @@
         out = book.out.get(right.number) if right.fence == self.fence else None
         if out is None or out.holder != holder:
             return
+        back = min(max(0.0, unused), out.units)
+        if book.returns:
+            # Danger: what is in use of the right stays out, until that is given up too or the right ends.
+            out.units, book.held = out.units - back, book.held - back
+            book.level = book.limit.burst - book.held
+            return
         del book.out[right.number]
         book.held -= out.units
-        back = min(max(0.0, unused), out.units)
         book.level = min(book.level + back, book.limit.burst - book.held)
 
     def _give(self, now: Mono, book: Book, ask: Ask) -> Given:
@@ -115,16 +121,22 @@
         units = min(ask.want, max(ask.least, there * self._part(now, book, ask)))
         self.count += 1
         self.given += units
-        ends = now + self.times.lease
+        ends = now + self.lease(book.limit)
         book.level -= units
         book.held += units
         book.out[self.count] = Out(ask.holder, units, ends)
         heapq.heappush(book.ending, (ends, self.count))
-        return self._answer(ask, self.count, units)
+        return self._answer(ask, self.count, units, lease=self.lease(book.limit))
 
-    def _answer(self, ask: Ask, number: int, units: float, wait_ms: int = 0) -> Given:
-        right = Right(self.fence, number)
-        return Given(ask.holder, ask.number, ask.limit, right, units, self.times.holds, wait_ms)
+    def _answer(self, ask: Ask, number: int, units: float, wait_ms: int = 0, lease: float = 0.0) -> Given:
+        right, holds = Right(self.fence, number), self.times.held(lease or self.times.lease)
+        return Given(ask.holder, ask.number, ask.limit, right, units, holds, wait_ms)
+
+    def lease(self, limit: Limit) -> float:
+        return limit.lease or self.times.lease
+
+    def clears(self, limit: Limit) -> Mono:
+        return self.began + max(self.times.clear, self.lease(limit))
 
     def _part(self, now: Mono, book: Book, ask: Ask) -> float:
         """Of what is there: its part of what all of late have wanted, and alone all of it."""
@@ -138,7 +150,7 @@
         """Milliseconds until there may be enough, apart from those that others are told."""
         lacks = ask.least - book.level
         fills = lacks / book.limit.rate if book.limit.rate else SHORTEST_WAIT_S
-        wait = max(0.0, self.clear_at - now) + fills
+        wait = max(0.0, self.clears(book.limit) - now) + fills
         wait = min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, wait)) * self.rng.uniform(0.8, 1.2)
         return int(wait * 1000) if ask.want else 0
 
@@ -160,6 +172,9 @@
         self._rise(now, book)
 
     def _rise(self, now: Mono, book: Book) -> None:
+        if book.returns:
+            book.level = book.limit.burst - book.held if now >= self.clears(book.limit) else 0.0
+            return
         passed = max(0.0, now - book.filled_at)
         book.filled_at = max(now, book.filled_at)
         # Danger: a fast clock would give out more than the rate.
@@ -174,7 +189,7 @@
         if limit is None or (found is None and len(self.books) >= MOST_LIMITS):
             return None
         if found is None:
-            found = self.books[name] = Book(limit, 0.0, self.clear_at)
+            found = self.books[name] = Book(limit, 0.0, self.clears(limit), returns(name))
         return found
 
     def limit(self, name: str) -> Limit | None:
@@ -203,10 +218,10 @@
             self.fill(now, book)
             # Danger: an account that went while its last ask may come again would answer that with a second
             # right; but no answer to it counts after `holds`.
-            since = now - 2 * self.times.lease
+            since = now - 2 * self.lease(book.limit)
             book.accounts = {h: a for h, a in book.accounts.items() if a.asked_at > since}
             # Danger: a book that comes back starts as full as time since this allocator's beginning makes it.
             fills = book.limit.burst / book.limit.rate * (1 + self.times.drift) if book.limit.rate else 0.0
-            whole = book.level >= book.limit.burst - UNITS and now - self.clear_at >= fills
+            whole = book.level >= book.limit.burst - UNITS and now - self.clears(book.limit) >= fills
             if not book.accounts and not book.out and whole:
                 del self.books[name]
--- a/roadpulley/fleet/rights/client.py
+++ b/roadpulley/fleet/rights/client.py
@@ -8,24 +8,37 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 from roadpulley.fleet.clock import Clock, from_environment
 from roadpulley.fleet.line import Line
 
-from .holder import NEVER_DUE, Holder, limit_of
-from .terms import Given, Hello, Serving, Welcome
+from .holder import NEVER_DUE, Holder, Paid, limit_of
+from .terms import Given, Hello, Serving, Welcome, returns
 
 LEAST_WAIT_S = 0.001  # of the timer's own rounding
 
 
-@dataclass(eq=False)
-class Wish:
-    """One act that waits until it can be paid, or its time is up."""
+Done = Callable[[bool], None]
+Ended = Callable[[], None]
+
+
+@dataclass(frozen=True)
+class Need:
+    """Units of one limit. `lasting`: seconds for which they may be in use, where they come back."""
 
     limit: str
     units: float
-    done: Callable[[bool], None]
+    lasting: float = 0.0
+
+
+@dataclass(eq=False)
+class Wish:
+    """One act that waits until all its needs can be paid at once, or its time is up."""
+
+    needs: tuple[Need, ...]
+    done: Callable[[bool, Ended | None], None]
     timer: asyncio.TimerHandle | None = None
 
 
@@ -63,48 +76,81 @@
         self._set()
         return taken
 
-    def wish(
-        self, plan: str, customer: str, units: float, within: float, done: Callable[[bool], None]
+    def wish(self, plan: str, customer: str, units: float, within: float, done: Done) -> None:
+        """Spend so much of a customer's limit as soon as it is held, as `wish_all` does."""
+        self.wish_all((Need(limit_of(plan, customer), units),), within, lambda paid, _: done(paid))
+
+    def wish_all(
+        self, needs: tuple[Need, ...], within: float, done: Callable[[bool, Ended | None], None]
     ) -> None:
-        """Spend so much as soon as it is held: `done` is called once, at once or within so many seconds."""
-        limit = limit_of(plan, customer)
-        if self.take(limit, units):
-            return done(True)
+        """Pay all needs at once, as soon as that can be; none of them before.
+
+        `done` is called once, at once or within so many seconds: whether they are paid, and what to call when
+        the act has ended, where units come back then.
+        """
+        if self.machine is None:
+            return done(False, None)
+        now = self.clock.now()
+        for need in needs:
+            self.machine.want(now, need.limit, need.units, need.lasting)
+        wish = Wish(needs, done)
+        lacking = self._pay(now, wish)
+        self._set()
+        if lacking is not None and self._wait(lacking, wish):
+            wish.timer = asyncio.get_running_loop().call_later(within, self._expire, wish)
+
+    def _pay(self, now: float, wish: Wish) -> str | None:
+        """Pay it, if all its needs can be; gives a limit that can't."""
+        machine = self.machine
+        assert machine is not None
+        lacking = [need.limit for need in wish.needs if not machine.can(now, need.limit, need.units)]
+        if not lacking:
+            self.paid_at = now
+            paid = [(need.limit, machine.pay(now, need.limit, need.units)) for need in wish.needs]
+            back = [(limit, lots) for limit, lots in paid if returns(limit)]
+            self._end(wish, True, partial(self._ended, back) if back else None)
+        for need in wish.needs:
+            if ask := machine.ask_now(now, need.limit):
+                self.line.send(ask)
+        return next((limit for limit in lacking if not self._asks(limit)), lacking[0]) if lacking else None
+
+    def _wait(self, limit: str, wish: Wish) -> bool:
+        """For an answer about a limit, if one may come: else it is told so at once."""
         if not self._asks(limit):
-            return done(False)  # nobody is there to ask, or it was told to wait for longer
-        wish = Wish(limit, units, done)
+            self._end(wish, False)  # nobody is there to ask, or it was told to wait for longer
+            return False
         self.waiting.setdefault(limit, []).append(wish)
-        wish.timer = asyncio.get_running_loop().call_later(within, self._expire, wish)
+        return True
 
     def _asks(self, limit: str) -> bool:
-        """Whether an answer for it may come."""
         purse = self.machine.purses.get(limit) if self.machine is not None else None
         return purse is not None and purse.open is not None
 
+    def _ended(self, back: list[tuple[str, Paid]]) -> None:
+        assert self.machine is not None
+        for limit, lots in back:
+            self.machine.ended(self.clock.now(), limit, lots)
+            if self.waiting.get(limit):
+                self._answered(limit)
+        self._set()
+
     def _expire(self, wish: Wish) -> None:
-        if wish in (rows := self.waiting.get(wish.limit, [])):
-            rows.remove(wish)
-            self._end(wish, False)
+        for rows in self.waiting.values():
+            if wish in rows:
+                rows.remove(wish)
+                return self._end(wish, False)
 
-    def _end(self, wish: Wish, paid: bool) -> None:
+    def _end(self, wish: Wish, paid: bool, ended: Ended | None = None) -> None:
         if wish.timer is not None:
             wish.timer.cancel()
-        wish.done(paid)
+        wish.done(paid, ended)
 
-    def _pay(self, limit: str) -> None:
-        """An answer has come: those that wait are paid in their order, or asked for once more."""
-        assert self.machine is not None
-        rows = self.waiting.pop(limit, [])
-        now = self.paid_at = self.clock.now()
-        while rows and self.machine.take(now, limit, rows[0].units, anew=False):
-            self._end(rows.pop(0), True)
-        if ask := self.machine.ask_now(now, limit):
-            self.line.send(ask)
-        if self._asks(limit):
-            self.waiting[limit] = rows + self.waiting.get(limit, [])
-        else:
-            for wish in rows:
-                self._end(wish, False)  # there is nothing: it is told so at once
+    def _answered(self, limit: str) -> None:
+        """There may be more of a limit: those that wait for it are paid in their order, or wait on."""
+        now = self.clock.now()
+        for wish in self.waiting.pop(limit, []):
+            if (lacking := self._pay(now, wish)) is not None:
+                self._wait(lacking, wish)
 
     # ---- messages ----
 
@@ -124,7 +170,7 @@
             limit, waited = body.limit, self._asks(body.limit)
             self.machine.heard(now, body)
             if waited and not self._asks(limit):
-                self._pay(limit)
+                self._answered(limit)
         self._set()
 
     # ---- time ----
@@ -144,5 +190,5 @@
         for ask in self.machine.tick(self.clock.now()):
             self.line.send(ask)
         for limit in [name for name in self.waiting if not self._asks(name)]:
-            self._pay(limit)
+            self._answered(limit)
         self._set()
--- a/roadpulley/fleet/rights/holder.py
+++ b/roadpulley/fleet/rights/holder.py
@@ -10,12 +10,13 @@
 
 from roadpulley.fleet.duties.terms import Mono
 
-from .terms import MOST_CLOSED, MOST_KEY, UNITS, Ask, Closed, Given, Right, Times
+from .terms import MOST_CLOSED, MOST_KEY, UNITS, Ask, Closed, Given, Right, Times, returns
 
 NEVER_DUE = math.inf
 MEMORY_S = 1.0  # of what is wanted: for how long a wish counts
 AHEAD_S = 0.25  # of what is wanted: so much is held before it is needed
 REFILL = 0.5  # of that: under this more is asked for
+BESIDE = 0.5  # of what is in use: so much more is held of a limit on what is open at once
 TELL = 0.3  # of a lease: after which a right that is used up is told of by itself
 UNSERVED_S, SOONEST_S = 0.25, 0.002  # between two looks at one limit at least, the first where nobody serves
 IDLE_S = 10.0  # without a wish: then a limit is forgotten
@@ -23,12 +24,19 @@
 
 @dataclass(slots=True)
 class Lot:
-    """A right that is held. By our own clock: `until` it may be spent, after `keep` it is given up."""
+    """A right that is held. By our own clock: `until` it may be spent, after `keep` it is given up.
+
+    `used`: units that come back once what they were spent on has ended.
+    """
 
     right: Right
     units: float
     until: Mono
     keep: Mono
+    used: float = 0.0
+
+
+Paid = list[tuple[Lot, float]]  # of one payment: from which rights how much
 
 
 @dataclass(slots=True)
@@ -57,9 +65,21 @@
     lacks: float = 0.0  # units of a wish that can't be paid: asked for at once
     rest_until: Mono = 0.0  # it was told to wait
     planned: Mono = NEVER_DUE  # when it is looked at next
+    lasting: float = 0.0  # of the last wish: seconds for which its unit may be in use, where units come back
+
+    @property
+    def returns(self) -> bool:
+        return returns(self.limit)
 
     def there(self, now: Mono) -> float:
-        return sum(lot.units for lot in self.lots if now < lot.until)
+        """What can be spent now.
+
+        Danger: on something that outlasts its right, a unit would be in use twice.
+        """
+        return sum(lot.units for lot in self.lots if now + self.lasting < lot.until)
+
+    def in_use(self, now: Mono) -> float:
+        return sum(lot.used for lot in self.lots if now < lot.until)
 
 
 class Holder:
@@ -83,32 +103,55 @@
 
         Danger: between this and the act the process may be stopped. What is sent on then counts from here.
         """
-        purse = self._purse(now, limit)
         if anew:
-            self._want(now, purse, units)
-        if purse.there(now) < units - UNITS:
-            purse.lacks = max(purse.lacks, units)
-            self.unpaid += units
+            self.want(now, limit, units)
+        if not self.can(now, limit, units):
             return False
+        self.pay(now, limit, units)
+        return True
+
+    def want(self, now: Mono, limit: str, units: float, lasting: float = 0.0) -> None:
+        """A new wish. `lasting`: seconds for which its units may be in use, where they come back."""
+        purse = self._purse(now, limit)
+        purse.lasting = lasting if purse.returns else 0.0
+        fade = math.exp((purse.wanted_at - now) / MEMORY_S)
+        purse.wanted, purse.wanted_at = purse.wanted * fade + units, now
+        purse.largest = max(units, purse.largest * fade)
+
+    def can(self, now: Mono, limit: str, units: float) -> bool:
+        """Whether rights that are held can pay; if not, `ask_now` asks for more."""
+        purse = self._purse(now, limit)
+        if purse.there(now) >= units - UNITS:
+            return True
+        purse.lacks = max(purse.lacks, units)
+        self.unpaid += units
+        return False
+
+    def pay(self, now: Mono, limit: str, units: float) -> Paid:
+        """Spend what `can` has just found; gives what `ended` takes back where units come back."""
+        purse, left, out = self._purse(now, limit), units, []
         self.spent += units
-        left = units
         for lot in purse.lots:
-            if now < lot.until:
-                paid = min(lot.units, left)
+            if now + purse.lasting < lot.until and (paid := min(lot.units, left)) > 0:
                 lot.units, left = lot.units - paid, left - paid
+                lot.used += paid if purse.returns else 0.0
+                out.append((lot, paid))
         purse.lacks = 0.0
-        return True
+        return out
+
+    def ended(self, now: Mono, limit: str, paid: Paid) -> None:
+        """What units were spent on has ended: they may be spent again, while their right lasts."""
+        for lot, units in paid:
+            lot.used -= units
+            lot.units += units
+        if (purse := self.purses.get(limit)) is not None:
+            self._plan(now, purse)
 
     def _purse(self, now: Mono, limit: str) -> Purse:
         if (found := self.purses.get(limit)) is None:
             found = self.purses[limit] = Purse(limit, part_of(limit, self.parts), wanted_at=now)
         return found
 
-    def _want(self, now: Mono, purse: Purse, units: float) -> None:
-        fade = math.exp((purse.wanted_at - now) / MEMORY_S)
-        purse.wanted, purse.wanted_at = purse.wanted * fade + units, now
-        purse.largest = max(units, purse.largest * fade)
-
     # ---- to ask ----
 
     def serving(self, now: Mono, part: int, fence: int, left: float) -> bool:
@@ -184,6 +227,8 @@
     def _need(self, now: Mono, purse: Purse) -> tuple[float, float]:
         """Units to ask for, and the least that is of use."""
         ahead = purse.wanted * math.exp((purse.wanted_at - now) / MEMORY_S) / MEMORY_S * AHEAD_S
+        if purse.returns:  # what is in use comes back and is spent again
+            ahead = min(ahead, BESIDE * purse.in_use(now))
         ahead = ahead if ahead >= purse.largest else 0.0  # so few wishes: each is asked for as it comes
         target, there = max(ahead, purse.lacks), purse.there(now)
         if there >= (purse.lacks if purse.lacks else target * REFILL):
@@ -204,12 +249,11 @@
         if given.wait_ms:
             purse.rest_until = now + given.wait_ms / 1000
         # Danger: an allocator that goes by a shorter lease takes a right for ended before this process does.
-        holds = min(self.times.holds, given.holds)
+        holds = given.holds if purse.returns else min(self.times.holds, given.holds)
         if given.units > 0:
             until = waiting.first_at + holds
-            purse.lots.append(
-                Lot(given.right, given.units, until, waiting.first_at + holds * self.times.keep)
-            )
+            keep = min(holds, self.times.holds) * self.times.keep
+            purse.lots.append(Lot(given.right, given.units, until, waiting.first_at + keep))
         self._plan(now, purse)
         return given.units > 0
 
@@ -219,6 +263,14 @@
         for lot in purse.lots:
             if now >= lot.until:
                 continue  # the allocator will find that it has ended
+            if purse.returns:
+                if lot.units > UNITS and now >= lot.keep:
+                    self._close(now, purse, lot)
+                    lot.units = 0.0
+                # Danger: what is in use of it comes back here, and has to be told when it does.
+                if lot.units > UNITS or lot.used > UNITS:
+                    kept.append(lot)
+                continue
             if lot.units > UNITS and now < lot.keep:
                 kept.append(lot)
                 continue
@@ -232,6 +284,7 @@
         purse.closed.append(Closed(lot.right, lot.units))
         # What was all spent is told with the next ask: until then the limit has a little less room.
         patience = 0.0 if lot.units > UNITS else TELL * self.times.lease
+        patience = self.times.answer if purse.returns else patience  # one message for what ends together
         purse.tell_at = min(purse.tell_at, now + patience)
 
     def next_at(self) -> Mono:
@@ -256,7 +309,8 @@
             yield purse.tell_at
             if purse.lacks:
                 yield purse.rest_until
-        yield from (lot.keep for lot in purse.lots)
+        # Of a right that is all in use nothing is to be given up yet.
+        yield from (lot.until if purse.returns and lot.units <= UNITS else lot.keep for lot in purse.lots)
 
     def _of(self, part: int) -> Iterator[Purse]:
         return (purse for purse in self.purses.values() if purse.part == part)
--- a/roadpulley/fleet/rights/service.py
+++ b/roadpulley/fleet/rights/service.py
@@ -22,7 +22,7 @@
 
 from .allocator import Allocator
 from .settings import RightsSettings
-from .terms import MOST_KEY, Ask, Body, FromHolder, Given, Hello, Serving, Welcome
+from .terms import MOST_KEY, Ask, Body, FromHolder, Given, Hello, Limit, Serving, Welcome
 from .work import Giving
 
 SAY_S = 0.25  # between two words of an allocator that it serves
@@ -51,6 +51,7 @@
         self.known: dict[int, tuple[int, Route, Mono]] = {}  # by part: fence, where, until when
         self.counts: Counter[str] = Counter()
         self.saying: asyncio.TimerHandle | None = None
+        self.limits: dict[str, Limit] = dict(settings.given_out)
         for work in works.values():
             if isinstance(work, Giving):
                 work.begins = self._begins
@@ -75,11 +76,17 @@
         # ended: only who holds the duty comes here.
         settings = self.settings
         now = self.clock.now()
-        allocator = Allocator(duty.fence, now, settings.given_out, settings.times, self.rng)
+        allocator = Allocator(duty.fence, now, self.limits, settings.times, self.rng)
         self.ours[part] = duty, allocator
         log.info("gives out rights", part=part, fence=duty.fence)
         self._announce()
 
+    def ordered(self, limits: Mapping[str, Limit]) -> None:
+        """Operators have other limits now, beside those of the settings."""
+        self.limits = {**self.settings.given_out, **limits}
+        for _, allocator in self.ours.values():
+            allocator.retune(self.clock.now(), self.limits)
+
     def allocator(self, part: int) -> Allocator | None:
         """Of a part that this instance gives out, now."""
         duty, allocator = self.ours.get(part, (None, None))
--- a/roadpulley/fleet/rights/terms.py
+++ b/roadpulley/fleet/rights/terms.py
@@ -40,13 +40,18 @@
 MOST_KEY = 96  # bytes of a limit's name
 MOST_CLOSED = 16  # rights given up with one ask
 UNITS = 1e-6  # what rounding may leave of a difference
+OPEN = "@open:"  # begins the names of limits on what is open at once
 
 
 class Limit(msgspec.Struct, frozen=True):
-    """Units; `rate` a second. Raises ValueError."""
+    """Units; `rate` a second. `lease`: seconds, where it is not that of all. Raises ValueError.
+
+    Of a limit on what is open at once (`returns`) a unit comes back when what it was spent on has ended.
+    """
 
     rate: float
     burst: float
+    lease: float = 0.0
 
     def __post_init__(self) -> None:
         if not 0 < self.burst < math.inf:
@@ -55,6 +60,15 @@
             raise ValueError(f"rate is {self.rate:g}; give 0 or more")
 
 
+def returns(limit: str) -> bool:
+    """Whether its units come back with the end of what they were spent on, and not with time.
+
+    Invariant of these: at no moment more than `burst` are in use. A right lasts longer than anything that it
+    is spent on: a holder uses a unit only for what surely ends before the right does.
+    """
+    return limit.startswith(OPEN)
+
+
 class Times(msgspec.Struct, frozen=True):
     """Seconds, and a share for `drift`. Raises ValueError where they leave a holder no time."""
 
@@ -83,7 +97,10 @@
 
         Danger: a slow holder beside a fast allocator would spend what has been given to another.
         """
-        return self.lease * (1 - self.drift) / (1 + self.drift)
+        return self.held(self.lease)
+
+    def held(self, lease: float) -> float:
+        return lease * (1 - self.drift) / (1 + self.drift)
 
     @property
     def waits(self) -> float:
--- a/roadpulley/fleet/settings.py
+++ b/roadpulley/fleet/settings.py
@@ -19,6 +19,8 @@
 from .duties.roll import MOST_VOTERS
 from .duties.terms import Times
 from .members.terms import Times as MemberTimes
+from .orders.settings import OrdersSettings, read_orders
+from .orders.work import DUTY as ORDERS
 from .peers.envelope import LEAST_KEY, MOST_KEY
 from .rights.settings import RightsSettings, read_rights
 from .rights.work import DUTY as RIGHTS
@@ -56,6 +58,7 @@
     settle_s: float  # for which another instance has to be the better one before a duty is handed to it
     counts: CountsSettings | None = None  # numbers that all add to, in place of a counter
     rights: RightsSettings | None = None  # to spend of the limits that hold over all gateways
+    orders: OrdersSettings | None = None  # of operators, followed by all
 
     @property
     def static(self) -> dict[str, str]:
@@ -87,6 +90,7 @@
     apart(voters, others)
     times = lease(table.table("lease"))
     rights = read_rights(table.table("rights"), times.drift) if table.has("rights") else None
+    orders = read_orders(table.table("orders"), times.drift) if table.has("orders") else None
     found = FleetSettings(
         installation,
         key,
@@ -97,10 +101,11 @@
         tuple(address(s, f"seeds[{n}]", key) for n, s in enumerate(seeds)),
         times,
         member_times(table.table("members")),
-        {**duties(table.table("duties"), folder, {*voters, *others}), **giving(rights)},
+        {**duties(table.table("duties"), folder, {*voters, *others}), **own(rights, orders)},
         table.number("settle_s", 10.0, 0.1, 3600),
         read_counts(table.table("counts")) if table.has("counts") else None,
         rights,
+        orders,
     )
     table.done()
     return found
@@ -223,10 +228,11 @@
     return found
 
 
-def giving(rights: RightsSettings | None) -> dict[str, DutySettings]:
-    """One duty for each part of the limits."""
-    names = [f"{RIGHTS}{part}" for part in range(rights.parts)] if rights is not None else []
-    return {name: DutySettings(name, "rights", None, "", 60.0, (), ()) for name in names}
+def own(rights: RightsSettings | None, orders: OrdersSettings | None) -> dict[str, DutySettings]:
+    """Duties of the fleet's own: one for each part of the limits, one for orders."""
+    works = {f"{RIGHTS}{part}": "rights" for part in range(rights.parts if rights is not None else 0)}
+    works |= {ORDERS: "orders"} if orders is not None else {}
+    return {name: DutySettings(name, work, None, "", 60.0, (), ()) for name, work in works.items()}
 
 
 def instances(table: Table, key: str, known: set[str]) -> tuple[str, ...]:
--- a/roadpulley/fleet/works/__init__.py
+++ b/roadpulley/fleet/works/__init__.py
@@ -35,6 +35,10 @@
         from roadpulley.fleet.rights.work import DUTY, Giving
 
         return Giving(int(duty.name.removeprefix(DUTY)))
+    if duty.work == "orders":
+        from roadpulley.fleet.orders.work import Publishing
+
+        return Publishing()
     assert duty.settings is not None
     if duty.work in ("usage-push", "usage-close"):
         from roadpulley.usage.settings import read_settings
--- a/roadpulley/testbed/fleet.py
+++ b/roadpulley/testbed/fleet.py
@@ -50,6 +50,10 @@
     state: bool = False  # whether voters remember used fences on disk
     limit: Limit | None = None  # of each customer of the plan `paid`, over all gateways
     rights_lease: float = 1.0
+    orders: bool = False  # whether operators' orders are followed
+    orders_holds: float = 2.0
+    cut_off: str = "keep"  # what holds where no orders are heard
+    open_lease: float = 3.0
     counts: bool = False  # whether instances are a counter together
     parts: int = 1
     seed: int = 1
@@ -185,6 +189,9 @@
             lines += ["[rights]", f"lease_s = {plan.rights_lease}", f"parts = {plan.parts}", "ceilings = 1.0"]
             lines += ["[rights.limits.paid]", f"rate = {plan.limit.rate}", f"burst = {plan.limit.burst}"]
         lines += ["[counts]"] if plan.counts else []
+        if plan.orders:
+            lines += ["[orders]", "poll_s = 0.1", f"holds_s = {plan.orders_holds}"]
+            lines += [f'cut_off = "{plan.cut_off}"', f"open_lease_s = {plan.open_lease}"]
         for duty in plan.duty_names:
             lines += [f"[duties.{duty}]", 'work = "probe"', f'address = "{self.register.address}"']
             lines += [f"every_s = {plan.every}"]
