--- a/roadpulley/cli/fleet.py
+++ b/roadpulley/cli/fleet.py
@@ -29,7 +29,7 @@
 
 def command() -> click.Command:
     try:
-        from .fleet_orders import group  # that of fleet_commands, with the commands of both
+        from .fleet_orders import group
     except ImportError as error:
         return missing(str(error.name))
     return group
--- a/roadpulley/cli/fleet_orders.py
+++ b/roadpulley/cli/fleet_orders.py
@@ -16,7 +16,8 @@
 from roadpulley.fleet.orders.terms import MOST_SECONDS, MOST_WHO, SCOPES, Order, judged
 from roadpulley.fleet.settings import read_settings
 
-from .fleet_commands import AS_JSON, NAME, answer, group, seen_from, table
+from .fleet_commands import AS_JSON, NAME, answer, seen_from, table
+from .fleet_commands import group as group
 
 WAIT_S = 25.0  # for an outcome: longer than an instance tries
 LOOK_S = 0.05
@@ -58,10 +59,10 @@
         click.echo(f"{status['step']}: {status['why']}", err=True)
         return 1
     holds = found.orders.terms.holds if found.orders else 0.0
+    done, book = "lifted" if lift else "ordered", ".".join(map(str, status["id"]))
     click.echo(
-        f"{'lifted' if lift else 'ordered'}, book {status['id'][0]}.{status['id'][1]}: every instance that is "
-        f"reached follows within a second; one that is cut off takes the book before for the newest for "
-        f"{holds:g} s at most"
+        f"{done}, book {book}: every instance that is reached follows within a second; one that is cut off "
+        f"takes the book before for the newest for {holds:g} s at most"
     )
     return 0
 
