--- a/roadpulley/fleet/rights/client.py
+++ b/roadpulley/fleet/rights/client.py
@@ -92,7 +92,7 @@
             return done(False, None)
         now = self.clock.now()
         for need in needs:
-            self.machine.want(now, need.limit, need.units, need.lasting)
+            self.machine.want(now, need.limit, need.units)
         wish = Wish(needs, done)
         lacking = self._pay(now, wish)
         self._set()
@@ -103,7 +103,7 @@
         """Pay it, if all its needs can be; gives a limit that can't."""
         machine = self.machine
         assert machine is not None
-        lacking = [need.limit for need in wish.needs if not machine.can(now, need.limit, need.units)]
+        lacking = [n.limit for n in wish.needs if not machine.can(now, n.limit, n.units, n.lasting)]
         if not lacking:
             self.paid_at = now
             paid = [(need.limit, machine.pay(now, need.limit, need.units)) for need in wish.needs]
--- a/roadpulley/fleet/rights/holder.py
+++ b/roadpulley/fleet/rights/holder.py
@@ -65,7 +65,7 @@
     lacks: float = 0.0  # units of a wish that can't be paid: asked for at once
     rest_until: Mono = 0.0  # it was told to wait
     planned: Mono = NEVER_DUE  # when it is looked at next
-    lasting: float = 0.0  # of the last wish: seconds for which its unit may be in use, where units come back
+    lasting: float = 0.0  # of the wish looked at last: seconds for which its units may be in use
 
     @property
     def returns(self) -> bool:
@@ -110,17 +110,18 @@
         self.pay(now, limit, units)
         return True
 
-    def want(self, now: Mono, limit: str, units: float, lasting: float = 0.0) -> None:
-        """A new wish. `lasting`: seconds for which its units may be in use, where they come back."""
+    def want(self, now: Mono, limit: str, units: float) -> None:
+        """A new wish: what comes lately says how much to hold."""
         purse = self._purse(now, limit)
-        purse.lasting = lasting if purse.returns else 0.0
         fade = math.exp((purse.wanted_at - now) / MEMORY_S)
         purse.wanted, purse.wanted_at = purse.wanted * fade + units, now
         purse.largest = max(units, purse.largest * fade)
 
-    def can(self, now: Mono, limit: str, units: float) -> bool:
+    def can(self, now: Mono, limit: str, units: float, lasting: float = 0.0) -> bool:
         """Whether rights that are held can pay; if not, `ask_now` asks for more."""
         purse = self._purse(now, limit)
+        # Danger: of wishes that wait each has its own; by another's it could outlast the right that pays.
+        purse.lasting = lasting if purse.returns else 0.0
         if purse.there(now) >= units - UNITS:
             return True
         purse.lacks = max(purse.lacks, units)
@@ -128,7 +129,7 @@
         return False
 
     def pay(self, now: Mono, limit: str, units: float) -> Paid:
-        """Spend what `can` has just found; gives what `ended` takes back where units come back."""
+        """Spend what `can` has found just before; gives what `ended` takes back where units come back."""
         purse, left, out = self._purse(now, limit), units, []
         self.spent += units
         for lot in purse.lots:
--- a/roadpulley/testbed/rights_world.py
+++ b/roadpulley/testbed/rights_world.py
@@ -108,6 +108,8 @@
 
 
 class World:
+    key = KEY
+
     def __init__(
         self, plan: Plan, seed: int, holder: type[Holder] = Holder, allocator: type[Allocator] = Allocator
     ) -> None:
@@ -157,8 +159,14 @@
         while self.queue and self.queue[0][0] < plan.seconds:
             self.now, _, act = heapq.heappop(self.queue)
             act()
+        return self.judged()
+
+    def judged(self) -> Use:
         return use(self.spends, self.terms)
 
+    def _limits(self) -> dict[str, Limit]:
+        return {"plan": self.limit}
+
     def _wish(self) -> None:
         """One wish, and when the next comes: now and then many at once."""
         rng, plan = self.rng, self.plan
@@ -181,7 +189,7 @@
         self.wished += units
         if self.now >= process.stopped_until:
             self._spend(process, units, True)
-            ask = process.machine.ask_now(process.clock(self.now), KEY)
+            ask = process.machine.ask_now(process.clock(self.now), self.key)
             if ask is not None:
                 self._send(process, ask)
 
@@ -238,7 +246,7 @@
             if process.machine.heard(now, message):
                 while self._spend(process, 1.0, False) and self.plan.flood:
                     pass  # many wait
-            if ask := process.machine.ask_now(now, KEY):
+            if ask := process.machine.ask_now(now, self.key):
                 self._send(process, ask)
 
     def _say(self) -> None:
@@ -264,8 +272,8 @@
         self.fence += 1
         rate = 1 + self.rng.choice((-drift, drift, self.rng.uniform(-drift, drift)))
         self.server = rate, self.rng.uniform(0, 1e6)
-        limits = {"plan": self.limit}
-        self.allocator = self.kinds[1](self.fence, self._server_clock(), limits, self.plan.times, self.rng)
+        clock = self._server_clock()
+        self.allocator = self.kinds[1](self.fence, clock, self._limits(), self.plan.times, self.rng)
 
     def _stop(self) -> None:
         process = self.rng.choice(self.processes)
@@ -284,14 +292,17 @@
         old, rng = self.limit, self.rng
         self.limit = replace_limit(old, rng.choice((0.3, 0.7, 1.5)))
         if self.allocator is not None:
-            self.allocator.retune(self._server_clock(), {"plan": self.limit})
+            self.allocator.retune(self._server_clock(), self._limits())
+        self.terms += self._changed(old)
+
+    def _changed(self, old: Limit) -> list[Holds]:
         most = Holds(self.now, max(old.rate, self.limit.rate), max(old.burst, self.limit.burst))
         ends = self.now + self.plan.times.lease * (1 + 2 * self.plan.times.drift)
         if self.terms[-1].since > self.now:  # an earlier change is not over yet
             last = self.terms.pop()
             most = replace(most, rate=max(most.rate, last.rate), burst=max(most.burst, last.burst))
-        self.terms += [most, Holds(ends, self.limit.rate, self.limit.burst)]
+        return [most, Holds(ends, self.limit.rate, self.limit.burst)]
 
 
 def replace_limit(limit: Limit, times: float) -> Limit:
-    return Limit(limit.rate * times, max(0.5, limit.burst * times))
+    return Limit(limit.rate * times, max(0.5, limit.burst * times), limit.lease)
--- a/tests/fleet/test_rights_world.py
+++ b/tests/fleet/test_rights_world.py
@@ -9,8 +9,9 @@
 import pytest
 
 from roadpulley.fleet.rights.allocator import Allocator, Book, Out
-from roadpulley.fleet.rights.holder import Holder, Lot, Purse
+from roadpulley.fleet.rights.holder import Holder, Lot, Paid, Purse
 from roadpulley.fleet.rights.terms import Ask, Given, Limit, Right
+from roadpulley.testbed import open_world
 from roadpulley.testbed.limits import Holds, Spent, use
 from roadpulley.testbed.rights_world import Plan, World, drawn, sharp
 
@@ -157,6 +158,70 @@
     assert overdrawn(kind, FOUND[kind]) > 0
 
 
+def test_no_more_is_open_at_once_than_a_limit_says() -> None:
+    tightest = 0.0
+    for seed in range(HISTORIES):
+        found = open_world.World(open_world.drawn(seed), seed).run()
+        assert found.over == 0, f"seed {seed}: {found}"
+        tightest = max(tightest, found.tight)
+    assert tightest == 1.0
+
+
+class Outlasts(Holder):
+    """A right pays for what may be open for longer than it lasts."""
+
+    def can(self, now: float, limit: str, units: float, lasting: float = 0.0) -> bool:
+        return super().can(now, limit, units)
+
+
+class BackAndKept(Holder):
+    """What has ended is given up and can be spent here, too."""
+
+    def _close(self, now: float, purse: Purse, lot: Lot) -> None:
+        super()._close(now, purse, lot)
+        purse.lots.append(Lot(lot.right, lot.units, lot.until, lot.until))
+
+
+class EndsTwice(Holder):
+    def ended(self, now: float, limit: str, paid: Paid) -> None:
+        super().ended(now, limit, paid)
+        super().ended(now, limit, paid)
+
+
+class FullAtOnce(Allocator):
+    """What an allocator before gave out takes no room."""
+
+    def clears(self, limit: Limit) -> float:
+        return self.began
+
+
+class ShortLease(Allocator):
+    """Rights count as out for as long as those of a rate."""
+
+    def lease(self, limit: Limit) -> float:
+        return self.times.lease
+
+    def _answer(self, ask: Ask, number: int, units: float, wait_ms: int = 0, lease: float = 0.0) -> Given:
+        limit = self.limit(ask.limit)
+        return super()._answer(ask, number, units, wait_ms, limit.lease if limit else lease)
+
+
+OPEN_FOUND = {Outlasts: 40, BackAndKept: 40, EndsTwice: 40, FullAtOnce: 40, ShortLease: 40}  # within so many
+
+
+@pytest.mark.parametrize("kind", OPEN_FOUND, ids=lambda kind: kind.__name__)
+def test_a_mistake_in_what_is_open_is_found(kind: type[Holder] | type[Allocator]) -> None:
+    def over(seed: int) -> float:
+        plan = open_world.drawn(seed)
+        if issubclass(kind, Holder):
+            return open_world.World(plan, seed, holder=kind).run().over
+        return open_world.World(plan, seed, allocator=kind).run().over
+
+    found = next((seed for seed in range(OPEN_FOUND[kind]) if over(seed)), None)
+    print(f"{kind.__name__}: history {found}")
+    assert found is not None
+
+
 def test_the_judge_sees_what_an_exact_store_would_refuse() -> None:
     terms = [Holds(0.0, 2.0, 10.0)]
     within = [Spent(1.0, "p", 10.0, "a"), Spent(2.0, "p", 2.0, "b"), Spent(9.0, "p", 10.0, "a")]
