--- /dev/null
+++ b/tests/decisions/test_orders.py
@@ -0,0 +1,114 @@
+"""What the module does with operators' orders: whom it refuses, whom it lets pay, where it does not send."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import pytest
+from helpers import World, entry, refusals, sends
+
+from mintford import interface as api
+
+LIMITS = {("class", "view"): ("views",), ("plan", "basic"): ("basics", "basics open")}
+POOL = {("pool", "a"): ("in a",)}
+
+
+def zoned(backend: int, zone: str) -> api.BackendEntry:
+    return api.BackendEntry(backend, zone, 0, 0, api.BackendState.READY)
+
+
+def ordered(world: World, limited: dict[tuple[str, str], tuple[str, ...]], **more: frozenset[object]) -> None:
+    pools = tuple(subject for scope, subject in limited if scope == "pool")
+    world.give(api.OrdersChanged(limited, pools, **more))  # type: ignore[arg-type]
+
+
+def spends(actions: Iterable[api.Action]) -> list[api.Spend]:
+    return [a for a in actions if isinstance(a, api.Spend)]
+
+
+def test_a_request_waits_for_rights_to_all_its_limits_and_is_sent_on_once() -> None:
+    world = World(may_count=False)
+    ordered(world, LIMITS)
+    (asked,) = spends(world.ask())
+    assert (asked.plan, set(asked.limits)) == ("", {"views", "basics", "basics open"})
+    assert len(sends(world.give(api.Granted(asked.request, True)))) == 1
+    assert world.give(api.Granted(asked.request, True)) == []
+    assert sends(world.ask("order", plan="firm", customer="d"))  # under none
+
+
+@pytest.mark.parametrize("answer", ["none", "silence"])
+def test_without_rights_it_is_refused_once(answer: str) -> None:
+    world = World(may_count=False)
+    ordered(world, LIMITS)
+    (asked,) = spends(world.ask())
+    if answer == "none":
+        actions = world.give(api.Granted(asked.request, False))
+    else:
+        actions = world.pass_time(2 * world.gateway.settings.count_wait + 10)
+    assert [a.request for a in refusals(actions)] == [asked.request]
+    assert not sends(actions) and world.give(api.Granted(asked.request, True)) == []
+
+
+def test_a_ceiling_s_right_and_limits_are_asked_for_together_and_spent_once() -> None:
+    plan = api.Plan("firm", rate=4, burst=20_000, beyond_costs=1, ceiling_rate=0.001, ceiling_burst=40)
+    world = World(plans=(plan,), rights=1.0, may_count=False)
+    ordered(world, {("class", "view"): ("views",)})
+    (asked,) = spends(world.ask(plan="firm"))
+    assert (asked.plan, asked.customer, asked.limits) == ("firm", "c", ("views",))
+    own = world.gateway.quotas.customers["c"].ceiling.own
+    assert sends(world.give(api.Granted(asked.request, True)))
+    assert world.gateway.quotas.customers["c"].ceiling.own == own  # the right paid, not the even part
+
+
+def test_where_a_pool_has_no_room_another_one_is_taken() -> None:
+    world = World([zoned(1, "a"), zoned(2, "a"), zoned(3, "b")], may_count=False)
+    ordered(world, POOL)
+    asked = next(a for _ in range(40) for a in spends(world.ask()))
+    assert asked.limits == ("in a",)
+    (sent,) = sends(world.give(api.Granted(asked.request, False)))
+    assert sent.backend == 3
+    ordered(world, {**POOL, ("pool", "b"): ("in b",)})
+    (asked,) = spends(world.ask())
+    (again,) = spends(world.give(api.Granted(asked.request, False)))
+    assert set(asked.limits + again.limits) == {"in a", "in b"}
+    assert len(refusals(world.give(api.Granted(again.request, False)))) == 1
+
+
+def test_limits_of_the_class_are_paid_before_that_of_a_pool_and_neither_twice() -> None:
+    world = World([zoned(1, "a")], may_count=False)
+    ordered(world, {**LIMITS, **POOL})
+    (first,) = spends(world.ask())
+    (second,) = spends(world.give(api.Granted(first.request, True)))
+    assert "in a" not in first.limits and second.limits == ("in a",)
+    assert sends(world.give(api.Granted(second.request, True)))
+
+
+def test_a_further_attempt_goes_to_no_pool_with_a_limit() -> None:
+    """It would be one more than the limit was asked for."""
+    world = World([zoned(1, "a"), zoned(2, "a"), zoned(3, "b")], may_count=False)
+    sent = next(s for _ in range(40) for s in sends(world.ask()) if s.backend != 3)
+    ordered(world, POOL)
+    assert [s.backend for s in sends(world.end(sent, api.Outcome.CONNECT))] == [3]
+    last = sends(world.ask())
+    while not last or last[0].backend != 3:
+        last = sends(world.ask())
+    assert not sends(world.end(last[0], api.Outcome.CONNECT))
+
+
+def test_a_blocked_customer_and_a_shed_class_are_refused_at_once_until_that_is_lifted() -> None:
+    world = World(may_count=False)
+    ordered(world, {}, blocked=frozenset({"c"}), shed=frozenset({"order"}))
+    assert len(refusals(world.ask())) == len(refusals(world.ask("order", customer="d"))) == 1
+    assert sends(world.ask(customer="d"))
+    ordered(world, {})
+    assert sends(world.ask()) and sends(world.ask("order", customer="d"))
+
+
+def test_a_backend_is_kept_off_while_others_are_there_and_its_attempts_go_on() -> None:
+    world = World([entry(1), entry(2)], may_count=False)
+    out = next(s for _ in range(40) for s in sends(world.ask()) if s.backend == 1)
+    ordered(world, {}, kept_off=frozenset({1}))
+    assert {s.backend for _ in range(40) for s in sends(world.ask())} == {2}
+    assert world.end(out) == []
+    ordered(world, {}, kept_off=frozenset({1, 2}))
+    assert {s.backend for _ in range(40) for s in sends(world.ask(customer="d"))} == {1, 2}  # all is as none
