--- a/tests/decisions/test_orders.py
+++ b/tests/decisions/test_orders.py
@@ -33,7 +33,7 @@
     assert (asked.plan, set(asked.limits)) == ("", {"views", "basics", "basics open"})
     assert len(sends(world.give(api.Granted(asked.request, True)))) == 1
     assert world.give(api.Granted(asked.request, True)) == []
-    assert sends(world.ask("order", plan="firm", customer="d"))  # under none
+    assert sends(world.ask("order", plan="bonus", customer="d"))  # under none
 
 
 @pytest.mark.parametrize("answer", ["none", "silence"])
