--- a/roadpulley/fleet/orders/service.py
+++ b/roadpulley/fleet/orders/service.py
@@ -89,6 +89,7 @@
         self.shown: dict[str, Gathering] = {}  # sheets that voters show
         self.said: dict[str, tuple[Keeps, Book | None]] = {}
         self.calls: dict[str, Call] = {}
+        self.askers: dict[str, Route] = {}  # by ticket, who waits for an outcome of this publisher
         self.ages: deque[float] = deque(maxlen=AGES)
         self.counts: Counter[str] = Counter()
         self.fresh = False
@@ -150,7 +151,7 @@
     def _begin(self, duty: Duty) -> None:
         ours = max(self.follower.book, self.keeper.kept.book, key=lambda b: b.id)
         self.duty, self.publisher = duty, Publisher(duty.fence, self.roll(), ours, self.answer)
-        self.shown, self.said = {}, {}
+        self.shown, self.said, self.askers = {}, {}, {}
         log.info("publishes orders", fence=duty.fence, knows=list(ours.id))
 
     def _publishing(self) -> Publisher | None:
@@ -226,6 +227,10 @@
         for ticket in list(self.calls):
             if outcome := publisher.done.get(ticket):
                 self._known(outcome)
+        for ticket, route in list(self.askers.items()):
+            if outcome := publisher.done.get(ticket):
+                del self.askers[ticket]
+                self.tell(route, outcome)  # lost, it is asked for again
 
     # ---- a voter ----
 
@@ -291,6 +296,8 @@
             case Wish():
                 if outcome := self._wished(body):
                     self.tell(route, outcome)
+                else:
+                    self.askers[body.ticket] = route
             case Outcome():
                 self._known(body)
             case Keeps():
--- a/roadpulley/limits/bounds.py
+++ b/roadpulley/limits/bounds.py
@@ -16,7 +16,7 @@
 
 from mintford import interface as api
 from mintford.ceilings import share
-from mintford.quotas import LEASE_MS, SPARSE, UNSAID
+from mintford.quotas import GIVEN_BACK, LEASE_MS, SPARSE, UNSAID
 
 
 @dataclass(frozen=True)
@@ -57,6 +57,12 @@
     less: float
 
 
+def surge(case: Case) -> Bound:
+    """Nothing fails, and all gateways are asked for everything at once after a calm time: each has read that
+    all is there. Until it reads again it sends on what may stay untold, and as much while that is told."""
+    return Bound((case.gateways - 1) * 2 * case.untold, 0.0)
+
+
 def silent(case: Case) -> Bound:
     """The counter answers nobody: each spends its lease, then its even part."""
     plan, more = case.plan, case.gateways - 1
@@ -74,12 +80,17 @@
         return silent(case)
     after = case.seconds - case.leased
     over = cut * (plan.burst + plan.rate * case.leased) + cut / case.gateways * plan.rate * after
+    over += (case.gateways - cut - 1) * 2 * case.untold  # the others may be asked all at once: `surge`
     return Bound(over, silent(case).less)
 
 
 def emptied(case: Case) -> Bound:
-    """The counter comes back with nothing: what the others told before is not in its totals."""
-    return Bound((case.gateways - 1) * case.plan.burst, case.plan.burst)
+    """The counter comes back with nothing: what the others told before is not in its totals.
+
+    Right after a period's edge little was told under the new number. A total that falls by no more than
+    `GIVEN_BACK` requests looks like a settlement: so much that was spent before the event seems to be there.
+    """
+    return Bound((case.gateways - 1) * case.plan.burst + GIVEN_BACK * case.unit, case.plan.burst)
 
 
 def older(case: Case) -> Bound:
@@ -87,11 +98,29 @@
     return Bound(emptied(case).over, 2 * case.plan.burst)
 
 
+def late(case: Case) -> Bound:
+    """It adds and answers too late: whoever asked knows no more than from a silent one, and its totals are
+    right when they are heard again."""
+    return silent(case)
+
+
+def higher(case: Case) -> Bound:
+    """An old copy whose numbers are higher than those of now: the difference looks spent elsewhere, until
+    nothing is left of the store. Time fills it again; the next period's number is not in the copy."""
+    return Bound(0.0, case.plan.burst)
+
+
+def half_lost(case: Case) -> Bound:
+    """Half of its parts come back empty: of a customer whose number was there, as if all had."""
+    return emptied(case)
+
+
 def restarted(case: Case) -> Bound:
     """Gateways restart while the counter answers: what they had not told is lost, and a total from before
-    their start tells when nothing of it was spent: they take their even part of the burst for there."""
+    their start tells when nothing of it was spent: they take their even part of the burst for there. At a
+    period's edge one request is let in by the first of two totals, before the other one is read."""
     number = min(case.parted, case.gateways)
-    return Bound(number * (case.untold + case.even_burst), case.plan.burst)
+    return Bound(number * (case.untold + case.even_burst + case.unit), case.plan.burst)
 
 
 def restarted_alone(case: Case) -> Bound:
@@ -103,10 +132,14 @@
 
 
 EVENTS: dict[str, Callable[[Case], Bound]] = {
+    "nothing fails, all at once": surge,
     "the counter is silent": silent,
     "the counter is cut off from some": parted,
     "the counter comes back empty": emptied,
     "the counter comes back as an old copy": older,
+    "the counter comes back with higher numbers": higher,
+    "half of the counter's parts come back empty": half_lost,
+    "the counter adds and answers too late": late,
     "some gateways restart": restarted,
     "all restart, the counter is away": restarted_alone,
 }
--- a/roadpulley/testbed/quota_plays.py
+++ b/roadpulley/testbed/quota_plays.py
@@ -18,6 +18,7 @@
 from .limits import Holds, Spent, Use, use
 
 WAIT_MS = 50.0  # for a call
+START_MS = 100_000.0  # of the clock that periods go by
 STEP_MS = 25.0  # between two moments of a flood
 BACKENDS = 40
 RULES = api.SafetyRules(1_000, 0.2, 10_000, 2)
@@ -36,10 +37,11 @@
 
 
 class Site:
-    def __init__(self, case: Case) -> None:
-        self.case, self.now, self.serial = case, 100_000.0, count()
+    def __init__(self, case: Case, start: float = START_MS) -> None:
+        self.case, self.now, self.serial = case, start, count()
         self.counter = Counter()
         self.away: set[int] = set()  # gateways that the counter does not answer
+        self.late = False  # it adds what they ask for all the same
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.spends: list[Spent] = []
         self.asked = 0.0
@@ -83,6 +85,8 @@
 
     def count(self, n: int, gateway: Gateway, call: api.Count) -> None:
         if n in self.away:
+            if self.late:
+                self.counter.add(call.name, call.amount)
             lost = api.CounterReplied(call.name, api.Outcome.TIMED_OUT, 0.0)
             return self.later(WAIT_MS, lambda: self.give(n, gateway, lost))
         total = self.counter.add(call.name, call.amount)
@@ -129,6 +133,11 @@
         return use(self.spends, [Holds(0.0, plan.rate, plan.burst)])
 
 
+def surge(site: Site) -> None:
+    site.calm()
+    site.flood(site.case.seconds, *range(site.case.gateways))
+
+
 def silent(site: Site) -> None:
     site.calm()
     site.away.update(range(site.case.gateways))
@@ -158,6 +167,27 @@
         site.counter.totals = dict(copy)
 
 
+def higher(site: Site) -> None:
+    """Every number is higher by a burst than what was ever added."""
+    site.calm()
+    raised(site)
+    site.flood(site.case.seconds, *range(site.case.gateways))
+
+
+def half_lost(site: Site) -> None:
+    """Each gateway in turn spends what it may; before the next asks, the part with its number is empty."""
+    site.calm()
+    for n in range(site.case.gateways):
+        site.flood(0.2, n)
+        for name in [name for name in site.counter.totals if name.startswith("s")]:
+            del site.counter.totals[name]
+
+
+def late(site: Site) -> None:
+    site.late = True
+    silent(site)
+
+
 def restarted(site: Site) -> None:
     site.calm()
     for n in range(site.case.parted):
@@ -177,28 +207,41 @@
 
 
 PLAYS: dict[str, Callable[[Site], None]] = {
+    "nothing fails, all at once": surge,
     "the counter is silent": silent,
     "the counter is cut off from some": parted,
     "the counter comes back empty": emptied,
     "the counter comes back as an old copy": older,
+    "the counter comes back with higher numbers": higher,
+    "half of the counter's parts come back empty": half_lost,
+    "the counter adds and answers too late": late,
     "some gateways restart": restarted,
     "all restart, the counter is away": restarted_alone,
 }
 
 
-def less(case: Case) -> float:
-    """Units of its due that a customer is refused while the counter is silent and one gateway gets it all."""
-    site = Site(case)
+def away(site: Site) -> None:
+    site.away.update(range(site.case.gateways))
+
+
+def raised(site: Site) -> None:
+    for name in site.counter.totals:
+        site.counter.totals[name] += site.case.plan.burst
+
+
+def less(case: Case, event: Callable[[Site], None] = away, start: float = START_MS) -> float:
+    """Units of its due that a customer is refused in an event and one gateway gets it all."""
+    site = Site(case, start)
     site.calm()
-    site.away.update(range(case.gateways))
+    event(site)
     before = len(site.spends)
     site.flood(case.seconds, 0)
     due = case.plan.burst + case.plan.rate * case.seconds
     return due - case.unit * (len(site.spends) - before)
 
 
-def over(event: str, case: Case) -> float:
-    """Units beyond one exact store."""
-    site = Site(case)
+def over(event: str, case: Case, start: float = START_MS) -> float:
+    """Units beyond one exact store. `start`: of the clock that periods go by, in ms."""
+    site = Site(case, start)
     PLAYS[event](site)
     return site.judged().over
