--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -39,8 +39,8 @@
 from .peers.envelope import Cause, Codec, Envelope
 from .peers.service import Post, Route
 from .rights.service import Rights
-from .rights.terms import Ask, Given, Serving
 from .rights.terms import Body as ForRights
+from .rights.work import DUTY as RIGHTS
 from .settings import DutySettings, FleetSettings, named
 from .settings import address as checked
 
@@ -132,6 +132,7 @@
             self.rights = Rights(
                 settings.rights, self.beside, works, self.clock, self.rng, tell, self._routes, self._soon
             )
+            self.duties.handing = self._handing
         if settings.counts is not None:
             self.counting = Counting(
                 settings.counts, self.me, self.beside, self.clock, self.rng, self._tell_route, self._routes
@@ -308,7 +309,7 @@
         return None
 
     def _about_duties(self, who: Who, address: str, body: Any) -> Cause | None:
-        if isinstance(body, Serving | Ask | Given):
+        if isinstance(body, ForRights):
             if self.rights is not None:
                 self.rights.heard((address, who.boot), body)
         elif isinstance(body, Parts | Digest):
@@ -458,6 +459,14 @@
         self._set()
         return self.electing.status()
 
+    async def _handing(self, duty: str, who: Who) -> None:
+        """To who is asked first whether it takes a duty, before that is let go of."""
+        if self.rights is None or self.members is None or not duty.startswith(RIGHTS):
+            return
+        if member := self.members.table.get(who):
+            part = int(duty.removeprefix(RIGHTS))
+            await self.rights.handing(part, (self.members.where(member), who.boot))
+
     def _offer(self, who: Who, duty: str, fence: int) -> None:
         assert self.members is not None
         order = [w for w in self.duties.orders.get(duty, []) if w != self.me]
--- a/roadpulley/fleet/duties/service.py
+++ b/roadpulley/fleet/duties/service.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from concurrent.futures import Executor
 from dataclasses import dataclass, field
 from typing import Any
@@ -65,6 +65,7 @@
     rng: random.Random
     roll: Roll
     wished: Callable[[], bool]  # whether the voters are to be changed from here
+    handing: Callable[[str, Who], Awaitable[None]] | None = None  # what the next holder is told before
     memory: Memory | None = None  # of one that may vote; None: nobody would find it
     voter: Voter | None = None  # also of who is no voter yet: once it is one, it need not keep silent first
     holdings: dict[str, Holding] = field(default_factory=dict)
@@ -300,6 +301,9 @@
 
     async def _hand_over(self, holding: Holding, duty: Duty, why: str) -> None:
         name, task = holding.settings.name, holding.task
+        others = [who for who in self.orders.get(name, []) if who != self.me][:STANDBY]
+        if others and self.handing is not None:
+            await self.handing(name, others[0])
         duty.ended.set()  # no further round begins
         if task is not None:
             await asyncio.wait({task}, timeout=LAST_ROUND_S)
@@ -307,7 +311,6 @@
             return  # it ended by itself meanwhile
         holding.let_go = self.clock.now()
         self.do(holding, holding.candidate.finish(holding.let_go, f"handed over: {why}"))
-        others = [who for who in self.orders.get(name, []) if who != self.me][:STANDBY]
         for who in others:
             self.offer(who, name, duty.fence)
 
--- a/roadpulley/fleet/rights/allocator.py
+++ b/roadpulley/fleet/rights/allocator.py
@@ -10,8 +10,9 @@
 
 from roadpulley.fleet.duties.terms import Mono
 
-from .terms import UNITS, Ask, Given, Limit, Right, Times, returns
+from .terms import UNITS, Ask, Given, Legacy, Limit, Right, Times, returns
 
+MOST_PASSED, MOST_OUT = 2_000, 40  # books in one hand-over; rights out of one, so that it fits a datagram
 MOST_LIMITS = 100_000  # in memory; of a further one nothing is given out
 SWEEP_S = 5.0
 EVEN = 0.5  # of what is there: the most that one ask gets while others ask too
@@ -44,6 +45,7 @@
     limit: Limit
     level: float
     filled_at: Mono
+    clear_at: Mono  # before that nothing is given out: rights of earlier allocators may be spent
     returns: bool = False  # its units come back with the end of what they were spent on
     held: float = 0.0  # units out
     out: dict[int, Out] = field(default_factory=dict)
@@ -51,15 +53,42 @@
     accounts: dict[int, Account] = field(default_factory=dict)
 
 
+@dataclass
+class Legacies:
+    """Of one part: what the allocator of a fence showed, with when it came, and when it was first asked."""
+
+    fence: int
+    asked_at: Mono
+    books: dict[str, tuple[Mono, Legacy]] = field(default_factory=dict)
+
+    def take(self, now: Mono, legacy: Legacy) -> None:
+        if legacy.fence == self.fence:
+            self.books.setdefault(legacy.limit, (now, legacy))
+
+    def books_for(self, now: Mono, fence: int, times: Times) -> dict[str, tuple[Mono, Legacy]]:
+        """What a holding under a fence that begins now may go on from."""
+        # Danger: later another allocator between may have given out what these books say is there.
+        return self.books if self.fence < fence and now < self.asked_at + times.holds else {}
+
+
 class Allocator:
     """Since `began`, by its own clock, under one fence; another holding of the duty is another allocator."""
 
     def __init__(
-        self, fence: int, began: Mono, limits: Mapping[str, Limit], times: Times, rng: random.Random
+        self,
+        fence: int,
+        began: Mono,
+        limits: Mapping[str, Limit],
+        times: Times,
+        rng: random.Random,
+        legacy: Mapping[str, tuple[Mono, Legacy]] | None = None,
     ) -> None:
+        """`legacy`: sealed books of the one before, with when they came here."""
         self.fence, self.began, self.times, self.rng = fence, began, times, rng
         self.limits = dict(limits)
         self.books: dict[str, Book] = {}
+        self.legacy = dict(legacy or {})
+        self.sealed = False
         self.count = 0  # rights given out
         self.next_sweep = began + SWEEP_S
         self.given = self.refused = self.ended = 0.0  # units given out; asked for in vain; ended unheard
@@ -77,7 +106,7 @@
 
     def asked(self, now: Mono, ask: Ask) -> Given | None:
         """The answer; None for an ask of the past, or of a limit that there is not."""
-        if ask.fence != self.fence or not (0 <= ask.least <= ask.want < math.inf):
+        if self.sealed or ask.fence != self.fence or not (0 <= ask.least <= ask.want < math.inf):
             return None
         book = self.book(ask.limit)
         if book is None:
@@ -150,7 +179,7 @@
         """Milliseconds until there may be enough, apart from those that others are told."""
         lacks = ask.least - book.level
         fills = lacks / book.limit.rate if book.limit.rate else SHORTEST_WAIT_S
-        wait = max(0.0, self.clears(book.limit) - now) + fills
+        wait = max(0.0, book.clear_at - now) + fills
         wait = min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, wait)) * self.rng.uniform(0.8, 1.2)
         return int(wait * 1000) if ask.want else 0
 
@@ -173,7 +202,7 @@
 
     def _rise(self, now: Mono, book: Book) -> None:
         if book.returns:
-            book.level = book.limit.burst - book.held if now >= self.clears(book.limit) else 0.0
+            book.level = book.limit.burst - book.held if now >= book.clear_at else 0.0
             return
         passed = max(0.0, now - book.filled_at)
         book.filled_at = max(now, book.filled_at)
@@ -189,9 +218,36 @@
         if limit is None or (found is None and len(self.books) >= MOST_LIMITS):
             return None
         if found is None:
-            found = self.books[name] = Book(limit, 0.0, self.clears(limit), returns(name))
+            clear = self.clears(limit)
+            found = self.books[name] = Book(limit, 0.0, clear, clear, returns(name))
+            if (left := self.legacy.pop(name, None)) is not None:
+                self._inherit(found, *left)
         return found
 
+    # ---- hand-over ----
+
+    def seal(self, now: Mono, part: int) -> list[Legacy]:
+        """Give out nothing more; gives the books that somebody may go on from, the last used first."""
+        self.sealed = True
+        found: list[Legacy] = []
+        for name, book in reversed(self.books.items()):
+            self.fill(now, book)
+            # Danger: one that was waiting itself knows nothing of what its forerunners gave out.
+            if now >= book.clear_at and len(book.out) <= MOST_OUT and len(found) < MOST_PASSED:
+                out = tuple((o.units, o.ends - now) for o in book.out.values())
+                found.append(Legacy(part, self.fence, name, book.level, out))
+        return found
+
+    def _inherit(self, book: Book, came: Mono, left: Legacy) -> None:
+        """Go on from a sealed book. Its times count from when it came, which was after it was sealed."""
+        # Danger: rights of another fence can't be given up here; under our own numbers it would seem so.
+        book.out = {-n: Out(0, units, came + lasts) for n, (units, lasts) in enumerate(left.out, 1)}
+        book.ending = [(out.ends, n) for n, out in book.out.items()]
+        heapq.heapify(book.ending)
+        book.held = sum(out.units for out in book.out.values())
+        book.level = min(left.level, book.limit.burst - book.held)
+        book.filled_at = book.clear_at = came
+
     def limit(self, name: str) -> Limit | None:
         return self.limits.get(name) or self.limits.get(name.partition("/")[0])
 
--- a/roadpulley/fleet/rights/service.py
+++ b/roadpulley/fleet/rights/service.py
@@ -20,13 +20,28 @@
 from roadpulley.fleet.duties.work import Duty
 from roadpulley.fleet.peers.service import Route
 
-from .allocator import Allocator
+from .allocator import Allocator, Legacies
 from .settings import RightsSettings
-from .terms import MOST_KEY, Ask, Body, FromHolder, Given, Hello, Limit, Serving, Welcome
+from .terms import (
+    MOST_KEY,
+    Ask,
+    Body,
+    FromHolder,
+    Given,
+    Heir,
+    HeirAsk,
+    Hello,
+    Legacy,
+    Limit,
+    Serving,
+    Welcome,
+)
 from .work import Giving
 
 SAY_S = 0.25  # between two words of an allocator that it serves
 SERVES_S = 1.0  # for which one word counts
+HEIR_AGAIN_S, HEIR_S = 0.05, 0.3  # between two words to an heir; for how long it is waited for at most
+SHOWN_S = 0.05  # that books are left to reach it
 
 log = structlog.get_logger("roadpulley.fleet.rights")
 
@@ -51,6 +66,8 @@
         self.known: dict[int, tuple[int, Route, Mono]] = {}  # by part: fence, where, until when
         self.counts: Counter[str] = Counter()
         self.saying: asyncio.TimerHandle | None = None
+        self.heirs: dict[int, asyncio.Event] = {}  # by part that is handed over: the next one has asked
+        self.legacies: dict[int, Legacies] = {}
         self.limits: dict[str, Limit] = dict(settings.given_out)
         for work in works.values():
             if isinstance(work, Giving):
@@ -75,12 +92,54 @@
         # Danger: it counts what its forerunners gave out from its own beginning, which is not before theirs
         # ended: only who holds the duty comes here.
         settings = self.settings
-        now = self.clock.now()
-        allocator = Allocator(duty.fence, now, self.limits, settings.times, self.rng)
+        now, left = self.clock.now(), self.legacies.pop(part, None)
+        books = left.books_for(now, duty.fence, settings.times) if left is not None else {}
+        allocator = Allocator(duty.fence, now, self.limits, settings.times, self.rng, books)
         self.ours[part] = duty, allocator
-        log.info("gives out rights", part=part, fence=duty.fence)
+        log.info("gives out rights", part=part, fence=duty.fence, books=len(books))
         self._announce()
 
+    # ---- to hand over ----
+
+    async def handing(self, part: int, heir: Route) -> None:
+        """Pass the books on, before the duty is let go of. Where the next one is silent, it waits as ever."""
+        _, allocator = self.ours.get(part, (None, None))
+        if allocator is None or self.allocator(part) is not allocator:
+            return
+        asked = self.heirs[part] = asyncio.Event()
+        end = self.clock.now() + HEIR_S
+        while not asked.is_set() and self.clock.now() < end:
+            self.tell(heir, Heir(part, allocator.fence))
+            try:
+                async with asyncio.timeout(HEIR_AGAIN_S):
+                    await asked.wait()
+            except TimeoutError:
+                continue
+        del self.heirs[part]
+        if asked.is_set():
+            await asyncio.sleep(SHOWN_S)
+
+    def _heir(self, route: Route, heir: Heir) -> None:
+        left = self.legacies.get(heir.part)
+        if left is None or left.fence < heir.fence:
+            # Danger: books count from when they were first asked for, whichever ask had them sealed.
+            self.legacies[heir.part] = Legacies(heir.fence, self.clock.now())
+        elif left.fence > heir.fence:
+            return
+        self.tell(route, HeirAsk(heir.part, heir.fence))
+
+    def _seal(self, route: Route, ask: HeirAsk) -> None:
+        duty, allocator = self.ours.get(ask.part, (None, None))
+        if duty is None or allocator is None or allocator.fence != ask.fence or ask.part not in self.heirs:
+            return
+        for legacy in allocator.seal(self.clock.now(), ask.part):
+            self.tell(route, legacy)
+        self.heirs[ask.part].set()
+
+    def _legacy(self, legacy: Legacy) -> None:
+        if (left := self.legacies.get(legacy.part)) is not None:
+            left.take(self.clock.now(), legacy)
+
     def ordered(self, limits: Mapping[str, Limit]) -> None:
         """Operators have other limits now, beside those of the settings."""
         self.limits = {**self.settings.given_out, **limits}
@@ -126,6 +185,12 @@
             self._served(route, body)
         elif isinstance(body, Given):
             self.beside.tell(body.holder, body)
+        elif isinstance(body, Heir):
+            self._heir(route, body)
+        elif isinstance(body, HeirAsk):
+            self._seal(route, body)
+        elif isinstance(body, Legacy):
+            self._legacy(body)
         elif (given := self.asked(body)) is not None:
             self.tell(route, given)
 
@@ -176,7 +241,8 @@
                 where = route[0] if now < until else ""
                 parts.append({"part": part, "fence": fence, "given_out_by": where or "nobody seen"})
                 continue
-            full = round(max(0.0, allocator.clear_at - now), 2)
+            waits = [book.clear_at for book in allocator.books.values()] or [allocator.clear_at]
+            full = round(max(0.0, max(waits) - now), 2)
             parts.append(
                 {"part": part, "fence": allocator.fence, "given_out_by": "this instance", "waits_s": full}
             )
--- a/roadpulley/fleet/rights/terms.py
+++ b/roadpulley/fleet/rights/terms.py
@@ -15,6 +15,12 @@
 |           | one ask that is open, and when it first asked | to spend a right that has ended or that   |
 |           |                                               | it has given up                           |
 
+A planned hand-over passes books on, so that the next allocator need not wait. It asks for them, at a by its
+clock; the one before seals them when it hears that (it gives nothing out from then on), shows them, and only
+then lets go. Who is not asked waits `clear` after its beginning, so that whatever holdings came between, they
+gave nothing out before a + `clear`. So books count for a holding that begins within `lease` of a, and for no
+other. A book that was not shown, or that was itself still waiting, is waited for as ever.
+
 Why it holds. Call what a limit holds and what is out of it level and out. A unit spent after s was out at s,
 or was given out after s. The allocator keeps `level + out <= burst` at every moment, not only when it
 looks, and only time adds to that sum: a right that is given up moves its unused units from out to level, one
@@ -166,7 +172,34 @@
     wait_ms: int = 0
 
 
-Body: TypeAlias = Serving | Ask | Given
+# ---- between an allocator that hands its duty over and the next ----
+
+
+class Heir(msgspec.Struct, tag="r-heir", array_like=True, frozen=True):
+    """I hand this part over, and you may be next: ask for my books."""
+
+    part: int
+    fence: int
+
+
+class HeirAsk(msgspec.Struct, tag="r-hask", array_like=True, frozen=True):
+    """Seal your books, and show me them."""
+
+    part: int
+    fence: int
+
+
+class Legacy(msgspec.Struct, tag="r-legacy", array_like=True, frozen=True):
+    """One sealed book: what was left, and rights that are out (units, and seconds until they have ended)."""
+
+    part: int
+    fence: int
+    limit: str
+    level: float
+    out: tuple[tuple[float, float], ...]
+
+
+Body: TypeAlias = Serving | Ask | Given | Heir | HeirAsk | Legacy
 
 
 # ---- between an instance and the processes beside it that spend ----
--- a/roadpulley/testbed/rights_world.py
+++ b/roadpulley/testbed/rights_world.py
@@ -15,7 +15,7 @@
 from itertools import count
 from typing import Any
 
-from roadpulley.fleet.rights.allocator import Allocator
+from roadpulley.fleet.rights.allocator import Allocator, Legacies
 from roadpulley.fleet.rights.holder import Holder
 from roadpulley.fleet.rights.terms import Ask, Given, Limit, Serving, Times
 
@@ -45,6 +45,7 @@
     longest_stop: float = 3.0
     restarts: int = 2
     successions: int = 2
+    handed: float = 0.5  # of them are planned, so that books are passed on; some come late
     cuts: int = 1
     retunes: int = 1
     flood: bool = False  # all wishes of a moment come at one holder, for all of the burst and more
@@ -123,7 +124,7 @@
         self.terms = [Holds(0.0, plan.limit.rate, plan.limit.burst)]
         self.spends: list[Spent] = []
         self.wished = self.messages = 0.0
-        self.fence = 0
+        self.fence = self.inherited = 0
         self.allocator: Allocator | None = None
         self.server = (1.0, 0.0)  # rate and offset of the allocator's clock
 
@@ -263,17 +264,42 @@
         return self.now * rate + offset
 
     def _end_allocator(self) -> None:
-        if self.allocator is not None:
+        rng = self.rng
+        if self.allocator is None:
+            return
+        gap = rng.choice((0.0, rng.uniform(0, 2)))
+        if rng.random() >= self.plan.handed:
             self.allocator = None
-            self.at(self.now + self.rng.choice((0.0, self.rng.uniform(0, 2))), self._succeed)
-
-    def _succeed(self) -> None:
+            return self.at(self.now + gap, self._succeed)
+        heir, asked_at = self._clock(), self.now
+        way = rng.choice((0.01, rng.uniform(0, 0.5)))
+        self.at(self.now + way, lambda: self._hand_over(heir, asked_at, gap))
+
+    def _hand_over(self, heir: tuple[float, float], asked_at: float, gap: float) -> None:
+        """Its books are sealed now, come to the heir soon, and another may hold the duty before that."""
+        rng, rate, offset = self.rng, *heir
+        if self.allocator is None or self.allocator.sealed:
+            return
+        left = Legacies(self.fence, asked_at * rate + offset)
+        came = (self.now + rng.uniform(0, 0.1)) * rate + offset
+        for legacy in self.allocator.seal(self._server_clock(), 0):
+            left.take(came, legacy)
+        if rng.random() < 0.3:
+            self._succeed()  # which gives out, if its time comes, until the heir begins
+        self.at(self.now + max(gap, 0.1), lambda: self._succeed(heir, left))
+
+    def _clock(self) -> tuple[float, float]:
         drift = self.plan.times.drift
-        self.fence += 1
         rate = 1 + self.rng.choice((-drift, drift, self.rng.uniform(-drift, drift)))
-        self.server = rate, self.rng.uniform(0, 1e6)
-        clock = self._server_clock()
-        self.allocator = self.kinds[1](self.fence, clock, self._limits(), self.plan.times, self.rng)
+        return rate, self.rng.uniform(0, 1e6)
+
+    def _succeed(self, heir: tuple[float, float] | None = None, left: Legacies | None = None) -> None:
+        self.fence += 1
+        self.server = heir or self._clock()
+        now, times = self._server_clock(), self.plan.times
+        books = left.books_for(now, self.fence, times) if left is not None else None
+        self.inherited += bool(books)
+        self.allocator = self.kinds[1](self.fence, now, self._limits(), times, self.rng, books)
 
     def _stop(self) -> None:
         process = self.rng.choice(self.processes)
--- a/tests/fleet/test_orders_processes.py
+++ b/tests/fleet/test_orders_processes.py
@@ -140,8 +140,8 @@
             assert time.monotonic() - cut_at < PLAN.orders_holds + 1.0
             await asyncio.sleep(0.02)
         assert await subjects(fleet, away) == ({"a"} if cut_off == "keep" else set())
-        log = fleet.members[away].log.read_text()
-        assert ("they_are" in log) and (("kept" if cut_off == "keep" else "let go") in log)
+        said = f'"they_are": "{"kept" if cut_off == "keep" else "let go"}"'
+        await fleet.until(lambda: said in fleet.members[away].log.read_text(), "it says so")
         fleet.links.heal()
         await follow(fleet, PLAN.names, {"a", "b"})
 
@@ -193,20 +193,21 @@
 
 
 def test_an_order_ends_once_for_all_though_clocks_are_apart(tmp_path: Path) -> None:
-    """Two seconds: one that is ahead does not end it before the publisher does."""
+    """One that is two seconds ahead does not end it before the publisher does."""
 
-    async def run() -> None:
-        async with Fleet(PLAN, tmp_path) as fleet:
-            for n, name in enumerate(PLAN.names):
-                await fleet.start(name, offset_ms=2_000 * (n % 2))
-            await order(fleet, "v0", block("a"))
-            ahead = 2_000 * (PLAN.names.index(publisher(fleet)) % 2)
-            ends = int(time.time() * 1000) + ahead + 3_000
-            await order(fleet, "v0", block("b", ends_ms=ends))
-            await follow(fleet, PLAN.names, {"a", "b"})
-            while time.time() * 1000 + ahead < ends - 100:
-                assert [await subjects(fleet, n) for n in PLAN.names] == [{"a", "b"}] * 5
-                await asyncio.sleep(0.1)
-            await follow(fleet, PLAN.names, {"a"}, within=2.0)
+    async def what(fleet: Fleet) -> None:
+        await order(fleet, "v0", block("a"))
+        ahead = next(n for n in ("o0", "o1") if n != publisher(fleet))
+        await fleet.end(ahead)
+        await fleet.start(ahead, offset_ms=2_000)
+        ends = int(time.time() * 1000) + 5_000
+        await order(fleet, "v0", block("b", ends_ms=ends))
+        await follow(fleet, PLAN.names, {"a", "b"})
+        while time.time() * 1000 < ends - 100:
+            said = [await call(fleet, n, "orders") for n in PLAN.names]
+            assert [len(each["orders"]) for each in said] == [2] * 5
+            assert {each["known"] for each in said} == {"newest"}  # asked for again and again
+            await asyncio.sleep(0.1)
+        await follow(fleet, PLAN.names, {"a"}, within=2.0)
 
-    asyncio.run(run())
+    play(tmp_path, what)
--- a/tests/fleet/test_rights_processes.py
+++ b/tests/fleet/test_rights_processes.py
@@ -273,6 +273,29 @@
     played(tmp_path, play, replace(PLAN, rights_lease=2.0))
 
 
+def test_a_planned_hand_over_passes_on_what_is_left(tmp_path: Path) -> None:
+    """Most of the burst is there before; after it, it is there at once, not a lease and the filling later."""
+
+    async def play(fleet: Fleet) -> None:
+        first = await settled(fleet)
+        beside = [n for n in fleet.plan.names if n != first][:2]
+        small, large = [
+            await fleet.spend(n, Load(0.0, units, 0.5)) for n, units in zip(beside, (1.0, 15.0), strict=True)
+        ]
+        await asyncio.sleep(0.6)  # until both know whom to ask
+        small.signal(signal.SIGUSR1)
+        await fleet.until(lambda: was_paid(fleet, small), "the limit is in use")
+        await fleet.end(first)
+        await follows(fleet, first)
+        await asyncio.sleep(0.3)  # until the next one's word has come
+        large.signal(signal.SIGUSR1)
+        await fleet.until(lambda: len(fleet.wishes()) == 2, "the other has wished")
+        assert was_paid(fleet, large)
+
+    # Of what comes back with time, 15 units would take four seconds and the lease before that.
+    played(tmp_path, play, replace(PLAN, rights_lease=2.0))
+
+
 def test_processes_that_stood_still_wake_with_rights_and_may_not_spend_them(tmp_path: Path) -> None:
     """Each held nearly all of the burst, one after the other, and was stopped with it."""
 
--- a/tests/fleet/test_rights_world.py
+++ b/tests/fleet/test_rights_world.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from roadpulley.fleet.rights.allocator import Allocator, Book, Out
+from roadpulley.fleet.rights.allocator import Allocator, Book, Legacies, Out
 from roadpulley.fleet.rights.holder import Holder, Lot, Paid, Purse
-from roadpulley.fleet.rights.terms import Ask, Given, Limit, Right
+from roadpulley.fleet.rights.terms import Ask, Given, Legacy, Limit, Right, Times
 from roadpulley.testbed import open_world
 from roadpulley.testbed.limits import Holds, Spent, use
 from roadpulley.testbed.rights_world import Plan, World, drawn, sharp
@@ -137,10 +137,10 @@
     FillsOver: 7,
     TakesBackTwice: 1,
     TakesBackAll: 1,
-    EndsEarly: 38,
+    EndsEarly: 50,
     FastClock: 80,
     WholeBurst: 28,
-    NoEnd: 38,
+    NoEnd: 20,
     AnyAnswer: 8,
     SpendsOn: 107,
 }
@@ -206,6 +206,63 @@
         return super()._answer(ask, number, units, wait_ms, limit.lease if limit else lease)
 
 
+class GivesOn(Allocator):
+    """Books are sealed, and it gives out from them."""
+
+    def seal(self, now: float, part: int) -> list[Legacy]:
+        found = super().seal(now, part)
+        self.sealed = False
+        return found
+
+
+class ForgetsOut(Allocator):
+    """What is out under a sealed book takes no room in the next."""
+
+    def _inherit(self, book: Book, came: float, left: Legacy) -> None:
+        super()._inherit(book, came, replaced(left, ()))
+
+
+class PassesOnWaiting(Allocator):
+    """A book that was waiting itself is passed on as if it were known."""
+
+    def seal(self, now: float, part: int) -> list[Legacy]:
+        for book in self.books.values():
+            book.clear_at = min(book.clear_at, now)
+        return super().seal(now, part)
+
+
+def replaced(left: Legacy, out: tuple[tuple[float, float], ...]) -> Legacy:
+    return Legacy(left.part, left.fence, left.limit, left.level + sum(units for units, _ in left.out), out)
+
+
+@pytest.mark.parametrize("kind", [GivesOn, ForgetsOut, PassesOnWaiting], ids=lambda kind: kind.__name__)
+def test_a_mistake_in_what_is_passed_on_is_found(kind: type[Allocator]) -> None:
+    """All successions are planned; with the mistake an allocator goes on until the next has begun."""
+
+    def over(seed: int) -> float:
+        if kind is PassesOnWaiting:
+            plan = replace(open_world.drawn(seed), successions=30, handed=0.6, load=20.0, stops=0)
+            plan = replace(plan, restarts=0, cuts=0, retunes=0)
+            return open_world.World(plan, seed, allocator=kind).run().over
+        plan = replace(sharp(seed), handed=1.0, successions=12, retunes=0)
+        return World(plan, seed, allocator=kind).run().over
+
+    found = next((seed for seed in range(120) if over(seed)), None)
+    print(f"{kind.__name__}: history {found}")
+    assert found is not None
+
+
+def test_books_count_for_one_holding_that_begins_soon_and_under_a_higher_fence() -> None:
+    left = Legacies(7, 10.0, {"p": (10.1, Legacy(0, 7, "p", 5.0, ()))})
+    times = Times(1.0, 0.1)
+    assert left.books_for(10.5, 8, times) == left.books
+    assert left.books_for(10.5, 7, times) == {}
+    assert left.books_for(10.0 + times.holds, 8, times) == {}
+    left.take(10.6, Legacy(0, 7, "p", 9.0, ()))  # shown again, later: the first one stands
+    left.take(10.6, Legacy(0, 6, "q", 9.0, ()))
+    assert left.books == {"p": (10.1, Legacy(0, 7, "p", 5.0, ()))}
+
+
 OPEN_FOUND = {Outlasts: 40, BackAndKept: 40, EndsTwice: 40, FullAtOnce: 40, ShortLease: 40}  # within so many
 
 
