--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -70,7 +70,7 @@
 async def once(size: int, orders: int, kills: int, links: dict[str, float], folder: Path) -> dict[str, Any]:
     voters = 3 if size < 9 else 5
     plan = FleetPlan(voters=voters, others=size - voters, duties=0, lease=LEASE, orders=True)
-    plan = replace(plan, limit=Limit(40.0, 20.0), answer=0.1)
+    plan = replace(plan, limit=Limit(40.0, 20.0), answer=0.1, period=0.3 if size < 9 else 0.6)
     asked, followed, gaps = [], [], []
     async with Fleet(plan, folder) as fleet:
         play = Play(fleet)
--- a/roadpulley/fleet/orders/service.py
+++ b/roadpulley/fleet/orders/service.py
@@ -42,7 +42,6 @@
 
 TICK_S = 0.02  # between two looks at what is due
 NEWS_S = 0.5  # between two words of a publisher that it publishes
-SERVES_S = 1.5  # for which one word counts
 ASK_AGAIN_S = 0.25  # after which a publisher is told a call again
 CALL_S = 20.0  # for which a call is tried
 MOST_CALLS = 64
@@ -84,7 +83,9 @@
         self.follower = Follower(settings.terms)
         self.duty: Duty | None = None
         self.publisher: Publisher | None = None
-        self.where: tuple[Route, Mono] | None = None  # the publisher, and until when one word counts
+        # The publisher that was heard last. Danger: it may take this instance for dead and tell it nothing.
+        # It is asked all the same, until a later one is heard of.
+        self.where: Route | None = None
         self.keeping: dict[Route, Gathering] = {}  # sheets that this keeper is to take
         self.shown: dict[str, Gathering] = {}  # sheets that voters show
         self.said: dict[str, tuple[Keeps, Book | None]] = {}
@@ -254,8 +255,8 @@
     def _poll(self, now: Mono, poll: Poll) -> None:
         if self._publishing() is not None:
             self._standing(now, poll, self.name, lambda body: self._heard_standing(body))
-        elif self.where is not None and now < self.where[1]:
-            self.tell(self.where[0], poll)
+        elif self.where is not None:
+            self.tell(self.where, poll)
 
     def _standing(self, now: Mono, poll: Poll, name: str, say: Callable[[Standing | Sheet], None]) -> None:
         """Answer one who follows, as the publisher."""
@@ -286,7 +287,7 @@
         match body:
             case News():
                 if self.follower.news(now, body.fence, body.id):
-                    self.where = route, now + SERVES_S
+                    self.where = route
                 else:
                     self.counts["words of an earlier publisher"] += 1
             case Poll():
@@ -366,8 +367,8 @@
         if self._publishing() is not None:
             if outcome := self._wished(call.wish):
                 self._known(outcome)
-        elif self.where is not None and now < self.where[1]:
-            self.tell(self.where[0], call.wish)
+        elif self.where is not None:
+            self.tell(self.where, call.wish)
 
     def _wished(self, wish: Wish) -> Outcome | None:
         publisher = self._publishing()
