--- a/mintford/guards.py
+++ b/mintford/guards.py
@@ -4,6 +4,7 @@
 
 from . import interface as api
 
+LEASE_MS = 15_000.0  # the design's lease; a backend that is met seldom is remembered no longer
 END_MS = 50.0  # a request is ended this long before it expires; small beside any aim
 NEVER_RAN = {api.Outcome.FULL, api.Outcome.CONNECT, api.Outcome.IGNORED}
 CALLED_OFF = {api.Outcome.TIMED_OUT, api.Outcome.CANCELLED}
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -298,6 +298,14 @@
     kept_off: frozenset[int] = frozenset()  # backends
 
 
+@dataclass(slots=True)
+class Hearsay:
+    """What other gateways of the fleet found failing, all of it: by backend, its start, how likely it fails
+    (0 to 1) and when that was seen, by this gateway's clock. Backends that are not named fare well there."""
+
+    backends: dict[int, tuple[float, float, float]] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class PeerSpoke:
     sender: int
@@ -320,6 +328,7 @@
     | SettingsChanged
     | PlanChanged
     | OrdersChanged
+    | Hearsay
     | PeerSpoke
 )
 
--- a/mintford/load.py
+++ b/mintford/load.py
@@ -8,25 +8,21 @@
 from collections.abc import Callable, Sequence
 
 from . import interface as api
-from .guards import CALLED_OFF, cold_share, warmth
+from .guards import CALLED_OFF, LEASE_MS, cold_share, warmth
 from .records import BackendRecord
 
-TYPICAL_OVER = 40.0  # answers that the typical latency is the mean of
+TYPICAL_OVER, FLOOR_OUT = 40.0, 3.0  # answers that the typical latency is the mean of; always allowed out
 RECENT, SLOW, BAD = 0.12, 0.15, 0.3  # weight of one answer in the recent latency and a backend's two marks
-LEASE_MS = 15_000.0  # a backend that is met seldom is remembered no longer than a lease
 MARK_MS, MARK_MEETINGS = 4_000.0, 5.0  # a mark fades to a third in this time or in so many usual gaps
-ERROR_COST = 8.0  # how much failing always raises a backend's cost: clearly behind any healthy peer
-AVOIDED = 0.5  # a mark of failing from which a backend is counted as avoided: it costs five times as much
+ERROR_COST, AVOIDED = 8.0, 0.5  # what failing always adds to a cost; the mark that counts as avoided
 CHANCE = 0.25  # how far chance spreads the choice: half the cost is chosen sixteen times as often
 SUBSET, COVER = 8, 8  # backends that a gateway of a large fleet uses; gateways that each backend needs
 CROSSING = 15.0  # of its price: how much another hall adds to a cost; 0.02 a crossing: as 30% more load
 DRAWN = 12  # candidates of one choice: the work of a choice does not grow with the fleet
 NOISE = [(-math.log(1 - (i + 0.5) / 1024)) ** CHANCE for i in range(1024)]  # quantiles of the chance in it
-FADED_MS = 25.0  # a mark's fading is looked at again after this: under 1% of it
 PATIENCE = 0.4  # of the aim: how long to wait before anything is known
 LONGEST, SHORTEST = 9.0, 2.0  # typical latencies: the most a sample counts for; a bad backend's patience
-FLOOR_OUT = 3.0  # always allowed out: a backend over all gateways
-RATE_MS = 800.0  # memory of the rate of answers: steady, yet quick to follow a shift
+FADED_MS, RATE_MS = 25.0, 800.0  # between looks at how far a mark has faded; memory of the rate of answers
 
 
 class Backend(BackendRecord):
@@ -123,12 +119,12 @@
             return 0.0
         # Danger: of those that were not met since it began to fail nothing is known, least by a gateway with
         # few requests: each class and plan would have to find out by itself.
-        of_class, of_plan = (self.mark(now, b, name) if name in b.marks else of_all for name in marks[1:])
-        return min(1.0, of_class * of_plan / of_all)
+        kind, plan = (max(b.hearsay, self.mark(now, b, n)) if n in b.marks else of_all for n in marks[1:])
+        return min(1.0, kind * plan / of_all)
 
     def fade(self, now: float, b: Backend) -> None:
         b.slow, b.faded_at = self.mark(now, b, "slow"), now
-        b.bad = self.mark(now, b, "all") if "all" in b.marks else 0.0
+        b.bad = max(b.hearsay, self.mark(now, b, "all") if "all" in b.marks else 0.0)
 
     def patience(self, now: float, b: Backend, marks: Sequence[str], aim: float) -> float:
         """How long an answer may take before the attempt counts as lost."""
@@ -160,7 +156,16 @@
                 if bad or "all" in b.marks:
                     level = self.mark(now, b, name)
                     b.marks[name] = (level + (bad - level) * BAD, now)
-        b.slow, b.bad, b.faded_at = slow, self.mark(now, b, "all"), now
+        if ok:  # what was seen here goes before what others have seen earlier
+            b.hearsay, b.answered_at = 0.0, now
+        b.slow, b.bad, b.faded_at = slow, max(b.hearsay, self.mark(now, b, "all")), now
+
+    def heard(self, event: api.Hearsay) -> None:
+        """What other gateways found failing, as a prior of the marks here."""
+        for b in self.backends.values():
+            started, level, seen_at = event.backends.get(b.id, (0.0, 0.0, 0.0))
+            b.hearsay = level if started == b.started and seen_at > b.answered_at else 0.0
+            b.faded_at = -math.inf  # it is looked at again at the next choice
 
     def avoided(self, now: float) -> int:
         """Those that are not ready, and those that fail so often that others are taken before them."""
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -15,20 +15,17 @@
 
 from . import interface as api
 from .ceilings import Ceiling
-from .guards import NEVER_RAN
+from .guards import LEASE_MS, NEVER_RAN
 from .records import Call, CustomerRecord, Kind
 
-LEASE_MS = 15_000.0  # the design's lease
 REFRESH_MS = 500.0  # between refreshes at least: shares follow a shift, calls stay under requests
 FRESH_MS = 100.0  # the same where units are scarce, and a request waits for a reading older than that
 SURGE = 10.0  # a reading stands until so many quotas at once could spend what is left
-SPARSE = 1.5  # of the largest requests: an even part of the burst under this is too thin to spend unread
-SCARCE = 2.0  # of the largest requests: a lease that holds less is told and read at once
+SPARSE, SCARCE = 1.5, 2.0  # of the largest requests: too thin a part to spend unread; told and read at once
 AHEAD = 1.5  # of what the others spend until the next reading: kept for them
 PRESSED = 0.5  # of the burst: under this, wants decide
 WANTS_MS = 3_000.0  # memory of the wants, and a period of theirs
-EPOCH_MS = 30_000.0  # then a number of spent units begins anew, and the last one can still be read
-PHASES = 64  # of epochs: not all customers' numbers end at once
+EPOCH_MS, PHASES = 30_000.0, 64  # then a number of spent units begins anew, not all customers' at once
 KEEP_MS, NAME_MS = 60_000.0, 60_000.0  # the longest: a customer without requests; a name at the counter
 ROOM_STEP, ROOM_CUT, ROOM_LEAST = 0.02, 0.8, 0.05  # how refreshes thin out as calls fail, and come back
 STARTING, STARTING_MS = 8.0, 30_000.0  # gateways that may all call for every request at once; for how long
--- a/mintford/records.py
+++ b/mintford/records.py
@@ -85,6 +85,7 @@
         self.id, self.out, self.started, self.rules = entry.backend, 0, -1.0, settings.rules
         self.here = settings.zone  # this gateway's own hall
         self.slow, self.bad, self.faded_at = 0.0, 0.0, -math.inf  # two marks as they stood at that time
+        self.hearsay, self.answered_at = 0.0, -math.inf  # failing as others say; the last own answer
         self.update(entry)
 
     def update(self, entry: api.BackendEntry) -> None:
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -43,6 +43,7 @@
             ),
             api.Granted: self.on_granted,
             api.OrdersChanged: self.on_orders,
+            api.Hearsay: lambda _, event, __: self.fleet.heard(event),
             api.BackendsChanged: self.on_list,
             api.AnswerBegan: self.on_began,
             api.LoopLagged: lambda _, event, __: self.own.lagged(event.lag),
--- a/mintford/shedding.py
+++ b/mintford/shedding.py
@@ -10,15 +10,12 @@
 from .load import LONGEST, MARK_MS, PATIENCE, RATE_MS, RECENT, Fleet
 
 SHED_AT, SHED_BAND, SHED_SPAN = 0.6, 0.5, 0.9  # of the aim: refusals begin; to all; earlier for low worth
-KEPT = 0.5  # of a customer's burst: left to the class worth most by one that is worth nothing
-KEPT_UNTIL = 0.2  # weight of the class that fares worst from which on nothing is kept from it
-LEAST_OUT = 2.0  # too few to tell anything
-PRIOR = 6.0  # answers in the recent latency: it weighs as much as so many in the rate
+KEPT, KEPT_UNTIL = 0.5, 0.2  # of a burst: left to the class worth most; up to this weight of the worst one
+LEAST_OUT, PRIOR = 2.0, 6.0  # out: too few to tell anything; answers that the recent latency weighs as
 CALM = 0.1  # of the aim: latency under which capacity counts as clearly spare
 LAG_AIM, LAG_WEIGHT = 20.0, 0.5  # of the gateway's own loop: more than this is strain; weight of one look
 LOOK_MS = 20.0  # about how often it is looked at
-LEVEL_SUM, LEVEL_NOW, LEVEL_STEP = 0.02, 0.12, 3.0  # gains on the excess, summed up by look and now; its most
-LEVEL_MOST = 0.95
+LEVEL_SUM, LEVEL_NOW, LEVEL_STEP, LEVEL_MOST = 0.02, 0.12, 3.0, 0.95  # gains on the excess; the most
 
 
 class OwnStrain:
--- a/roadpulley/limits/bounds.py
+++ b/roadpulley/limits/bounds.py
@@ -16,7 +16,8 @@
 
 from mintford import interface as api
 from mintford.ceilings import share
-from mintford.quotas import GIVEN_BACK, LEASE_MS, SPARSE, UNSAID
+from mintford.guards import LEASE_MS
+from mintford.quotas import GIVEN_BACK, SPARSE, UNSAID
 
 
 @dataclass(frozen=True)
--- a/tests/decisions/test_leases.py
+++ b/tests/decisions/test_leases.py
@@ -4,7 +4,8 @@
 
 from mintford import interface as api
 from mintford.ceilings import SHARED
-from mintford.quotas import EPOCH_MS, LEASE_MS, STARTING_MS, WANTS_MS, Customer
+from mintford.guards import LEASE_MS
+from mintford.quotas import EPOCH_MS, STARTING_MS, WANTS_MS, Customer
 
 
 def drain(world: World, tries: int, gap: float = 0.0, **ask: object) -> int:
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -13,7 +13,8 @@
 import pytest
 
 from mintford import interface as api
-from mintford.quotas import LEASE_MS, WANTS_MS
+from mintford.guards import LEASE_MS
+from mintford.quotas import WANTS_MS
 from mintford.rules import Gateway
 
 RATE, BURST, ASKED = 20.0, 40.0, 60.0  # of the plan, a second; asked by the one customer
