--- a/roadpulley/fleet/orders/publisher.py
+++ b/roadpulley/fleet/orders/publisher.py
@@ -50,6 +50,7 @@
         self.wishes: deque[Wish] = deque()
         self.done: dict[str, Outcome] = {}
         self.followers: dict[str, Seen] = {}
+        self.overtaken_by = 0  # a higher fence
         self.published: Book | None = None  # the last that was acknowledged under this fence
         self.recovered = 0  # voters that had lost their memory when a book was read without enough whole ones
 
@@ -65,7 +66,7 @@
     def kept(self, voter: str, keeps: Keeps, book: Book | None) -> None:
         """A voter's answer, or what one that does not vote follows. `book`: where that has come whole."""
         if keeps.promised > self.fence or keeps.id.fence > self.fence:
-            self.step = Step.OVERTAKEN
+            self.step, self.overtaken_by = Step.OVERTAKEN, max(keeps.promised, keeps.id.fence)
             return
         if self.step is Step.READING:
             if keeps.id > self.book.id:
--- a/roadpulley/fleet/orders/service.py
+++ b/roadpulley/fleet/orders/service.py
@@ -98,10 +98,10 @@
         self.news_at: Mono = 0.0
         self.ask_all_at: Mono = 0.0  # those who don't vote, too: while it reads
         self.task: asyncio.Task[None] | None = None
-        for work in works.values():
-            if isinstance(work, Publishing):
-                work.begins = self._begins
-                work.highest = lambda: max(self.follower.book.id.fence, self.follower.fence)
+        self.work = next((work for work in works.values() if isinstance(work, Publishing)), None)
+        if self.work is not None:
+            self.work.begins = self._begins
+            self.work.highest = lambda: max(self.follower.book.id.fence, self.follower.fence)
 
     # ---- life ----
 
@@ -217,6 +217,8 @@
         publisher.kept(voter, *self.said[voter])
         if publisher.step is Step.OVERTAKEN:
             log.warning("a higher fence publishes orders", fence=publisher.fence, voter=voter)
+            if self.work is not None:
+                self.work.low = publisher.overtaken_by
         elif publisher.published is not None and publisher.published is not before:
             self._published(publisher, publisher.published)
 
--- a/roadpulley/fleet/orders/work.py
+++ b/roadpulley/fleet/orders/work.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable
 
-from roadpulley.fleet.duties.work import Duty
+from roadpulley.fleet.duties.work import Duty, LowFence
 
 DUTY = "fleet.orders"
+LOOK_S = 0.5  # between two looks whether voters refuse the fence
 
 
 class Publishing:
@@ -16,6 +17,7 @@
         self.begins: Callable[[Duty], None] | None = None
         self.highest: Callable[[], int] = lambda: 0
         self.duty: Duty | None = None
+        self.low = 0  # a higher fence that voters have promised
 
     def claim(self, fence: int, owner: str) -> int | None:
         """Voters refuse a fence below one that they promised; what is known of that here is told at once."""
@@ -26,4 +28,7 @@
         if duty is not self.duty and self.begins is not None:
             self.duty = duty
             self.begins(duty)
-        return None
+        if self.low > duty.fence:
+            # Danger: a fence that voters refuse would be held, and renewed, while nobody publishes.
+            raise LowFence(self.low)
+        return LOOK_S
--- a/tests/fleet/test_orders_processes.py
+++ b/tests/fleet/test_orders_processes.py
@@ -175,6 +175,25 @@
     play(tmp_path, what, replace(PLAN, state=True))
 
 
+def test_voters_that_have_promised_more_than_the_duty_s_fences_are_followed_by_a_higher_one(
+    tmp_path: Path,
+) -> None:
+    """Which fences were used is lost with its files, the clocks are an hour back, and the books are kept."""
+
+    async def what(fleet: Fleet) -> None:
+        before = await order(fleet, "v0", block("a"))
+        fleet.kill(*PLAN.names)
+        await fleet.gone(*PLAN.names)
+        for path in tmp_path.glob("state-*/*.fences"):
+            path.unlink()
+        for name in PLAN.names:
+            await fleet.start(name, offset_ms=-3_600_000)
+        assert await order(fleet, "o0", block("b")) > before
+        await follow(fleet, PLAN.names, {"a", "b"})
+
+    play(tmp_path, what, replace(PLAN, state=True))
+
+
 def test_a_call_waits_while_no_majority_is_there_and_bad_links_repeat_nothing(tmp_path: Path) -> None:
     async def what(fleet: Fleet) -> None:
         await order(fleet, "v0", block("a"))
