--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -529,7 +529,10 @@
             return self.orders.status(str(args.get("ticket")))
         if call == "orders-force":
             return self.orders.force()
-        order = msgspec.convert(list(args["order"]), Order)
+        try:
+            order = msgspec.convert(args.get("order"), Order)
+        except msgspec.ValidationError as error:
+            return {"error": f"no order: {error}"}
         if order.limits and self.rights is None:
             return {"error": "limits need [rights] in the fleet's settings"}
         return self.orders.call(order, bool(args.get("lift")))
--- a/roadpulley/fleet/verdicts/service.py
+++ b/roadpulley/fleet/verdicts/service.py
@@ -18,7 +18,7 @@
 from .machine import Book, Terms
 from .terms import Body, Row, Saw, Told, Verdict
 
-SOON_S = 0.03  # between two looks, where something new is heard
+SOON_S = 0.03  # between two looks, where something new is heard: doubled each time, up to the usual
 SEEN_S = 1.0  # for which what a process said counts
 AGES = 4_096  # of verdicts as they were told here, the latest
 
@@ -55,6 +55,7 @@
         self.ages: deque[int] = deque(maxlen=AGES)
         self.foreign = 0  # claims in another's name
         self.ticked_at: Mono = 0.0
+        self.gap = SOON_S
         self.soon: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -72,12 +73,15 @@
     async def _run(self) -> None:
         while True:
             self._tick()
+            self.gap = max(SOON_S, self.gap / 2)
             await asyncio.sleep(self.terms.say)
 
     def _soon(self) -> None:
         """Look at once, if the last look is not just over: a failing backend is met again every moment."""
         if self.soon is None:
-            wait = max(0.0, self.ticked_at + SOON_S - self.clock.now())
+            # Danger: where many backends fail at once, words at each failure would be a storm to all others.
+            wait = max(0.0, self.ticked_at + self.gap - self.clock.now())
+            self.gap = min(self.terms.say, 2 * self.gap)
             self.soon = asyncio.get_running_loop().call_later(wait, self._tick)
 
     def _tick(self) -> None:
