--- a/roadpulley/edges/slots.py
+++ b/roadpulley/edges/slots.py
@@ -7,7 +7,7 @@
 from roadpulley.core.command import Sink, Source
 
 if TYPE_CHECKING:
-    from .clients import ClientConnection
+    from .connection import ClientConnection
 
 LEAST_WATER, MOST_WATER = 4 * 1024, 64 * 1024  # of a long value that may wait here, however many there are
 
--- a/setup.py
+++ b/setup.py
@@ -29,6 +29,7 @@
     "roadpulley/core/driver.py",
     "roadpulley/core/resp.py",
     "roadpulley/edges/clients.py",
+    "roadpulley/edges/connection.py",
     "roadpulley/edges/slots.py",
     "roadpulley/edges/terms.py",
 )
--- a/tests/core/test_driver.py
+++ b/tests/core/test_driver.py
@@ -14,7 +14,8 @@
 from roadpulley.core.backends import Backends
 from roadpulley.core.clock import Timers, now_ms
 from roadpulley.core.driver import FAILED, Driver
-from roadpulley.edges.clients import ClientConnection, ClientServer
+from roadpulley.edges.clients import ClientServer
+from roadpulley.edges.connection import ClientConnection
 from roadpulley.edges.slots import Slot
 from roadpulley.edges.terms import Terms
 
--- a/tests/edges/test_clients.py
+++ b/tests/edges/test_clients.py
@@ -11,7 +11,8 @@
 from loopback import Backend, Peer, Reply, World, encode, in_loop, request, running, server_seen, until
 
 from roadpulley.core.clock import now_ms
-from roadpulley.edges import clients
+from roadpulley.edges import clients, connection
+from roadpulley.edges.connection import MOST_UNREAD, MOST_WAITING
 
 
 def array(value: bytes) -> bytes:
@@ -201,7 +202,7 @@
                     written += 1
                     await asyncio.sleep(0)
                 held = len(connection.unsent) + sum(len(slot.reply or b"") for slot in connection.slots)
-                assert held <= clients.MOST_UNREAD + 2 * 66_000
+                assert held <= MOST_UNREAD + 2 * 66_000
                 for _ in range(written):  # once it reads, it gets all of them
                     assert await peer.receive() == b"x" * 65536
 
@@ -232,7 +233,7 @@
 
 
 def test_a_client_that_never_reads_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "SLOW_MS", 50.0)
+    monkeypatch.setattr(connection, "SLOW_MS", 50.0)
     monkeypatch.setattr(clients, "SWEEP_MS", 10.0)
 
     async def scenario() -> None:
@@ -260,7 +261,7 @@
 )
 def test_what_is_not_whole_in_time_is_closed(monkeypatch: pytest.MonkeyPatch, said: bytes) -> None:
     """Half a command, or nothing at all, would hold a descriptor for ever."""
-    monkeypatch.setattr(clients, "WHOLE_MS", 500.0)
+    monkeypatch.setattr(connection, "WHOLE_MS", 500.0)
     monkeypatch.setattr(clients, "SWEEP_MS", 10.0)
 
     async def scenario() -> None:
@@ -362,7 +363,7 @@
         backend = Backend(script)
         async with running(World(backend)) as world:
             peer = await world.client()
-            count = clients.MOST_WAITING * 2
+            count = MOST_WAITING * 2
             ids = [b"%04d" % n for n in range(count)]
             peer.writer.write(b"".join(encode(*request(id)) for id in ids))
             await until(lambda: backend.got)
--- a/tests/edges/test_long_bodies.py
+++ b/tests/edges/test_long_bodies.py
@@ -8,7 +8,7 @@
 from loopback import Backend, Reply, World, in_loop, request, running, server_seen
 
 from roadpulley.core.resp import LARGEST_BODY, LARGEST_VALUE, CommandReader, Malformed
-from roadpulley.edges import clients
+from roadpulley.edges import clients, connection
 from roadpulley.edges.clients import ClientServer
 
 MIB = 1024 * 1024
@@ -84,7 +84,7 @@
 
 @pytest.mark.parametrize("then", ["stalls", "leaves"])
 def test_one_that_does_not_go_on_gives_its_room_back(monkeypatch: pytest.MonkeyPatch, then: str) -> None:
-    monkeypatch.setattr(clients, "WHOLE_MS", 100.0)
+    monkeypatch.setattr(connection, "WHOLE_MS", 100.0)
     monkeypatch.setattr(clients, "SWEEP_MS", 20.0)
 
     async def scenario() -> None:
@@ -106,7 +106,7 @@
 
 def test_a_value_in_many_pieces_over_time_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
     """What is bounded is the silence between its pieces, not the time for all of it."""
-    monkeypatch.setattr(clients, "WHOLE_MS", 200.0)
+    monkeypatch.setattr(connection, "WHOLE_MS", 200.0)
     monkeypatch.setattr(clients, "SWEEP_MS", 20.0)
 
     async def scenario() -> None:
--- a/tests/operations/test_in_service.py
+++ b/tests/operations/test_in_service.py
@@ -10,7 +10,7 @@
 import pytest
 from loopback import LOCAL, Backend, Peer, Reply, World, encode, in_loop, request, running, server_seen, until
 
-from roadpulley.edges import clients
+from roadpulley.edges import clients, connection
 from roadpulley.edges.clients import ClientServer
 from roadpulley.operations import address as operators
 from roadpulley.operations.life import OUTCOMES
@@ -273,8 +273,8 @@
 def test_a_head_in_single_bytes_is_waited_for_as_long_as_a_client_may_take(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    assert 2_000 < clients.WHOLE_MS and clients.WHOLE_MS + 2 * clients.SWEEP_MS < 3_000
-    monkeypatch.setattr(clients, "WHOLE_MS", 1_500.0)
+    assert 2_000 < connection.WHOLE_MS and connection.WHOLE_MS + 2 * clients.SWEEP_MS < 3_000
+    monkeypatch.setattr(connection, "WHOLE_MS", 1_500.0)
     monkeypatch.setattr(clients, "SWEEP_MS", 20.0)
 
     async def scenario() -> None:
