--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -41,7 +41,7 @@
 STILL_COMING_S = 0.45  # after SIGTERM, new connections go on coming for this long
 LONGEST_WAIT_S = 3.0  # the longest deadline that SIGKILL waits for, and 0.7 s more
 LAST_ANSWER_S = 0.4  # of these 0.7 s: what is open then is failed, before SIGKILL would lose it
-CLOSING_S = 0.1
+CLOSING_S = 0.2  # of the rest: for clients to take the last answers and see the end
 GC_THRESHOLDS = (10_000, 20, 20)  # a request leaves no cycles behind, so there is seldom anything to collect
 
 
@@ -224,12 +224,13 @@
     ended = loop.create_task(life.ended.wait())
     await asyncio.wait({empty, ended}, return_when=asyncio.FIRST_COMPLETED)
     life.give(Event.EMPTY if empty.done() else Event.TIME)
-    for task in (empty, ended):
-        task.cancel()
+    ended.cancel()
     if driver.requests:
         log.warning("%d requests open at the end", len(driver.requests))
         driver.fail_all()
-        await asyncio.sleep(CLOSING_S)
+    server.end()
+    await asyncio.wait({empty}, timeout=CLOSING_S)
+    empty.cancel()
     if ends is not None:
         await ends.close()
     watch.cancel()
--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -31,6 +31,7 @@
 SWEEP_MS, SUMMARY_MS = 250.0, 1_000.0
 SPARE_MS = 2_000.0  # unused for this long: may be closed when room is short
 YOUNG_MS = 100.0  # in which a new connection is let say something, however short room is
+LINGER_PART = 4  # of the bound on connections: so many may be there only until their clients have read the end
 RETRY_MS = 20.0  # until there may be room, or a descriptor, again
 
 
@@ -67,6 +68,7 @@
         self.view = memoryview(self.buffer)
         self.connections: dict[ClientConnection, None] = {}  # the longest unused first
         self.silent: dict[ClientConnection, None] = {}  # of these, those that never asked, the oldest first
+        self.lingering: dict[ClientConnection, None] = {}  # of all, those that have ended but for their bytes
         self.refused: Tally[str] = Tally()  # since the last line of the log, by reason
         self.told_at = 0.0
         self.draining = self.accepting = self.shared = False
@@ -106,36 +108,47 @@
 
     def _accept(self) -> None:
         for turn in range(TAKEN_OF_SHARED if self.shared else TAKEN_AT_ONCE):
-            if self.listener is None:
+            # Room is made only for one that is known to wait, as on the first turn.
+            if (turn and len(self.connections) >= self.most) or not self._accept_one():
                 return
-            if len(self.connections) >= self.most:
-                if turn:
-                    return  # room is made only for one that is known to wait, as on the first turn
-                if not self.make_room():
-                    return self._pause()
-            try:
-                accepted, _address = self.listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
-            except OSError as error:
-                self.refused[f"not accepted: {error.strerror}"] += 1
-                return self._pause()
-            accepted.setblocking(False)
-            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = ClientConnection(self, accepted)
-            self.connections[connection] = self.silent[connection] = None
-            self.empty.clear()
-            if self.draining:
-                connection.leave()
+
+    def _accept_one(self) -> bool:
+        """Take in the next that waits; False where none does, or there is no room for it yet."""
+        if self.listener is None:
+            return False
+        if len(self.connections) >= self.most and not self.make_room():
+            self._pause()
+            return False
+        try:
+            accepted, _address = self.listener.accept()
+        except (BlockingIOError, InterruptedError):
+            return False
+        except ConnectionAbortedError:
+            return True  # it has left; the next may wait
+        except OSError as error:
+            self.refused[f"not accepted: {error.strerror}"] += 1
+            self._pause()
+            return False
+        accepted.setblocking(False)
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = ClientConnection(self, accepted)
+        self.connections[connection] = self.silent[connection] = None
+        self.empty.clear()
+        if self.draining:
+            connection.leave()
+        return True
 
     def make_room(self) -> bool:
-        """Give up a connection that nobody is using; one that never asked goes first."""
+        """Give up a connection that nobody is using: one that has ended first, then one that never asked."""
+        if ended := next(iter(self.lingering), None):
+            ended.close()
+            return True
         now = now_ms()
         oldest = next((c for c in self.silent if c.idle), None)
-        if oldest is not None and now - oldest.used_at > YOUNG_MS and oldest.retire():
+        if oldest is not None and now - oldest.used_at > YOUNG_MS and oldest.retire(room=True):
             return True
         spare = next((c for c in self.connections if c.idle and c not in self.silent), None)
-        return spare is not None and now - spare.used_at > SPARE_MS and spare.retire()
+        return spare is not None and now - spare.used_at > SPARE_MS and spare.retire(room=True)
 
     # ---- connections ----
 
@@ -165,9 +178,16 @@
         """Bytes of a long value that may wait for its client: of all of them together, half of the budget."""
         return max(LEAST_WATER, min(MOST_WATER, self.most_unsent // (2 * max(1, self.long))))
 
+    def lingers(self, connection: ClientConnection) -> None:
+        self.silent.pop(connection, None)
+        self.lingering[connection] = None
+        if len(self.lingering) > self.most // LINGER_PART:
+            next(iter(self.lingering)).close()
+
     def forget(self, connection: ClientConnection) -> None:
         self.connections.pop(connection, None)
         self.silent.pop(connection, None)
+        self.lingering.pop(connection, None)
         if not self.connections:
             self.empty.set()
 
@@ -201,15 +221,20 @@
         `says_yes`: to PING. `accepts`: not to accept is final. `keeps`: connections at rest; where they are
         not kept, each is closed as soon as it has its answers.
         """
-        self.says_yes = says_yes
+        self.says_yes, self.draining = says_yes, not keeps
+        if not keeps:
+            for connection in list(self.connections):
+                connection.leave()
         if not accepts and self.listener is not None:
-            if len(self.connections) < self.most and not self.shared:
-                self._accept()
+            # Danger: closing a listener resets all that wait at it, and what they have asked by then. What waits
+            # at one that is shared is taken by the others.
+            while not self.shared and self._accept_one():
+                pass
             self._pause()
-            # What still waits at one that is shared is taken by the others; at one's own it is refused.
             self.listener.close()
             self.listener = None
-        self.draining = not keeps
-        if not keeps:
-            for connection in list(self.connections):
-                connection.leave()
+
+    def end(self) -> None:
+        """The process ends: what has come by now is taken, and refused at the door; nothing after that."""
+        for connection in list(self.connections):
+            connection.last()
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -1,4 +1,29 @@
-"""One client's connection: its commands, the answers in their order, and its end."""
+"""One client's connection: its commands, the answers in their order, and its end.
+
+| state     | takes commands | writes answers | reads                        | becomes                              |
+| --------- | -------------- | -------------- | ---------------------------- | ------------------------------------ |
+| OPEN      | yes            | yes            | unless it is stuck           | LAST, LINGERING, CLOSED              |
+| LAST      | no             | those it owes  | no                           | LINGERING with the last one, CLOSED  |
+| LINGERING | no             | no: FIN is out | to the end, and drops it all | CLOSED                               |
+| CLOSED    | no             | no             | no                           | -                                    |
+
+A state only ever rises. All ends pass `close`, where what the connection held goes back, once.
+
+| event                                    | OPEN                          | LAST       | LINGERING       |
+| ---------------------------------------- | ----------------------------- | ---------- | --------------- |
+| bytes                                    | commands, in order            | stay unread | dropped         |
+| end, reset, or the kernel tells of one   | CLOSED                        | CLOSED     | CLOSED          |
+| QUIT, malformed bytes, time of a command | LAST                          | -          | -               |
+| the last answer is written               | LINGERING in a drain, at rest | LINGERING  | -               |
+| drain, idle for long                     | read once more; LINGERING at rest | -      | -               |
+| room is short                            | CLOSED if unused              | -          | CLOSED          |
+| its time, its bytes                      | answers left unread: CLOSED   | the same   | CLOSED          |
+| the process ends                         | LAST                          | -          | -               |
+
+Danger: closing over unread bytes resets a connection, and takes along answers that are still on their way. So
+the sending side ends first (a lingering close, RFC 9112, 9.6), and what comes then is read and never acted on: a
+client that is told the end without an answer sends its request again elsewhere.
+"""
 
 from __future__ import annotations
 
@@ -28,7 +53,12 @@
 LONG_SLOW_MS = 30_000.0
 IDLE_MS = 30_000.0  # unused for this long: closed
 FIRST_MS = 400.0  # in a drain, from being taken in until its first command: a round trip and a slow client
+# From FIN until it is closed at the latest: far over a round trip, so that the last answer has arrived, and short
+# beside a drain. What a flood may send in it is bounded too.
+LINGER_MS, LINGER_BYTES = 500.0, 256 * 1024
 HARMLESS = {b"CLIENT", b"SELECT"}  # commands of connection set-up
+OPEN, LAST, LINGERING, CLOSED = range(4)
+ESTABLISHED = 1  # of the states of TCP, as the kernel numbers them
 
 
 class ClientConnection:
@@ -37,11 +67,13 @@
         self.reader = CommandReader()
         self.slots: deque[Slot] = deque()
         self.held = 0  # bytes of the commands in `slots`
+        self.dropped = 0  # bytes, while it lingers
         self.long = 0  # long values under way
         self.granted = 0  # bytes of the budget, for a long body that is not whole
         self.granted_at = 0.0
         self.unsent = bytearray()
-        self.reading = self.writing = self.closing = self.closed = self.pumping = self.unread = False
+        self.state = OPEN
+        self.reading = self.writing = self.pumping = self.unread = False
         self.used_at = self.moved_at = now_ms()  # moved: answers were last taken by the client
         self.due: float | None = self.used_at + WHOLE_MS  # of a command that is owed; None: between commands
         self._throttle()
@@ -60,7 +92,7 @@
         self.received(self.server.view[:count])
 
     def received(self, data: bytes | memoryview) -> None:
-        if self.closing:
+        if self.state != OPEN:
             return  # nothing more is answered here, and it must not pile up either
         self.reader.feed(data)
         self.unread = True
@@ -68,7 +100,7 @@
 
     def _writable(self) -> None:
         self._send()
-        if self.slots and not self.closed and (long := self.slots[0].long) and long.started:
+        if self.slots and self.state < LINGERING and (long := self.slots[0].long) and long.started:
             long.room()
         self.pump()
 
@@ -76,7 +108,7 @@
 
     def pump(self) -> None:
         """Take commands and write answers, as far as both go; answers given at once are written together."""
-        if self.pumping or self.closed:
+        if self.pumping or self.state >= LINGERING:
             return
         self.pumping = True
         try:
@@ -87,16 +119,19 @@
                 self._write()
         finally:
             self.pumping = False
-        if not self.slots and not self.unsent and (self.closing or (self.server.draining and self.at_rest)):
-            self.close()
+        if not self.slots and not self.unsent:
+            if self.state == LAST:
+                self.linger()
+            elif self.server.draining and self.at_rest:
+                # Not in this call: what came behind the request is read first, and is owed an answer too.
+                self.server.loop.call_soon(self.leave)
         self._throttle()
 
     def _stuck(self) -> bool:
         # Danger: a long value that breaks takes its connection along. What was read behind it would be lost,
         # what was not is sent again by the client.
         return (
-            self.closing
-            or self.closed
+            self.state != OPEN
             or self.long > 0
             or self.held > MOST_HELD
             or len(self.slots) >= MOST_WAITING
@@ -156,7 +191,7 @@
             slot = self.slots.popleft()
             self.held -= slot.size
             due.append(slot.reply or b"")
-        if due and not self.closed:
+        if due and self.state < LINGERING:
             waiting, before = bool(self.unsent), len(self.unsent)
             self.unsent += due[0] if len(due) == 1 else b"".join(due)
             self.server.unsent += len(self.unsent) - before
@@ -166,7 +201,7 @@
             self.server.used(self)
             if self.server.unsent > self.server.most_unsent:
                 self.server.drop_slowest()
-        if self.slots and not self.closed and (long := self.slots[0].long) and not long.started:
+        if self.slots and self.state < LINGERING and (long := self.slots[0].long) and not long.started:
             long.start()
 
     def push(self, long: LongReply, data: bytes | bytearray | memoryview) -> None:
@@ -177,7 +212,7 @@
         if not waiting:
             self.moved_at = now_ms()
             self._send()
-        if not self.closed and len(self.unsent) > self.server.water():
+        if self.state < LINGERING and len(self.unsent) > self.server.water():
             long.pause()
 
     def _send(self) -> None:
@@ -199,7 +234,7 @@
                 self.server.loop.remove_writer(self.fd)
 
     def _throttle(self) -> None:
-        if not self.closed and (go := not self._stuck()) != self.reading:
+        if self.state < LINGERING and (go := not self._stuck()) != self.reading:
             self.reading = go
             if go:
                 self.server.loop.add_reader(self.fd, self._readable)
@@ -211,7 +246,7 @@
         slot = Slot(self)
         slot.answered, slot.reply = True, b"-ERR protocol error\r\n"
         self.slots.append(slot)
-        self.closing = True
+        self.state = LAST
         self.server.refused[reason] += 1
 
     def command(self, args: list[bytes]) -> None:
@@ -242,16 +277,20 @@
         elif verb in HARMLESS:
             slot.answer(b"+OK\r\n")
         elif verb == b"QUIT":
+            self.state = LAST
             slot.answer(b"+OK\r\n")
-            self.closing = True
         else:
             slot.answer(b"-ERR unknown command\r\n")
 
     # ---- the end ----
 
+    @property
+    def closed(self) -> bool:
+        return self.state == CLOSED
+
     @property
     def idle(self) -> bool:
-        return not self.slots and not self.unsent and not self.closed
+        return self.state == OPEN and not self.slots and not self.unsent
 
     @property
     def waits_for_bytes(self) -> bool:
@@ -263,42 +302,107 @@
         """Nothing is open here, and no command has begun to come."""
         return self.idle and not self.reader.held
 
-    def retire(self) -> bool:
-        """Close unless something is open here, also what has come and was not read yet."""
+    def gone(self) -> bool:
+        """Whether its client has left; closes then.
+
+        Danger: a connection that is stuck is not read, nor is one in time while the loop is late, and its end may
+        lie behind bytes that must wait. Only the kernel knows of it.
+        """
+        if self.state < LINGERING:
+            told = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+            if told and told[0] != ESTABLISHED:
+                self.close()
+        return self.state >= LINGERING
+
+    def retire(self, room: bool = False) -> bool:
+        """End it unless something is open here, also what has come and was not read yet.
+
+        `room`: its descriptor is needed now. What it was answered last arrived long ago.
+        """
         if self.idle and self.reading:
             self._readable()
         if self.idle and not (self.server.draining and self.reader.held):
-            self.close()
+            if room:
+                self.close()
+            else:
+                self.linger()
         return self.closed
 
     def leave(self) -> None:
-        """The server drains: close once nothing is open here.
+        """The server drains: end it once nothing is open here.
 
         Danger: one just taken in has its first command under way; closed now, its client could not know
         whether that was read.
         """
-        if self.closed or not self.server.draining:
+        if self.state != OPEN or not self.server.draining:
             return
         if self in self.server.silent and (due := self.used_at + FIRST_MS) > now_ms():
             self.server.timers.at(due, self.leave)
         else:
             self.retire()
 
+    def last(self) -> None:
+        """Take what has come, and no more commands; it ends with the answers that it owes."""
+        if self.state == OPEN and self.reading:
+            self._readable()
+        if self.state == OPEN:
+            self.state = LAST
+            self.pump()
+
     def check(self, now: float) -> None:
-        """End what the client has begun and does not go on with."""
-        if self.unsent and now - self.moved_at > (LONG_SLOW_MS if self.long else SLOW_MS):
+        """End what the client has begun and does not go on with, and what it has left."""
+        if self.state == LINGERING:
+            if now > self.moved_at + LINGER_MS:
+                self.close()
+        elif not self.reading and self.gone():
+            return
+        elif self.unsent and now - self.moved_at > (LONG_SLOW_MS if self.long else SLOW_MS):
             self.server.refused["answers left unread"] += 1
             self.close()
-        elif self.due is not None and now > self.due and not self.closing and self.waits_for_bytes:
+        elif self.state == OPEN and self.due is not None and now > self.due and self.waits_for_bytes:
             self.refuse_protocol("command not whole in time")
             self.pump()
         elif self.idle and now - self.used_at > IDLE_MS:
             self.retire()
 
+    def linger(self) -> None:
+        """End the sending side, then read to the end: what comes is dropped."""
+        self.state, self.due, self.moved_at = LINGERING, None, now_ms()
+        self.reader = CommandReader()
+        self._give_back()
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            return self.close()  # the client was first
+        self.server.lingers(self)
+        if not self.reading:
+            self.reading = True
+        else:
+            self.server.loop.remove_reader(self.fd)
+        self.server.loop.add_reader(self.fd, self._drop)
+
+    def _give_back(self) -> None:
+        """The room of a long body that is not whole, or the wish for it."""
+        self.server.bodies.leave(self)
+        if self.granted:
+            self.server.bodies.give_back(self.granted)
+            self.granted = 0
+
+    def _drop(self) -> None:
+        try:
+            count = self.socket.recv_into(self.server.buffer)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            count = 0
+        self.dropped += count
+        if not count or self.dropped > LINGER_BYTES:
+            self.close()
+
     def close(self) -> None:
         if self.closed:
             return
-        self.closed = True
+        self.state = CLOSED
         self.server.loop.remove_reader(self.fd)
         self.server.loop.remove_writer(self.fd)
         self.socket.close()
@@ -307,10 +411,7 @@
         slots, self.slots, self.unsent = self.slots, deque(), bytearray()
         self.server.long -= self.long
         self.long = 0
-        self.server.bodies.leave(self)
-        if self.granted:
-            self.server.bodies.give_back(self.granted)
-            self.granted = 0
+        self._give_back()
         for slot in slots:
             slot.answered, slot.long = True, None
             if slot.granted:
--- a/roadpulley/operations/lifecycle.py
+++ b/roadpulley/operations/lifecycle.py
@@ -133,5 +133,5 @@
         yes = state in (State.SERVING, State.STOPPING) or (state is State.LEAVING and not self.paused)
         keeps = state in (State.STARTING, State.SERVING, State.STOPPING)
         accepts = state in (State.SERVING, State.PAUSED, State.STOPPING)
-        takes = state is not State.PAUSED or now < self.since + NOTICED_MS
+        takes = state is not State.ENDED and (state is not State.PAUSED or now < self.since + NOTICED_MS)
         return Stance(yes, accepts, keeps, takes, state is State.ENDED)
--- a/tests/edges/test_clients.py
+++ b/tests/edges/test_clients.py
@@ -12,7 +12,7 @@
 
 from roadpulley.core.clock import now_ms
 from roadpulley.edges import clients, connection
-from roadpulley.edges.connection import MOST_UNREAD, MOST_WAITING
+from roadpulley.edges.connection import LAST, MOST_UNREAD, MOST_WAITING
 
 
 def array(value: bytes) -> bytes:
@@ -450,7 +450,7 @@
                 (connection,) = seen[0].connections
                 peer.writer.write(encode(*request()) + b"?what\r\n" + b"x" * 10_000_000)
                 await until(lambda: backend.got)
-                assert connection.closing and not connection.reading
+                assert connection.state == LAST and not connection.reading
                 assert connection.reader.held <= clients.READ_BYTES
                 go_on.set()
                 assert await peer.receive() == b"value"
