--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -19,7 +19,7 @@
 from mintford.interface import ListScope, Settings
 
 from .core.backends import Backends
-from .core.clock import Timers
+from .core.clock import Timers, now_ms
 from .core.counter import Counter
 from .core.discovery import Discovery, DiscoveryError, read_list
 from .core.driver import Driver
@@ -41,6 +41,7 @@
 STILL_COMING_S = 0.45  # after SIGTERM, new connections go on coming for this long
 LONGEST_WAIT_S = 3.0  # the longest deadline that SIGKILL waits for, and 0.7 s more
 LAST_ANSWER_S = 0.4  # of these 0.7 s: what is open then is failed, before SIGKILL would lose it
+FIRST_LIST_S = 0.5  # at the start, for the agent on this machine, which answers at once or is silent
 CLOSING_S = 0.2  # of the rest: for clients to take the last answers and see the end
 GC_THRESHOLDS = (10_000, 20, 20)  # a request leaves no cycles behind, so there is seldom anything to collect
 
@@ -159,7 +160,7 @@
     the driver before that. `link`: another process may accept from the
     listener beside this one; what both stand for is handed over.
     """
-    loop = asyncio.get_running_loop()
+    loop, begun = asyncio.get_running_loop(), now_ms()
     timers = Timers(loop)
     tallies = Tallies()
     memory = int(config.memory_mb * MEMORY_SHARE * 2**20)
@@ -195,33 +196,57 @@
     ends = await linked(config, driver, life) if link else None
     operators = await operators_at(config.admin, loop, life) if config.admin else None
     watch = loop.create_task(discovery.run())
+    stopped = loop.create_task(stop.wait())
     if again is not None and load is not None:
         again.ready(Retuning(config, load, life, discovery, counter))
-    port = server.listen(*config.listen, listener)
-    driver.watch_lag()
-    if attach is not None:
-        attach(driver)
-    gc.collect()
-    gc.freeze()  # what was loaded stays: no pause to look at it again
-    gc.set_threshold(*GC_THRESHOLDS)
-    life.give(Event.READY)
+    # Danger: what the agent has counts as told from the first moment on, and what is known may be old.
+    told = loop.create_task(discovery.told.wait())
+    await asyncio.wait({told, stopped}, timeout=FIRST_LIST_S, return_when=asyncio.FIRST_COMPLETED)
+    told.cancel()
+    log.info("list %s after %.0f ms", "heard" if told.done() else "not heard", now_ms() - begun)
+    if stop.is_set():
+        life.give(Event.STOP)  # before anybody could come
+    else:
+        port = server.listen(*config.listen, listener)
+        driver.watch_lag()
+        if attach is not None:
+            attach(driver)
+        gc.collect()
+        gc.freeze()  # what was loaded stays: no pause to look at it again
+        gc.set_threshold(*GC_THRESHOLDS)
+        life.give(Event.READY)
+        if ends is not None:
+            await ends.serves()
+        log.info("%s serves at %s:%d after %.0f ms", config.name, config.listen[0], port, now_ms() - begun)
+        if ready is not None:
+            ready(port)
+        await asyncio.wait({stopped, watch}, return_when=asyncio.FIRST_COMPLETED)
+        if watch.done():
+            stopped.cancel()
+            # It never ends but by a fault: better a crash that is seen than a list that is stale.
+            watch.result()
+        life.give(Event.STOP)
+    await drained(life, server, driver, closing)
+    stopped.cancel()
     if ends is not None:
-        await ends.serves()
-    log.info("%s serves at %s:%d", config.name, config.listen[0], port)
-    if ready is not None:
-        ready(port)
+        await ends.close()
+    watch.cancel()
+    backends.close()
+    if counter is not None:
+        counter.close()
+    if operators is not None:
+        operators.close()
 
-    stopped = loop.create_task(stop.wait())
-    await asyncio.wait({stopped, watch}, return_when=asyncio.FIRST_COMPLETED)
-    if watch.done():
-        stopped.cancel()
-        watch.result()  # it never ends but by a fault: better a crash that is seen than a list that is stale
-    life.give(Event.STOP)
+
+async def drained(
+    life: Life, server: ClientServer, driver: Driver, closing: Callable[[], None] | None
+) -> None:
+    """Wait for the end of what was taken; what is open at the last time is failed, and nothing more taken."""
     await life.left.wait()
     if closing is not None:
         closing()
-    empty = loop.create_task(server.empty.wait())
-    ended = loop.create_task(life.ended.wait())
+    empty = asyncio.ensure_future(server.empty.wait())
+    ended = asyncio.ensure_future(life.ended.wait())
     await asyncio.wait({empty, ended}, return_when=asyncio.FIRST_COMPLETED)
     life.give(Event.EMPTY if empty.done() else Event.TIME)
     ended.cancel()
@@ -231,14 +256,6 @@
     server.end()
     await asyncio.wait({empty}, timeout=CLOSING_S)
     empty.cancel()
-    if ends is not None:
-        await ends.close()
-    watch.cancel()
-    backends.close()
-    if counter is not None:
-        counter.close()
-    if operators is not None:
-        operators.close()
 
 
 async def linked(config: Config, driver: Driver, life: Life) -> Link:
--- a/roadpulley/core/discovery.py
+++ b/roadpulley/core/discovery.py
@@ -7,24 +7,27 @@
 import json
 import logging
 import random
-from collections.abc import AsyncIterator, Callable
+import re
+from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, cast
 
 import h11
 
 from mintford.interface import BackendEntry, BackendState, ListScope
 
+from .clock import now_ms
 from .settings import Address, parse_address
+from .watch import Act, Leave, Open, Watch
 
 log = logging.getLogger(__name__)
 
 PATH = "/catalog/members"
-SILENT_S = 4.5  # an empty line comes every 2 s
-CONNECT_S = 1.0
-BACKOFF_S = (0.1, 1.0)  # the first wait before a new watch, and the longest
-JITTER = 0.5  # of a wait, either way. Danger: gateways that lost their watches at once would call as one
-LONGEST_LINE = 16 * 1024 * 1024
+LONGEST_OBJECT = 16 * 1024 * 1024
+# Before a call is given up for its time: what has come meanwhile is read first, also by a loop that was late.
+READ_FIRST_S = 0.002
+FIRST_LINE_S = 0.02  # from the head until the first line, which comes with it
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 STATES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
 
 
@@ -72,111 +75,210 @@
         raise DiscoveryError(f"{type(error).__name__}: {error}") from error
 
 
+class Objects:
+    """Cuts a stream into JSON objects, however their lines are laid out, and the empty lines between them.
+
+    A string holds no line break as it is written, so brackets are counted a line at a time.
+    """
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []  # of an object that is not whole
+        self.rest = b""  # of a line that is not
+        self.depth = self.size = 0
+
+    def feed(self, data: bytes, last: bool = False) -> list[bytes]:
+        """Objects that are whole now, and b"" for each empty line between. Raises DiscoveryError.
+
+        `last`: the answer ends here as it should, so the last line needs no break.
+        """
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        if last and self.rest.strip():
+            lines, self.rest = [*lines, self.rest], b""
+        whole: list[bytes] = []
+        for line in lines:
+            text = line.strip()
+            if text:
+                plain = STRING.sub(b"", text)
+                self.depth += plain.count(b"{") - plain.count(b"}")
+                self.lines.append(text)
+                self.size += len(text)
+            if self.depth <= 0 and (text or not self.lines):
+                whole.append(b" ".join(self.lines))
+                self.lines, self.depth, self.size = [], 0, 0
+        if self.size + len(self.rest) > LONGEST_OBJECT:
+            raise DiscoveryError("an endless line")
+        return whole
+
+
+class Call(asyncio.Protocol):
+    """One call to discovery, from its connection to its end, of which it tells once unless it is left."""
+
+    def __init__(self, discovery: Discovery, what: Open) -> None:
+        self.discovery, self.what = discovery, what
+        self.http, self.objects = h11.Connection(h11.CLIENT), Objects()
+        self.transport: asyncio.Transport | None = None
+        self.left = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        if self.left:
+            return self.leave()
+        (host, port), version = self.what.address, self.what.version
+        # With no version known, the whole list comes first.
+        target = PATH if version is None else f"{PATH}?stream=1&index={version}"
+        headers = [("Host", f"{host}:{port}"), ("Accept", "application/json")]
+        request = self.http.send(h11.Request(method="GET", target=target, headers=headers)) or b""
+        self.transport.write(request + (self.http.send(h11.EndOfMessage()) or b""))
+
+    def data_received(self, data: bytes) -> None:
+        self.read(data)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        # Danger: where no length tells the end of an answer its connection's end does, but a reset is no end.
+        if error is not None:
+            return self.end(" ".join(str(error).split()) or type(error).__name__)
+        self.read(b"")
+        self.end("ended")
+
+    def read(self, data: bytes) -> None:
+        if self.left:
+            return
+        try:
+            self.http.receive_data(data)
+            while not self.left and (event := self.http.next_event()) is not h11.NEED_DATA:
+                if isinstance(event, h11.Response):
+                    if event.status_code != 200:
+                        raise DiscoveryError(f"status {event.status_code}")
+                    self.discovery.on_head(self.what.call)
+                elif isinstance(event, h11.Data):
+                    self.take(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                    self.take(b"", last=True)
+                    return self.end("ended", clean=True)
+        except (h11.ProtocolError, DiscoveryError) as error:
+            self.end(str(error))
+
+    def take(self, data: bytes, last: bool = False) -> None:
+        for text in self.objects.feed(data, last):
+            if self.left:
+                return
+            self.discovery.on_line(self.what.call, text)
+
+    def end(self, reason: str, clean: bool = False) -> None:
+        if not self.left:
+            self.leave()
+            self.discovery.on_end(self.what.call, reason, clean)
+
+    def leave(self) -> None:
+        """Say and take nothing more."""
+        self.left = True
+        if self.transport is not None:
+            self.transport.abort()
+
+
 class Discovery:
-    """Follows the list from a version on and reports each change."""
+    """Follows the list from a version on and reports each change. What to call and when is the watch's."""
 
     def __init__(
         self, address: Address, version: int | None, listener: Listener, chance: random.Random | None = None
     ) -> None:
-        self.chance = chance or random.Random()
-        self.address, self.version, self.listener = address, version, listener
-        self._heard = False  # anything on the last watch
-        self._moved = asyncio.Event()
+        self.watch, self.listener = Watch(address, version, chance or random.Random()), listener
+        self.told = asyncio.Event()  # what the agent had at the start, or so far as can be seen
+        self.open: Call | None = None
+        self.connecting: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
 
-    def move(self, address: Address) -> None:
-        """Leave the watch and follow another address from now on.
-
-        Its versions need not be those of the old one, so the whole list is read before its changes.
-        """
-        self.address, self.version = address, None
-        self._moved.set()
+    @property
+    def address(self) -> Address:
+        return self.watch.address
 
-    def pause(self, wait: float) -> float:
-        return wait * self.chance.uniform(1 - JITTER, 1 + JITTER)
+    def move(self, address: Address) -> None:
+        """Leave the watch and follow another address from now on."""
+        log.info("watch moves to %s:%d", *address)
+        self.act(self.watch.on_move(now_ms(), address))
 
     async def run(self) -> None:
-        wait = BACKOFF_S[0]
-        while True:
-            self._moved.clear()
-            self._heard = False
-            watch = asyncio.ensure_future(self._watch())
-            moved = asyncio.ensure_future(self._moved.wait())
-            try:
-                await asyncio.wait({watch, moved}, return_when=asyncio.FIRST_COMPLETED)
-                if moved.done():
-                    log.info("watch moves to %s:%d", *self.address)
-                    wait = BACKOFF_S[0]
-                    continue
-                wait = BACKOFF_S[0] if self._heard else min(BACKOFF_S[1], wait * 2)
-                pause = self.pause(wait)
-                log.info("watch %s; again in %.2f s", watch.result(), pause)
-                await asyncio.wait({moved}, timeout=pause)
-            finally:
-                watch.cancel()
-                moved.cancel()
-
-    async def _watch(self) -> str:
-        """Follow the list until the connection ends; gives the reason."""
+        """Follow the list until cancelled."""
+        self.act(self.watch.on_time(now_ms()))
         try:
-            async for line in self._lines(self._target()):
-                self._heard = True
-                if line.strip():
-                    self._take(line)
-            return "ended"
-        except (OSError, h11.ProtocolError, DiscoveryError) as error:  # time-outs are among these
-            return " ".join(str(error).split()) or type(error).__name__
+            await asyncio.get_running_loop().create_future()
+        finally:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.leave()
+
+    # ---- events ----
+
+    def on_time(self, read_first: bool = True) -> None:
+        loop = asyncio.get_running_loop()
+        if now_ms() < self.watch.due:
+            self.arm()
+        elif read_first:
+            # Danger: timers come before sockets in a turn of the loop; a late one would take all for silent.
+            self.timer = loop.call_later(READ_FIRST_S, self.on_time, False)
+        else:
+            self.act(self.watch.on_time(now_ms()))
+
+    def on_head(self, number: int) -> None:
+        self.watch.on_head(now_ms(), number)
+        self.arm()
+        asyncio.get_running_loop().call_later(FIRST_LINE_S, self.told.set)
+
+    def on_line(self, number: int, text: bytes) -> None:
+        if not self.watch.on_line(now_ms(), number):
+            return
+        if text:
+            self.take(number, text)
+        self.told.set()
+        self.arm()
+
+    def on_end(self, number: int, reason: str, clean: bool = False) -> None:
+        self.act(self.watch.on_end(now_ms(), number, reason, clean))
+
+    def take(self, number: int, text: bytes) -> None:
+        """Report a change, and go on whatever came: without a watch the list is stale, drains are missed."""
+        try:
+            got = read_list(json.loads(text))
+            if got.whole or got.members:
+                self.listener(ListScope.FULL if got.whole else ListScope.CHANGES, got.members)
+            self.watch.version = got.version
+        except (DiscoveryError, ValueError, RecursionError) as error:
+            self.watch.version = None  # what this change held is not known: read everything again
+            self.on_end(number, " ".join(str(error).split()))
         except Exception:
-            # Without a watch the list goes stale and drains are missed, so it goes on whatever came.
             log.exception("a change could not be taken")
-            self.version = None
-            return "failed"
-
-    def _target(self) -> str:
-        # With no version known, the whole list comes first.
-        return PATH if self.version is None else f"{PATH}?stream=1&index={self.version}"
-
-    def _take(self, line: bytes) -> None:
-        try:
-            raw = json.loads(line)
-        except ValueError as error:
-            raise DiscoveryError(str(error)) from error
+            self.watch.version = None
+            self.on_end(number, "failed")
+
+    # ---- actions ----
+
+    def act(self, action: Act) -> None:
+        if action is not None:
+            self.leave()
+        if isinstance(action, Leave):
+            log.info("watch %s", action.reason)
+        elif isinstance(action, Open):
+            self.open = Call(self, action)
+            self.connecting = asyncio.get_running_loop().create_task(self.connect(self.open))
+        self.arm()
+
+    def leave(self) -> None:
+        if self.open is not None:
+            self.open.leave()
+        if self.connecting is not None:
+            self.connecting.cancel()
+        self.open = self.connecting = None
+
+    async def connect(self, call: Call) -> None:
+        host, port = call.what.address
         try:
-            got = read_list(raw)
-        except DiscoveryError:
-            self.version = None  # what this change held is not known: read everything again
-            raise
-        if got.whole or got.members:
-            self.listener(ListScope.FULL if got.whole else ListScope.CHANGES, got.members)
-        self.version = got.version
-
-    async def _lines(self, target: str) -> AsyncIterator[bytes]:
-        host, port = self.address
-        async with asyncio.timeout(CONNECT_S):
-            reader, writer = await asyncio.open_connection(host, port)
-        try:
-            http = h11.Connection(h11.CLIENT)
-            headers = [("Host", f"{host}:{port}"), ("Accept", "application/json")]
-            writer.write(http.send(h11.Request(method="GET", target=target, headers=headers)) or b"")
-            writer.write(http.send(h11.EndOfMessage()) or b"")
-            rest = b""
-            while True:
-                event = http.next_event()
-                if event is h11.NEED_DATA:
-                    # A machine that is cut off says nothing; only the missing lines show it.
-                    async with asyncio.timeout(SILENT_S):
-                        http.receive_data(await reader.read(65536))
-                elif isinstance(event, h11.Response):
-                    if event.status_code != 200:
-                        raise DiscoveryError(f"status {event.status_code}")
-                elif isinstance(event, h11.Data):
-                    *lines, rest = (rest + event.data).split(b"\n")
-                    for line in lines:
-                        yield line
-                    if len(rest) > LONGEST_LINE:
-                        raise DiscoveryError("an endless line")
-                elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
-                    if rest.strip():
-                        yield rest
-                    return
-        finally:
-            writer.close()
+            await asyncio.get_running_loop().create_connection(lambda: call, host, port)
+        except OSError as error:
+            call.end(" ".join(str(error).split()) or type(error).__name__)
+
+    def arm(self) -> None:
+        """Wake at the time that the watch has now."""
+        if self.timer is not None:
+            self.timer.cancel()
+        wait = max(0.0, self.watch.due - now_ms()) / 1000
+        self.timer = asyncio.get_running_loop().call_later(wait, self.on_time)
--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -31,7 +31,7 @@
 SWEEP_MS, SUMMARY_MS = 250.0, 1_000.0
 SPARE_MS = 2_000.0  # unused for this long: may be closed when room is short
 YOUNG_MS = 100.0  # in which a new connection is let say something, however short room is
-LINGER_PART = 4  # of the bound on connections: so many may be there only until their clients have read the end
+LINGER_PART = 4  # of the bound on connections: so many may stand only until their clients have seen the end
 RETRY_MS = 20.0  # until there may be room, or a descriptor, again
 
 
@@ -226,8 +226,8 @@
             for connection in list(self.connections):
                 connection.leave()
         if not accepts and self.listener is not None:
-            # Danger: closing a listener resets all that wait at it, and what they have asked by then. What waits
-            # at one that is shared is taken by the others.
+            # Danger: closing a listener resets all that wait at it, and what they have asked by then. Those
+            # at one that is shared are taken by the others.
             while not self.shared and self._accept_one():
                 pass
             self._pause()
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -1,11 +1,11 @@
 """One client's connection: its commands, the answers in their order, and its end.
 
-| state     | takes commands | writes answers | reads                        | becomes                              |
-| --------- | -------------- | -------------- | ---------------------------- | ------------------------------------ |
-| OPEN      | yes            | yes            | unless it is stuck           | LAST, LINGERING, CLOSED              |
-| LAST      | no             | those it owes  | no                           | LINGERING with the last one, CLOSED  |
-| LINGERING | no             | no: FIN is out | to the end, and drops it all | CLOSED                               |
-| CLOSED    | no             | no             | no                           | -                                    |
+| state     | takes commands | writes answers | reads                        | becomes                 |
+| --------- | -------------- | -------------- | ---------------------------- | ----------------------- |
+| OPEN      | yes            | yes            | unless it is stuck           | LAST, LINGERING, CLOSED |
+| LAST      | no             | those it owes  | no                           | LINGERING, CLOSED       |
+| LINGERING | no             | no: FIN is out | to the end, and drops it all | CLOSED                  |
+| CLOSED    | no             | no             | no                           | -                       |
 
 A state only ever rises. All ends pass `close`, where what the connection held goes back, once.
 
@@ -20,9 +20,9 @@
 | its time, its bytes                      | answers left unread: CLOSED   | the same   | CLOSED          |
 | the process ends                         | LAST                          | -          | -               |
 
-Danger: closing over unread bytes resets a connection, and takes along answers that are still on their way. So
-the sending side ends first (a lingering close, RFC 9112, 9.6), and what comes then is read and never acted on: a
-client that is told the end without an answer sends its request again elsewhere.
+Danger: closing over unread bytes resets a connection, and takes along answers that are still on their way.
+So the sending side ends first (a lingering close, RFC 9112, 9.6), and what comes then is read and never
+acted on: a client that is told the end without an answer sends its request again elsewhere.
 """
 
 from __future__ import annotations
@@ -53,8 +53,8 @@
 LONG_SLOW_MS = 30_000.0
 IDLE_MS = 30_000.0  # unused for this long: closed
 FIRST_MS = 400.0  # in a drain, from being taken in until its first command: a round trip and a slow client
-# From FIN until it is closed at the latest: far over a round trip, so that the last answer has arrived, and short
-# beside a drain. What a flood may send in it is bounded too.
+# From FIN until it is closed at the latest: far over a round trip, so that the last answer has arrived, and
+# short beside a drain. What a flood may send in it is bounded too.
 LINGER_MS, LINGER_BYTES = 500.0, 256 * 1024
 HARMLESS = {b"CLIENT", b"SELECT"}  # commands of connection set-up
 OPEN, LAST, LINGERING, CLOSED = range(4)
@@ -305,8 +305,8 @@
     def gone(self) -> bool:
         """Whether its client has left; closes then.
 
-        Danger: a connection that is stuck is not read, nor is one in time while the loop is late, and its end may
-        lie behind bytes that must wait. Only the kernel knows of it.
+        Danger: a connection that is stuck is not read, nor is one in time while the loop is late, and its end
+        may lie behind bytes that must wait. Only the kernel knows of it.
         """
         if self.state < LINGERING:
             told = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
--- a/tests/core/test_discovery.py
+++ b/tests/core/test_discovery.py
@@ -11,6 +11,7 @@
 
 from mintford.interface import BackendState, ListScope
 from roadpulley.core import discovery as module
+from roadpulley.core import watch as pure
 from roadpulley.core.discovery import DiscoveryError, Member, host_number, read_list
 
 Heard = list[tuple[ListScope, list[tuple[int, BackendState]]]]
@@ -85,7 +86,7 @@
 
 def test_a_silent_watch_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
     """A cut off machine says nothing, and the list would stay as it was for ever."""
-    monkeypatch.setattr(module, "SILENT_S", 0.05)
+    monkeypatch.setattr(pure, "SILENT_MS", 50.0)
 
     async def scenario() -> None:
         async with Watch() as watch:
@@ -184,14 +185,14 @@
 
 
 def test_a_move_does_not_wait_for_the_next_try(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(module, "BACKOFF_S", (100.0, 100.0))
+    monkeypatch.setattr(pure, "BACKOFF_MS", (100_000.0, 100_000.0))
 
     async def scenario() -> None:
         async with Watch() as watch:
             await watch.watched(1)
             watch.service.hang_up()
             await until(lambda: not watch.service.open)
-            monkeypatch.setattr(module, "BACKOFF_S", (0.0, 0.0))
+            monkeypatch.setattr(pure, "BACKOFF_MS", (0.0, 0.0))
             watch.client.move((LOCAL, watch.service.port))
             await watch.watched(2)
 
@@ -200,9 +201,9 @@
 
 def test_gateways_that_lose_their_watches_at_once_call_again_apart() -> None:
     """In step they would overwhelm discovery, which turns callers away then."""
-    clients = [module.Discovery((LOCAL, 1), 1, lambda *_: None, random.Random(seed)) for seed in range(48)]
-    for wait in module.BACKOFF_S:
-        pauses = sorted(client.pause(wait) for client in clients)
-        assert wait * (1 - module.JITTER) <= pauses[0] and pauses[-1] <= wait * (1 + module.JITTER)
+    watches = [pure.Watch((LOCAL, 1), 1, random.Random(seed)) for seed in range(48)]
+    for wait in pure.BACKOFF_MS:
+        pauses = sorted(watch.pause(wait) for watch in watches)
+        assert wait * (1 - pure.JITTER) <= pauses[0] and pauses[-1] <= wait
         in_step = max(sum(at <= other < at + wait / 10 for other in pauses) for at in pauses)
         assert in_step <= 16, "a third of them within a tenth of the wait"
