--- a/mintford/attempts.py
+++ b/mintford/attempts.py
@@ -6,10 +6,10 @@
 from collections.abc import Iterator
 
 from . import interface as api
-from .guards import END_MS, harmless, may_repeat
+from .guards import END_MS, harmless, may_repeat, repeat_until
 from .load import Backend
 from .quotas import Customer
-from .records import RequestRecord
+from .records import Attempt, RequestRecord
 
 WHEEL_MS = 4.0  # requests due within this share one timer: small beside any patience
 TOLD_MS = 50.0  # how far apart the patience of two tries may be by the way here alone
@@ -29,20 +29,10 @@
 
     def may_go(self, now: float, b: Backend) -> bool:
         """May this request's next attempt go to this backend, given what may have run?"""
-        if b.entry.zone in self.shut:
+        if b.entry.zone in self.shut or b.id in self.tried:
             return False
-        if b.id in self.tried or not self.ran:
-            return b.id not in self.tried
-        return may_repeat(self.kind, self.ran[0].backend.entry, self.ran[0].sent_at, b.entry, now)
-
-
-class Attempt:  # of a request at a backend
-    __slots__ = ("backend", "begun", "lost", "over", "request", "sent_at")
-
-    def __init__(self, request: Request, backend: Backend, sent_at: float) -> None:
-        self.request, self.backend, self.sent_at = request, backend, sent_at
-        self.begun = False  # its answer is on its way to the client
-        self.over = self.lost = False  # lost: out for so long that it waits in no queue any more
+        first = next(iter(self.ran), None)
+        return first is None or may_repeat(self.kind, first.backend.entry, first.sent_at, b.entry, now)
 
 
 class Attempts:
@@ -74,11 +64,12 @@
         request.customer.out += 1
         attempt = self.out[request.id, request.attempts] = Attempt(request, b, now)
         self.young.append(attempt)
+        latest = repeat_until(request.kind, request.ran[0].sent_at) if request.ran else float("inf")
+        out.append(api.Send(request.id, b.id, 0.0, request.attempts, latest))
         request.live.add(request.attempts)
         request.ran.append(attempt)
         request.tried.add(b.id)
         request.attempts += 1
-        out.append(api.Send(request.id, b.id))
         return attempt
 
     def ended(self, event: api.AttemptEnded) -> Attempt | None:
--- a/mintford/guards.py
+++ b/mintford/guards.py
@@ -18,14 +18,18 @@
     Danger: an effect happening twice. Unsafe work is never sent again once it may have run, keyed work only
     inside the group that drops the repeat, and a little before that group forgets.
     """
-    if kind.effect is api.Effect.SAFE:
-        return True
-    if kind.effect is api.Effect.UNSAFE or now - sent_at >= kind.repeat_window - END_MS:
-        return False
+    if kind.effect is api.Effect.SAFE or now >= repeat_until(kind, sent_at):
+        return kind.effect is api.Effect.SAFE
     same_zone = first.zone == to.zone and (kind.group is not api.Group.CELL or first.cell == to.cell)
     return kind.group is api.Group.ALL or same_zone
 
 
+def repeat_until(kind: api.RequestClass, sent_at: float) -> float:
+    """Until when what may have run, first sent then, may be sent again: a little before it is forgotten."""
+    left = {api.Effect.KEYED: kind.repeat_window - END_MS, api.Effect.UNSAFE: 0.0}
+    return sent_at + left.get(kind.effect, float("inf"))
+
+
 def harmless(kind: api.RequestClass, may_have_run: bool) -> bool:
     """Whether a refusal is true: a new try of this request would do no harm."""
     keyed_by_all = kind.effect is api.Effect.KEYED and kind.group is api.Group.ALL
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -340,6 +340,8 @@
     request: str
     backend: int
     timeout: float = 0.0
+    attempt: int = 0  # its number, by which it is told to have ended also where its request is gone
+    latest: float = float("inf")  # its first byte goes out before this, or it has not run: a repeat's window
 
 
 @dataclass(slots=True)
--- a/mintford/records.py
+++ b/mintford/records.py
@@ -10,9 +10,14 @@
 import math
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from . import interface as api
 
+if TYPE_CHECKING:
+    from .attempts import Request
+    from .load import Backend
+
 
 class CustomerRecord:
     """One customer at this gateway: what was sent on, told, read and wished for."""
@@ -78,6 +83,17 @@
         self.tried: set[int] = set()
 
 
+class Attempt:
+    """One attempt of a request at a backend."""
+
+    __slots__ = ("backend", "begun", "lost", "over", "request", "sent_at")
+
+    def __init__(self, request: Request, backend: Backend, sent_at: float) -> None:
+        self.request, self.backend, self.sent_at = request, backend, sent_at
+        self.begun = False  # its answer is on its way to the client
+        self.over = self.lost = False  # lost: out for so long that it waits in no queue any more
+
+
 class BackendRecord:
     """One backend as this gateway has seen it."""
 
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -13,11 +13,12 @@
 
 from . import changes, handover
 from . import interface as api
-from .attempts import RETRY_CALM, RETRY_SHARE, RETRY_STORE, Attempt, Attempts, Request
+from .attempts import RETRY_CALM, RETRY_SHARE, RETRY_STORE, Attempts, Request
 from .guards import END_MS, NEVER_RAN
 from .load import PATIENCE, Backend, Fleet
 from .orders import Orders
 from .quotas import PRESSED, Quotas
+from .records import Attempt
 from .shedding import CALM, OwnStrain, Shedding
 
 
--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -21,6 +21,7 @@
 
 from .clock import Timer, Timers, now_ms
 from .command import Sink, Source
+from .outcomes import Ending, Stage, outcome
 from .resp import Answer, LongValue, Malformed, long_value, parse_answer
 from .settings import Address
 from .tallies import Tallies
@@ -82,11 +83,13 @@
 
     backend: int
     encode: Callable[[int], bytes]
-    expires: float  # when the client gives up
+    expires: float  # its first byte goes out before this or not at all
     ended: Callable[[Attempt, Outcome, bytes], None]
     key: tuple[str, int] = ("", 0)  # its request, and its number among that one's attempts
     # Told that a long value begins; gives where it goes, None if nobody wants it any more.
     begin: Callable[[Attempt, int, Source], Sink | None] | None = None
+    latest: float = float("inf")  # the same, by the rule on repeats
+    wanted: Callable[[Attempt], bool] | None = None  # whether its client still waits
     body: memoryview | None = None  # what goes behind the encoded command
     connection: Connection | None = None
     timer: Timer | None = None  # of its time-out
@@ -109,7 +112,7 @@
     """
 
     def __init__(self, pool: Backends, host: Host, attempt: Attempt) -> None:
-        self.pool, self.host, self.address = pool, host, host.address
+        self.pool, self.host, self.address, self.started = pool, host, host.address, host.started
         self.attempt: Attempt | None = attempt
         self.answer = bytearray()  # what has come of it
         self.long: LongValue | None = None  # under way, and where it goes
@@ -134,7 +137,7 @@
             self.socket.close()
             raise
         self.timer: asyncio.TimerHandle | None = pool.loop.call_later(
-            pool.connect_timeout / 1000, self.end, Outcome.CONNECT
+            pool.connect_timeout / 1000, self.end, Ending.CONNECT_TIME
         )
         pool.loop.add_writer(self.fd, self._came_up)
 
@@ -143,10 +146,15 @@
         if self.timer is not None:
             self.timer.cancel()
         if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            return self.end(Outcome.CONNECT)
+            return self.end(Ending.BROKEN)
         self.up = True
         self.pool.loop.add_reader(self.fd, self._readable)
-        self.write()
+        attempt = self.attempt
+        assert attempt is not None
+        if attempt.wanted is None or attempt.wanted(attempt):
+            self.write()
+        elif self.attempt is attempt:
+            self.end(Ending.CALLED_OFF)
 
     def start(self, attempt: Attempt) -> None:
         self.age = now_ms() - self.idle_since
@@ -159,10 +167,11 @@
         attempt = self.attempt
         assert attempt is not None
         now = now_ms()
-        if now >= attempt.expires or not self.host.takes_new(now):
+        expired = now >= min(attempt.expires, attempt.latest)
+        if expired or not self.host.takes_new(now) or not self.pool.current(self):
             self.attempt = None
-            self.pool.release(self)
-            return attempt.end(Outcome.IGNORED if now >= attempt.expires else Outcome.CONNECT)
+            self.pool.release(self)  # it serves another, or closes
+            return attempt.end(outcome(Stage.CONNECTING, Ending.EXPIRED if expired else Ending.SHUT))
         self.unsent = memoryview(attempt.encode(max(1, int(attempt.expires - now))))
         self.body = attempt.body
         self._flush()
@@ -173,7 +182,7 @@
         except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError:
-            return self.end(Outcome.CONNECT)  # the last byte did not leave
+            return self.end(Ending.BROKEN)
         self.unsent = self.unsent[sent:]
         if not self.unsent and self.body is not None:
             self.unsent, self.body = self.body, None  # never empty between: the last byte has not left
@@ -199,7 +208,7 @@
         if not count:
             if self.attempt is not None and not self.answer:
                 self.pool.freshness.note(self.age, True)
-            return self.end(self.broken())
+            return self.end(Ending.BROKEN)
         if self.attempt is None:
             self.pool.spoilt["said what nobody asked for"] += 1
             return self.close()
@@ -207,7 +216,7 @@
             answer = self._long(self.pool.view[:count]) if self.long is not None else self._short(count)
         except Malformed as error:
             self.pool.spoilt[str(error)] += 1
-            return self.end(self.broken())
+            return self.end(Ending.BROKEN)
         # What a long value brings out, a client that leaves, may have ended it here.
         if answer is not None and self.attempt is not None:
             self._answered(self.attempt, answer)
@@ -266,11 +275,11 @@
 
     def _answered(self, attempt: Attempt, answer: Answer) -> None:
         self.drop_answer()
-        outcome, usable = read_error(answer.error)
+        said, usable = read_error(answer.error)
         if answer.value is not None:
-            outcome, usable = Outcome.OK, True
-        if self.unsent and outcome is not Outcome.FULL:
-            return self.end(self.broken())  # nobody answers what has not come: it is another's, or noise
+            said, usable = Outcome.OK, True
+        if self.unsent and said is not Outcome.FULL:
+            return self.end(Ending.SAID)
         self.attempt = None
         # Danger: what else comes here would be taken for the answer to the next request.
         if usable and answer.clean and not self.unsent:
@@ -279,7 +288,7 @@
             self.pool.spoilt["more than an answer, or an unknown error"] += 1
             self.close()
         attempt.use = answer.use
-        attempt.end(outcome, answer.value or b"")
+        attempt.end(said, answer.value or b"")
 
     def drop_answer(self) -> None:
         self.pool.held -= len(self.answer)
@@ -288,12 +297,14 @@
             self.long = None
             self.pool.long.pop(self, None)
 
-    def broken(self) -> Outcome:
-        """What a break says: a request whose last byte has not left cannot have run, any other may have."""
-        return Outcome.CONNECT if not self.up or self.unsent else Outcome.RESET
+    def stage(self) -> Stage:
+        if not self.up:
+            return Stage.CONNECTING
+        return Stage.SENDING if self.unsent else Stage.SENT
 
-    def end(self, outcome: Outcome) -> None:
+    def end(self, ending: Ending) -> None:
         """Close, and end the attempt that is on it. The close comes first: never two attempts at once."""
+        told = outcome(self.stage(), ending)
         attempt, self.attempt = self.attempt, None
         sink, self.sink = self.sink, None
         passed_on = self.long is not None and sink is None  # only what follows a value was still to come
@@ -301,7 +312,7 @@
         if sink is not None:
             sink.broken()
         if attempt is not None:
-            attempt.end(Outcome.OK if passed_on else outcome)
+            attempt.end(Outcome.OK if passed_on else told)
 
     def close(self) -> None:
         if self.closed:
@@ -336,8 +347,8 @@
 class Host:
     """A backend's address, its idle connections and when it was told to drain."""
 
-    def __init__(self, address: Address) -> None:
-        self.address = address
+    def __init__(self, address: Address, started: float) -> None:
+        self.address, self.started = address, started
         self.idle: list[Connection] = []  # the last used at the end
         self.cutoff = float("inf")
 
@@ -379,15 +390,15 @@
 
     # ---- the list ----
 
-    def update(self, backend: int, address: Address, state: BackendState) -> None:
+    def update(self, backend: int, address: Address, state: BackendState, started: float = 0.0) -> None:
         if state is not BackendState.READY:
             return self.retire(backend)
         host = self.hosts.get(backend)
         if host is None:
-            host = self.hosts[backend] = Host(address)
-        if host.address != address:
+            host = self.hosts[backend] = Host(address, started)
+        if host.address != address or host.started != started:
             self.close_idle(host)
-            host.address = address
+            host.address, host.started = address, started
         host.cutoff = float("inf")
 
     def retire(self, backend: int) -> None:
@@ -400,7 +411,7 @@
     def send(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.backend)
         if host is None or not host.takes_new(now_ms()):
-            return attempt.end(Outcome.CONNECT)
+            return attempt.end(outcome(Stage.CONNECTING, Ending.SHUT))
         now = now_ms()
         for place in range(len(host.idle) - 1, -1, -1):  # the last used first, once it has rested
             connection = host.idle[place]
@@ -416,26 +427,30 @@
         if len(self.connections) >= self.most:
             self.close_oldest()
         if len(self.connections) >= self.most:
-            return attempt.end(Outcome.CONNECT)  # better one request turned away than no descriptors left
+            # Better one request turned away than no descriptors left.
+            return attempt.end(outcome(Stage.CONNECTING, Ending.BROKEN))
         try:
             self.connections.add(Connection(self, host, attempt))
         except OSError as error:
             self.unopened[error.strerror or "unknown"] += 1
-            attempt.end(Outcome.CONNECT)
+            attempt.end(outcome(Stage.CONNECTING, Ending.BROKEN))
 
-    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
-        connection = attempt.connection
-        if connection is not None:
-            waiting = outcome is Outcome.TIMED_OUT and connection.broken() is Outcome.CONNECT
-            connection.end(Outcome.CONNECT if waiting else outcome)
+    def give_up(self, attempt: Attempt, ending: Ending) -> None:
+        if attempt.connection is not None:
+            attempt.connection.end(ending)
         else:
-            attempt.end(outcome)
+            attempt.end(outcome(Stage.CONNECTING, ending))
 
     # ---- pools ----
 
+    def current(self, connection: Connection) -> bool:
+        """Whether a connection still leads to what discovery lists: the same address and process."""
+        host = connection.host
+        return connection.address == host.address and connection.started == host.started
+
     def release(self, connection: Connection) -> None:
         host = connection.host
-        if host.cutoff < float("inf") or connection.address != host.address:
+        if host.cutoff < float("inf") or not self.current(connection):
             return connection.close()
         connection.idle_since = now_ms()
         host.idle.append(connection)
@@ -460,7 +475,7 @@
         for connection in list(self.long):
             if not connection.paused and now - connection.heard_at > STALLED_MS:
                 self.spoilt["a long value that did not go on"] += 1
-                connection.end(connection.broken())
+                connection.end(Ending.BROKEN)
         for backend, host in list(self.hosts.items()):
             for connection in list(host.idle):
                 if now - connection.idle_since < min(self.idle_ms, self.freshness.limit):
@@ -476,4 +491,4 @@
 
     def close(self) -> None:
         for connection in list(self.connections):
-            connection.end(connection.broken())
+            connection.end(Ending.BROKEN)
--- a/roadpulley/core/command.py
+++ b/roadpulley/core/command.py
@@ -38,6 +38,12 @@
     def answer(self, reply: bytes) -> None:
         """Give the answer, as RESP. All but the first are ignored."""
 
+    def gone(self, ask: bool) -> bool:
+        """Whether its client has left, which is told of at once then.
+
+        `ask`: the kernel, as an end that came by now may not have been read.
+        """
+
     def begin(self, length: int, source: Source) -> Sink:
         """Begin the answer with a value of so many bytes, which come in pieces. It is the only answer."""
 
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -18,6 +18,7 @@
 from .counter import Counter
 from .discovery import Member
 from .figures import read_cost
+from .outcomes import Ending
 from .resp import bulk
 
 log = logging.getLogger(__name__)
@@ -25,6 +26,7 @@
 FAILED = b"-ERR failed\r\n"
 LOOK_MS = 20.0  # between two looks at the lag of the loop
 LEAST_LEFT_MS = 60.0  # of a request's time: in less the module could not even refuse it
+LATE_MS = 20.0  # lag in which a client may have left unseen: small beside the 100 ms in which that must show
 SEEN_MS = 5.0  # lag that is worth a word: timers come up to a tick and the loop's rounding late anyway
 
 
@@ -177,6 +179,10 @@
                 self.counter.lag = lag
         self.watch_lag()
 
+    def lag(self, now: float) -> float:
+        """For how long what has come may have lain unread."""
+        return max(self.behind, now - self.look_due, 0.0)
+
     def oldest_ms(self) -> float:
         """For how long the oldest request has been open; 0 where none is."""
         oldest = next(iter(self.requests.values()), None)
@@ -198,7 +204,8 @@
             for backend in set(self.backends.hosts) - listed:
                 self.backends.retire(backend)
         for member in members:
-            self.backends.update(member.entry.backend, member.address, member.entry.state)
+            entry = member.entry
+            self.backends.update(entry.backend, member.address, entry.state, entry.started)
         self.give(api.BackendsChanged(scope, tuple(m.entry for m in members)))
 
     def on_command(self, command: Command, slot: Slot) -> None:
@@ -210,8 +217,7 @@
         # Danger: its time counts from when the client sent it. While this loop stood still it may have lain
         # unread as long, and a last answer that is late by more than its client's patience counts as none.
         now = now_ms()
-        waited = max(self.behind, now - self.look_due, 0.0)
-        expires = now + max(command.wait - waited, LEAST_LEFT_MS)
+        expires = now + max(command.wait - self.lag(now), LEAST_LEFT_MS)
         event = api.RequestArrived(
             command.id,
             command.request_class,
@@ -231,7 +237,7 @@
     def on_expired(self, owner: Request) -> None:
         """The client's patience ends: so do the attempts, and the module owes the final answer."""
         request = owner.command.id
-        self.give_up(owner, api.Outcome.TIMED_OUT)
+        self.give_up(owner, Ending.TIME)
         if self.requests.get(request) is owner:
             # Only a fault brings a request here unanswered; its client must not wait in vain even so.
             log.error("request %s had no answer at its end", request)
@@ -244,7 +250,7 @@
             return
         self.give(api.RequestLapsed(request))
         # Nobody is waiting any more; a backend may then drop what it has not begun.
-        self.give_up(owner, api.Outcome.CANCELLED)
+        self.give_up(owner, Ending.CALLED_OFF)
         self.settle(owner)
 
     def on_begun(self, attempt: Attempt, length: int, source: Source) -> Sink | None:
@@ -296,7 +302,7 @@
 
     def cancel(self, action: api.Cancel) -> None:
         if attempt := self.attempts.get((action.request, action.attempt)):
-            self.backends.give_up(attempt, api.Outcome.CANCELLED)
+            self.backends.give_up(attempt, Ending.CALLED_OFF)
 
     def refuse(self, action: api.Refuse) -> None:
         self.finish(action.request, busy(action.retry_after))
@@ -328,25 +334,42 @@
     def send(self, action: api.Send) -> None:
         request, backend, timeout = action.request, action.backend, action.timeout
         now, owner = now_ms(), self.requests.get(request)
+        if owner is not None and owner.slot.gone(self.lag(now) > LATE_MS):
+            owner = None
         if owner is None or owner.made >= min(owner.most, self.settings.max_attempts):
-            number = owner.made if owner else 0
-            self.give(api.AttemptEnded(request, number, backend, api.Outcome.IGNORED, 0.0, owner is None))
-            return
+            # Danger: under another number the module would count this attempt as out for ever.
+            number, ignored = owner.made if owner else action.attempt, api.Outcome.IGNORED
+            return self.give(api.AttemptEnded(request, number, backend, ignored, 0.0, owner is None))
         number, owner.made = owner.made, owner.made + 1
         if not number and self.meter is not None:
             owner.counted = self.meter.sent(owner.command)
         ended = partial(self.on_ended, owner, number, now)
         key, command = (request, number), owner.command
-        attempt = Attempt(backend, command.encode, owner.expires, ended, key, self.on_begun, command.long)
+        attempt = Attempt(
+            backend,
+            command.encode,
+            owner.expires,
+            ended,
+            key,
+            self.on_begun,
+            action.latest,
+            self.wanted,
+            command.long,
+        )
         self.attempts[key] = owner.live[number] = attempt
         if 0 < timeout < owner.expires - now:
-            give_up = partial(self.backends.give_up, attempt, api.Outcome.TIMED_OUT)
+            give_up = partial(self.backends.give_up, attempt, Ending.TIME)
             attempt.timer = self.timers.at(now + timeout, give_up)
         self.backends.send(attempt)
 
-    def give_up(self, owner: Request, outcome: api.Outcome) -> None:
+    def wanted(self, attempt: Attempt) -> bool:
+        """Whether its client still waits, asked once it has waited for its connection."""
+        owner = self.requests.get(attempt.key[0])
+        return owner is not None and not owner.slot.gone(True)
+
+    def give_up(self, owner: Request, ending: Ending) -> None:
         for attempt in list(owner.live.values()):
-            self.backends.give_up(attempt, outcome)
+            self.backends.give_up(attempt, ending)
 
     def finish(self, request: str, reply: bytes) -> None:
         """Give the one final answer; a second one is not sent."""
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -309,7 +309,10 @@
         may lie behind bytes that must wait. Only the kernel knows of it.
         """
         if self.state < LINGERING:
-            told = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+            try:
+                told = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+            except OSError:
+                return False  # not TCP: only reading tells
             if told and told[0] != ESTABLISHED:
                 self.close()
         return self.state >= LINGERING
--- a/roadpulley/edges/slots.py
+++ b/roadpulley/edges/slots.py
@@ -43,6 +43,10 @@
                 self.give_back()
             self.connection.pump()
 
+    def gone(self, ask: bool) -> bool:
+        connection = self.connection
+        return connection.closed or ((ask or not connection.reading) and connection.gone())
+
     def give_back(self) -> None:
         granted, self.granted = self.granted, 0
         self.connection.server.bodies.give_back(granted)
--- a/setup.py
+++ b/setup.py
@@ -27,6 +27,7 @@
     "roadpulley/core/command.py",
     "roadpulley/core/counter.py",
     "roadpulley/core/driver.py",
+    "roadpulley/core/outcomes.py",
     "roadpulley/core/resp.py",
     "roadpulley/edges/clients.py",
     "roadpulley/edges/connection.py",
--- a/tests/core/test_backends.py
+++ b/tests/core/test_backends.py
@@ -16,6 +16,7 @@
 from roadpulley.core import backends as module
 from roadpulley.core.backends import Attempt, Backends
 from roadpulley.core.clock import Timers, now_ms
+from roadpulley.core.outcomes import Ending
 
 VALUE = b"*3\r\n$5\r\nvalue\r\n"
 SERVED = VALUE + b"$-1\r\n$-1\r\n"
@@ -345,7 +346,7 @@
             assert connection is not None
             closed: list[bool] = []
             tried.attempt.ended = lambda *_: closed.append(connection.socket.fileno() == -1)
-            made.give_up(tried.attempt, Outcome.CANCELLED)
+            made.give_up(tried.attempt, Ending.CALLED_OFF)
             assert closed == [True]
             await until(lambda: server.ended)
 
@@ -383,7 +384,7 @@
         server = Backend()
         async with pool(server) as made:
             tried = Try(made)
-            made.give_up(tried.attempt, Outcome.TIMED_OUT)
+            made.give_up(tried.attempt, Ending.TIME)
             assert (await tried.result())[0] is Outcome.CONNECT
 
     in_loop(scenario)
