--- /dev/null
+++ b/tests/core/test_watch.py
@@ -0,0 +1,430 @@
+"""The watch's table, its sums under drawn agents, and the orders that the sums are about, on sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import random
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loopback import LOCAL, host, in_loop, until
+
+from mintford.interface import ListScope
+from roadpulley.core import discovery as module
+from roadpulley.core import watch as pure
+from roadpulley.core.discovery import DiscoveryError, Member, Objects
+from roadpulley.core.watch import ANSWER_MS, BACKOFF_MS, SILENT_MS, TOLD_MS, Leave, Open, State, Watch
+
+HERE, THERE = ("127.0.0.1", 1), ("127.0.0.1", 2)
+
+
+def at(state: State) -> Watch:
+    watch = Watch(HERE, 41, random.Random(1))
+    if state is not State.WAITING:
+        watch.on_time(0)
+    if state is State.FOLLOWING:
+        watch.on_head(0, watch.call)
+    return watch
+
+
+# ---- the table ----
+
+
+@pytest.mark.parametrize("state", State)
+def test_every_event_in_every_state(state: State) -> None:
+    def after(act: Callable[[Watch], object]) -> tuple[object, State]:
+        watch = at(state)
+        return act(watch), watch.state
+
+    early = state is State.WAITING
+    headed = State.FOLLOWING if state is State.CALLING else state
+    assert after(lambda w: w.on_head(1, w.call)) == (None, headed)
+    assert after(lambda w: w.on_line(1, w.call)) == (state is State.FOLLOWING, state)
+    ended, now = after(lambda w: w.on_end(1, w.call, "reset"))
+    assert now is State.WAITING and isinstance(ended, type(None) if early else Leave)
+    moved, now = after(lambda w: w.on_move(1, THERE))
+    assert now is State.CALLING and isinstance(moved, Open)
+    assert (moved.address, moved.version) == (THERE, None)  # versions of another address need not be the same
+    timed, now = after(lambda w: w.on_time(1e9))
+    assert (type(timed), now) == ((Open, State.CALLING) if early else (Leave, State.WAITING))
+
+
+@pytest.mark.parametrize("state", [State.CALLING, State.FOLLOWING])
+def test_events_of_a_call_that_was_left_change_nothing(state: State) -> None:
+    """A line of the old address that crosses a move would be acted on, and its version taken up."""
+    watch = at(state)
+    old = watch.call
+    watch.on_move(5, THERE)
+    was = (watch.state, watch.due, watch.version, watch.call)
+    watch.on_head(6, old)
+    assert not watch.on_line(7, old)
+    assert watch.on_end(8, old, "reset") is None
+    assert (watch.state, watch.due, watch.version, watch.call) == was
+
+
+def test_a_whole_list_is_followed_at_once_and_a_broken_one_after_a_pause() -> None:
+    for clean, kind in ((True, Open), (False, Leave)):
+        watch = Watch(HERE, None, random.Random(1))
+        watch.on_time(0)
+        watch.on_head(1, watch.call)
+        assert watch.on_line(1, watch.call)
+        watch.version = 7
+        assert isinstance(watch.on_end(2, watch.call, "ended", clean=clean), kind)
+
+
+# ---- the sums ----
+
+
+def test_the_sums_beside_the_constants() -> None:
+    first, longest = BACKOFF_MS
+    assert SILENT_MS + first + ANSWER_MS + 2 * first == 5_100
+    assert SILENT_MS + ANSWER_MS + 2 * longest == 5_700 < TOLD_MS
+    assert 2 * (ANSWER_MS + longest) == 4_200
+    assert ANSWER_MS + first == 1_700 < 4_000
+    assert SILENT_MS > 2_000  # an empty line comes every 2 s
+
+
+class Agent:
+    """An agent in virtual time that is silent until `back`; `broken`: how calls fail after that."""
+
+    def __init__(self, watch: Watch, back: float, broken: list[str]) -> None:
+        self.watch, self.back, self.broken = watch, back, broken
+        self.told = None  # when the watch had what the agent has
+
+    def answer(self, now: float, call: int) -> None:
+        """What a call meets that is opened at `now`."""
+        if now < self.back:
+            return  # no answer, not even later: it was opened in the silence
+        how = self.broken.pop() if self.broken else "well"
+        if how == "refused":
+            self.act(now, self.watch.on_end(now, call, "refused"))
+        elif how == "head":
+            self.watch.on_head(now, call)
+        elif how == "well":
+            self.watch.on_head(now, call)
+            assert self.watch.on_line(now, call)
+            self.told = now
+
+    def act(self, now: float, action: object) -> None:
+        if isinstance(action, Open):
+            self.answer(now, action.call)
+
+    def run(self, now: float) -> float:
+        while self.told is None:
+            now = max(now, self.watch.due)
+            self.act(now, self.watch.on_time(now))
+        return self.told
+
+
+@settings(max_examples=300)
+@given(
+    seed=st.integers(0, 2**32),
+    phase=st.floats(0, 30_000),
+    broken=st.sampled_from([[], ["silent"], ["refused"], ["head"], ["refused"] * 2]),
+)
+def test_after_any_silence_a_change_is_known_in_time(seed: int, phase: float, broken: list[str]) -> None:
+    """Calls fail through a silence of any length; the one after the return may fail once more."""
+    agent = Agent(Watch(HERE, 41, random.Random(seed)), phase, list(broken))
+    assert agent.run(0) - phase < TOLD_MS
+
+
+@settings(max_examples=300)
+@given(
+    seed=st.integers(0, 2**32),
+    heard=st.floats(0, 10_000),
+    broken=st.sampled_from([[], ["silent"], ["refused"], ["head"]]),
+)
+def test_an_open_watch_that_falls_silent_is_opened_anew_in_time(
+    seed: int, heard: float, broken: list[str]
+) -> None:
+    """Only the watch is dead, in the moment after a line: the agent can be reached all the time."""
+    agent = Agent(Watch(HERE, 41, random.Random(seed)), 0, [])
+    assert agent.run(0) == 0
+    assert agent.watch.on_line(heard, agent.watch.call)
+    agent.told, agent.broken = None, list(broken)
+    bound = TOLD_MS + (SILENT_MS if broken == ["head"] else 0)  # that one fell silent a second time
+    assert agent.run(heard) - heard < bound
+
+
+def test_the_clock_of_silence_starts_with_whole_lines_only() -> None:
+    watch = at(State.FOLLOWING)
+    assert watch.on_line(1_000, watch.call)
+    assert watch.due == 1_000 + SILENT_MS
+    watch.on_head(2_000, watch.call)  # a second one
+    assert watch.due == 1_000 + SILENT_MS
+
+
+# ---- objects ----
+
+LIST = {"seq": 7, "whole": True, "hosts": [host('h{"}0\\', 1), host("h1", 2)]}
+
+
+@pytest.mark.parametrize("indent", [None, 0, 1, 4, "\t"])
+@pytest.mark.parametrize("end", [b"\n", b"\r\n"])
+@pytest.mark.parametrize("step", [1, 7, 100_000])
+def test_objects_are_cut_alike_however_they_are_laid_out(indent: Any, end: bytes, step: int) -> None:
+    text = json.dumps(LIST, indent=indent).encode().replace(b"\n", end)
+    stream = end + text + end + end + text + end
+    objects, got = Objects(), list[bytes]()
+    for place in range(0, len(stream), step):
+        got += objects.feed(stream[place : place + step])
+    assert [json.loads(one) if one else None for one in got] == [None, LIST, None, LIST]
+
+
+def test_only_the_end_of_an_answer_stands_for_the_end_of_its_last_line() -> None:
+    text = json.dumps(LIST, indent=1).encode()
+    objects = Objects()
+    assert objects.feed(text) == []
+    assert [json.loads(one) for one in objects.feed(b"", last=True)] == [LIST]
+
+
+def test_an_object_without_end_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "LONGEST_OBJECT", 1_000)
+    for piece in (b"x", b'{"a":\n'):
+        objects = Objects()
+        with pytest.raises(DiscoveryError):
+            for _ in range(1_001):
+                objects.feed(piece)
+
+
+# ---- on sockets ----
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class Call:
+    def __init__(self, target: str, writer: asyncio.StreamWriter) -> None:
+        self.target, self.writer = target, writer
+
+    def say(self, data: bytes) -> None:
+        if not self.writer.transport.is_closing():
+            self.writer.write(data)
+
+    def put(self, data: bytes) -> None:
+        """Into the kernel at once, past the loop, which has not read it yet."""
+        os.write(self.writer.get_extra_info("socket").fileno(), data)
+
+    def reset(self) -> None:
+        raw = self.writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+
+class Scripted:
+    """An agent of which a test says every byte, and the client that follows it."""
+
+    def __init__(self) -> None:
+        self.calls: list[Call] = []
+        self.heard: list[tuple[ListScope, list[int]]] = []
+        self.ended = 0
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.calls.append(Call(head.split()[1].decode(), writer))
+        try:
+            await reader.read()
+        except ConnectionError:
+            pass
+        self.ended += 1
+        writer.close()
+
+    def take(self, scope: ListScope, members: tuple[Member, ...]) -> None:
+        self.heard.append((scope, [m.address[1] for m in members]))
+
+    async def called(self, count: int) -> Call:
+        await until(lambda: len(self.calls) >= count)
+        return self.calls[count - 1]
+
+
+Scenario = Callable[[Scripted, module.Discovery], Awaitable[None]]
+
+
+def followed(scenario: Scenario, version: int | None = 41) -> None:
+    async def run() -> None:
+        agent = Scripted()
+        server = await asyncio.start_server(agent.talk, LOCAL, 0)
+        port = server.sockets[0].getsockname()[1]
+        client = module.Discovery((LOCAL, port), version, agent.take, random.Random(1))
+        task = asyncio.create_task(client.run())
+        try:
+            await scenario(agent, client)
+        finally:
+            task.cancel()
+            await asyncio.wait({task})
+            server.close()
+
+    in_loop(run)
+
+
+def change(seq: int, port: int, indent: int | None = None, whole: bool = False) -> bytes:
+    said = {"seq": seq, "whole": whole, "hosts": [host("h0", port)]}
+    return json.dumps(said, indent=indent).encode() + b"\n"
+
+
+def quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pure, "SILENT_MS", 300.0)
+    monkeypatch.setattr(pure, "ANSWER_MS", 300.0)
+    monkeypatch.setattr(pure, "BACKOFF_MS", (1.0, 1.0))
+
+
+def test_half_lines_do_not_keep_a_silent_watch_alive(monkeypatch: pytest.MonkeyPatch) -> None:
+    quick(monkeypatch)
+
+    async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        call = await agent.called(1)
+        call.say(CHUNKED)
+        while len(agent.calls) < 2:  # it would be waited for as long as this goes on
+            call.say(chunk(b" "))
+            await asyncio.sleep(0.02)
+
+    followed(scenario)
+
+
+def test_a_head_that_never_comes_is_not_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(pure, "SILENT_MS", 1e9)
+    monkeypatch.setattr(pure, "ANSWER_MS", 50.0)
+    monkeypatch.setattr(pure, "BACKOFF_MS", (1.0, 1.0))
+
+    async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        await agent.called(2)
+
+    followed(scenario)
+
+
+def test_a_line_that_lies_unread_as_the_loop_comes_back_is_not_taken_for_silence(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Timers are due at once then, also before the loop has read its sockets."""
+    quick(monkeypatch)
+
+    async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        call = await agent.called(1)
+        call.say(CHUNKED + chunk(b"\n"))
+        await until(lambda: client.told.is_set())
+        due = client.watch.due
+        while module.now_ms() < due + 50:
+            pass  # the loop stands still here
+        call.put(chunk(b"\n"))
+        client.on_time()  # the timer, before any socket
+        await asyncio.sleep(0.05)
+        assert len(agent.calls) == 1 and client.watch.state is State.FOLLOWING
+
+    followed(scenario)
+
+
+@pytest.mark.parametrize("indent", [None, 2])
+def test_changes_are_read_however_they_are_indented(indent: int | None) -> None:
+    async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        call = await agent.called(1)
+        assert call.target == "/catalog/members?stream=1&index=41"
+        text = change(42, 1, indent) + b"\n" + change(43, 2, indent)
+        call.say(CHUNKED + chunk(text[:50]))
+        call.say(chunk(text[50:]))
+        await until(lambda: len(agent.heard) == 2)
+        assert agent.heard == [(ListScope.CHANGES, [1]), (ListScope.CHANGES, [2])]
+        call.reset()
+        assert (await agent.called(2)).target.endswith("index=43")
+
+    followed(scenario)
+
+
+@pytest.mark.parametrize("length", [True, False])
+def test_a_whole_list_ends_with_its_answer_and_is_followed_at_once(
+    length: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(pure, "BACKOFF_MS", (1e9, 1e9))
+
+    async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        call = await agent.called(1)
+        assert call.target == "/catalog/members"
+        body = change(7, 1, indent=2, whole=True)[:-1]
+        told = b"Content-Length: %d\r\n" % len(body) if length else b""
+        call.say(b"HTTP/1.1 200 OK\r\n" + told + b"\r\n" + body)
+        if not length:
+            call.writer.write_eof()
+        assert (await agent.called(2)).target == "/catalog/members?stream=1&index=7"
+        assert agent.heard == [(ListScope.FULL, [1])]
+
+    followed(scenario, version=None)
+
+
+@pytest.mark.parametrize("cut", [1, 40, -2, -1])
+def test_a_list_that_is_reset_on_the_way_is_no_list(cut: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Where no length tells the end, only an orderly end of the connection does."""
+    monkeypatch.setattr(pure, "BACKOFF_MS", (1.0, 1.0))
+
+    async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        call = await agent.called(1)
+        call.say(b"HTTP/1.1 200 OK\r\n\r\n" + change(7, 1, whole=True)[:cut])
+        await until(lambda: client.watch.state is State.FOLLOWING)
+        call.reset()
+        assert (await agent.called(2)).target == "/catalog/members"
+        assert agent.heard == []
+
+    followed(scenario, version=None)
+
+
+@pytest.mark.parametrize("how", ["before", "middle", "after"])
+def test_a_watch_that_is_reset_is_taken_up_where_it_stood(how: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Right after a drain notice this must be known; in its middle it must be asked for again."""
+    monkeypatch.setattr(pure, "BACKOFF_MS", (1.0, 1.0))
+
+    async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        call = await agent.called(1)
+        line = change(42, 1)
+        said = {"before": b"", "middle": chunk(line)[:60], "after": chunk(line)}[how]
+        call.say(CHUNKED + said)
+        await until(lambda: client.watch.state is State.FOLLOWING)
+        if how == "after":
+            await until(lambda: agent.heard)
+        call.reset()
+        again = await agent.called(2)
+        assert again.target.endswith("index=42" if how == "after" else "index=41")
+        again.say(CHUNKED + chunk(change(42, 1)))
+        await until(lambda: agent.heard)
+        assert agent.heard[0] == (ListScope.CHANGES, [1])
+
+    followed(scenario)
+
+
+def test_nothing_of_the_old_address_is_acted_on_after_a_move() -> None:
+    """The old watch's last line lies in the kernel as the configuration is read again."""
+
+    async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        old = await agent.called(1)
+        old.say(CHUNKED + chunk(b"\n"))
+        await until(lambda: client.told.is_set())
+        old.put(chunk(change(99, 9)))
+        client.move(client.address)
+        new = await agent.called(2)
+        assert new.target == "/catalog/members"
+        assert not agent.heard and client.watch.version is None
+        await until(lambda: agent.ended)  # the old one is left
+
+    followed(scenario)
+
+
+def test_a_move_while_a_call_is_being_opened_leaves_no_second_one() -> None:
+    async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        for _ in range(3):
+            client.move(client.address)
+            await asyncio.sleep(0)
+        await until(lambda: agent.calls)
+        await until(lambda: len(agent.calls) == agent.ended + 1)
+        last = agent.calls[-1]
+        last.say(CHUNKED + chunk(change(50, 5, whole=True)))
+        await until(lambda: agent.heard)
+        assert agent.heard == [(ListScope.FULL, [5])]
+
+    followed(scenario)
--- a/tests/edges/test_closes.py
+++ b/tests/edges/test_closes.py
@@ -1,7 +1,7 @@
 """Closes that cross what a client sends, over real connections; each order is made to happen.
 
-`Raw` is a client on a blocking socket: what it writes lies in the gateway's kernel before the loop goes on. So
-a test that writes and then acts in one turn decides which of the two the gateway sees first.
+`Raw` is a client on a blocking socket: what it writes lies in the gateway's kernel before the loop goes on.
+So a test that writes and then acts in one turn decides which of the two the gateway sees first.
 """
 
 from __future__ import annotations
