--- a/tests/core/test_watch.py
+++ b/tests/core/test_watch.py
@@ -67,6 +67,8 @@
     assert not watch.on_line(7, old)
     assert watch.on_end(8, old, "reset") is None
     assert (watch.state, watch.due, watch.version, watch.call) == was
+    watch.on_head(9, watch.call)  # the new one is followed by now
+    assert not watch.on_line(10, old) and watch.due == 9 + SILENT_MS
 
 
 def test_a_whole_list_is_followed_at_once_and_a_broken_one_after_a_pause() -> None:
@@ -417,9 +419,13 @@
 
 def test_a_move_while_a_call_is_being_opened_leaves_no_second_one() -> None:
     async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        opening = []
         for _ in range(3):
             client.move(client.address)
+            opening.append(client.connecting)
             await asyncio.sleep(0)
+        # One that never comes up would hold its descriptor for as long as the kernel tries.
+        await until(lambda: all(task is not None and task.cancelled() for task in opening[:-1]))
         await until(lambda: agent.calls)
         await until(lambda: len(agent.calls) == agent.ended + 1)
         last = agent.calls[-1]
