--- a/tests/edges/test_gone.py
+++ b/tests/edges/test_gone.py
@@ -95,7 +95,7 @@
 
 @pytest.mark.parametrize("how", HOW)
 def test_a_request_that_waits_for_the_counter_is_not_sent_on_after_its_client_left(how: str) -> None:
-    """Its connection is stuck, and so not read, as the counter's time is up; one to the backend stands open."""
+    """Its connection is stuck, and so not read, as the counter's time is up; its backend has an idle one."""
 
     async def scenario(scene: Scene) -> None:
         warm = await scene.world.client()
