--- /dev/null
+++ b/tests/core/test_outcomes.py
@@ -0,0 +1,376 @@
+"""What an attempt is told: the table, and drawn orders of events on sockets against what backends really got.
+
+A play draws steps; all between two turns of the loop happen to the gateway at once. Its backends are
+sockets of which the play says each byte. Mistakes that are planted in the pool have to be found by the
+same plays.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import hiredis
+import pytest
+import uvloop
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from loopback import LOCAL, encode
+
+from mintford.guards import NEVER_RAN as MODULES
+from mintford.interface import BackendState, Outcome
+from roadpulley.core import outcomes
+from roadpulley.core.backends import REST_MS, Attempt, Backends, Connection
+from roadpulley.core.clock import Timers, now_ms
+from roadpulley.core.outcomes import NEVER_RAN, TABLE, Ending, Stage, outcome
+
+BIG = b"x" * 6_000_000  # more than the kernel takes at once
+
+
+# ---- the table ----
+
+
+@pytest.mark.parametrize("stage", Stage)
+@pytest.mark.parametrize("ending", Ending)
+def test_what_may_have_run_is_never_told_as_what_did_not(stage: Stage, ending: Ending) -> None:
+    told = outcome(stage, ending)
+    if stage is Stage.SENT and ending is not Ending.FULL:
+        assert told not in NEVER_RAN
+    if ending is Ending.CALLED_OFF:
+        assert told is Outcome.CANCELLED  # no backend is blamed for it
+    if stage is not Stage.SENT and ending in (Ending.BROKEN, Ending.TIME):
+        assert told is Outcome.CONNECT
+
+
+def test_the_module_and_the_table_mean_the_same_by_never_ran() -> None:
+    assert NEVER_RAN == MODULES
+    assert {told for row in TABLE.values() for told in row.values()} >= NEVER_RAN
+
+
+# ---- drawn orders ----
+
+
+class Server:
+    """One backend: reads when it is told, and knows of each connection what came and what was answered."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server((LOCAL, 0))
+        self.listener.setblocking(False)
+        self.port: int = self.listener.getsockname()[1]
+        self.links: list[Link] = []
+
+    def accept(self) -> None:
+        while True:
+            try:
+                taken, _ = self.listener.accept()
+            except BlockingIOError:
+                return
+            taken.setblocking(False)
+            self.links.append(Link(taken))
+
+    def read(self) -> None:
+        self.accept()
+        for link in self.links:
+            link.read()
+
+
+class Link:
+    def __init__(self, taken: socket.socket) -> None:
+        self.socket, self.reader = taken, hiredis.Reader()
+        self.got: list[int] = []  # requests that came whole
+        self.answered = 0
+        self.over = False
+
+    def read(self) -> None:
+        try:
+            while not self.over and (data := self.socket.recv(1 << 20)):
+                self.reader.feed(data)
+        except BlockingIOError:
+            pass
+        except OSError:
+            self.over = True
+        while (command := self.reader.gets()) is not False:
+            # Answers come in order and giving up means closing: a second would share the first one's fate.
+            assert len(self.got) == self.answered, "two requests out on one connection"
+            self.got.append(int(command[2]))
+
+    def say(self, data: bytes) -> None:
+        try:
+            self.socket.send(data)
+        except OSError:
+            self.over = True
+
+    def close(self, reset: bool) -> None:
+        if reset:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.socket.close()
+        self.over = True
+
+
+def served(number: int) -> bytes:
+    value = b"%d" % number
+    return b"*3\r\n$%d\r\n%b\r\n$-1\r\n$-1\r\n" % (len(value), value)
+
+
+@dataclass
+class Told:
+    outcomes: list[Outcome] = field(default_factory=list)
+    value: bytes = b""
+
+
+class Play:
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.pool = Backends(loop, Timers(loop), 5_000, 15_000, 0, 64, 50_000_000)
+        self.servers = [Server(), Server()]
+        self.at, self.born, self.ready = 0, 1.0, True
+        self.tries: list[tuple[Attempt, Told]] = []
+        self.wrong: list[str] = []  # found where only the loop would hear of it
+        self.list()
+
+    def list(self) -> None:
+        state = BackendState.READY if self.ready else BackendState.DRAINING
+        self.pool.update(1, (LOCAL, self.servers[self.at].port), state, self.born)
+
+    # ---- steps ----
+
+    def send(self, big: bool = False, late: bool = False) -> None:
+        number, told = len(self.tries), Told()
+
+        def ended(attempt: Attempt, how: Outcome, value: bytes) -> None:
+            told.outcomes.append(how)
+            told.value = value
+
+        def written(wait: int) -> bytes:
+            attempt = self.tries[number][0] if number < len(self.tries) else made
+            connection = attempt.connection
+            here = (LOCAL, self.servers[self.at].port), self.born
+            leads = (connection.address, connection.started) if connection else None
+            self.wrong += [
+                f"{number} is written {what}"
+                for bad, what in (
+                    (bool(told.outcomes), "after its end"),
+                    (now_ms() >= attempt.latest, "too late"),
+                    (not self.ready, "to a backend that drains"),
+                    (leads != here, "to another process"),
+                )
+                if bad
+            ]
+            return encode(b"API.READ", b"0" * 16, b"%d" % number, b"d=%d" % wait, *([BIG] if big else []))
+
+        made = Attempt(1, written, now_ms() + 60_000, ended, latest=0.0 if late else float("inf"))
+        self.tries.append((made, told))
+        self.pool.send(made)
+
+    def out(self) -> list[tuple[Attempt, Told]]:
+        return [(attempt, told) for attempt, told in self.tries if not attempt.over]
+
+    def end(self, ending: Ending) -> None:
+        for attempt, _ in self.out()[:1]:
+            self.pool.give_up(attempt, ending)
+
+    def connect_time(self) -> None:
+        for attempt, _ in self.out():
+            if attempt.connection is not None and not attempt.connection.up:
+                return attempt.connection.end(Ending.CONNECT_TIME)
+
+    def move(self) -> None:
+        self.at = 1 - self.at
+        self.list()
+
+    def restart(self) -> None:
+        self.born += 1
+        self.list()
+
+    def drain(self) -> None:
+        self.ready = False
+        self.list()
+
+    def back(self) -> None:
+        self.ready = True
+        self.list()
+
+    def read(self) -> None:
+        for server in self.servers:
+            server.read()
+
+    def answer(self, how: str) -> None:
+        for link in self.links():
+            if link.over or len(link.got) == link.answered:
+                continue
+            number = link.got[-1]
+            link.answered += 1
+            whole = served(number)
+            link.say({"served": whole, "busy": b"-BUSY\r\n", "failed": b"-ERR failed\r\n",
+                      "twice": whole + whole, "part": whole[:9], "noise": b"?\r\n"}[how])  # fmt: skip
+            if how == "part":
+                link.over = True
+            return
+
+    def again(self) -> None:
+        """A second answer, on a connection where the first was taken."""
+        for link in self.links():
+            if not link.over and link.got and len(link.got) == link.answered:
+                return link.say(served(link.got[-1]))
+
+    def early(self, how: bytes) -> None:
+        """An answer to what has not come whole."""
+        for link in self.links():
+            if not link.over and len(link.got) == link.answered:
+                link.over = True
+                return link.say(how)
+
+    def hang_up(self, reset: bool) -> None:
+        for link in self.links():
+            if not link.over:
+                return link.close(reset)
+
+    def links(self) -> list[Link]:
+        return [link for server in self.servers for link in server.links]
+
+    # ---- the end ----
+
+    async def judge(self) -> None:
+        for attempt, _ in self.out():
+            self.pool.give_up(attempt, Ending.CALLED_OFF)
+        self.pool.close()
+        assert not self.pool.connections and not self.pool.held
+        self.read()
+        assert not self.wrong, self.wrong
+        got = [number for link in self.links() for number in link.got]
+        assert len(got) == len(set(got)), "an attempt came twice"
+        for number, (_, told) in enumerate(self.tries):
+            assert len(told.outcomes) == 1, f"{number} ended {len(told.outcomes)} times"
+            (how,) = told.outcomes
+            if how in (Outcome.CONNECT, Outcome.IGNORED):
+                assert number not in got, f"{number} came whole and is told as {how.value}"
+            if how is Outcome.OK:
+                assert number in got and told.value == b"%d" % number, f"{number} was served {told.value!r}"
+
+    def close(self) -> None:
+        for server in self.servers:
+            server.listener.close()
+            for link in server.links:
+                link.socket.close()
+
+
+STEPS: dict[str, Callable[[Play], object]] = {
+    "send": lambda p: p.send(),
+    "send big": lambda p: p.send(big=True),
+    "send late": lambda p: p.send(late=True),
+    "time": lambda p: p.end(Ending.TIME),
+    "call off": lambda p: p.end(Ending.CALLED_OFF),
+    "connect time": lambda p: p.connect_time(),
+    "move": lambda p: p.move(),
+    "restart": lambda p: p.restart(),
+    "drain": lambda p: p.drain(),
+    "back": lambda p: p.back(),
+    "read": lambda p: p.read(),
+    "served": lambda p: p.answer("served"),
+    "busy": lambda p: p.answer("busy"),
+    "failed": lambda p: p.answer("failed"),
+    "twice": lambda p: p.answer("twice"),
+    "part": lambda p: p.answer("part"),
+    "noise": lambda p: p.answer("noise"),
+    "again": lambda p: p.again(),
+    "early busy": lambda p: p.early(b"-BUSY\r\n"),
+    "early value": lambda p: p.early(served(999)),
+    "end": lambda p: p.hang_up(False),
+    "reset": lambda p: p.hang_up(True),
+}
+WAITS = {"turn": 0.0005, "rest": 2 * REST_MS / 1000}
+OFTEN = [*["turn"] * 10, "rest", *["send", "read", "served"] * 4]
+ORDERS = st.lists(st.sampled_from([*STEPS, *OFTEN]), max_size=24)
+
+
+def played(steps: list[str]) -> None:
+    async def run() -> None:
+        play = Play()
+        try:
+            for step in steps:
+                if step in WAITS:
+                    await asyncio.sleep(WAITS[step])
+                else:
+                    STEPS[step](play)
+            await play.judge()
+        finally:
+            play.pool.close()
+            play.close()
+
+    uvloop.run(run())
+
+
+@settings(max_examples=150, deadline=None, suppress_health_check=list(HealthCheck))
+@given(ORDERS)
+def test_drawn_orders_of_all_events(steps: list[str]) -> None:
+    played(steps)
+
+
+SURELY = ["send", "turn", "turn", "read", "turn"]  # one request that came whole
+KNOWN: dict[str, list[str]] = {
+    "end after the last byte": [*SURELY, "end", "turn"],
+    "reset after the last byte": [*SURELY, "reset", "turn"],
+    "time after the last byte": [*SURELY, "time"],
+    "idle end in the kernel": [*SURELY, "served", "rest", "end", "send", "turn", "read", "served", "turn"],
+    "second answer in the kernel": [*SURELY, "served", "rest", "again", "send", "turn", "read", "turn"],
+    "moved while connecting": ["send", "move", "turn", "turn", "read"],
+    "restarted while connecting": ["send", "restart", "turn", "turn", "read"],
+    "drained while connecting": ["send", "drain", "turn", "turn", "read"],
+    "too late while connecting": ["send late", "turn", "turn", "read"],
+    "restarted while idle": [*SURELY, "served", "rest", "restart", "send", "turn", "read", "served", "turn"],
+    "up as its time ends": ["send", "connect time", "turn", "read"],
+    "up as it is called off": ["send", "call off", "turn", "read"],
+    "busy before the last byte": ["send big", "turn", "turn", "read", "early busy", "turn", "turn"],
+    "value before the last byte": ["send big", "turn", "turn", "early value", "turn", "turn"],
+    "cut in the middle": [*SURELY, "part", "turn", "end", "turn"],
+}
+
+
+@pytest.mark.parametrize("name", KNOWN)
+def test_orders_that_are_known_to_be_bad(name: str) -> None:
+    played(KNOWN[name])
+
+
+def plant(monkeypatch: pytest.MonkeyPatch, where: Any, name: str, value: Any) -> None:
+    monkeypatch.setattr(where, name, value)
+
+
+def blind_write(self: Connection) -> None:
+    """As `write` was: nothing is judged again at the first byte."""
+    attempt = self.attempt
+    assert attempt is not None
+    self.unsent = memoryview(attempt.encode(1))
+    self.body = attempt.body
+    self._flush()
+
+
+def forgiving(ending: Ending) -> dict[Stage, dict[Ending, Outcome]]:
+    return {**TABLE, Stage.SENT: {**TABLE[Stage.SENT], ending: Outcome.CONNECT}}
+
+
+PLANTED: dict[str, tuple[Any, str, Any]] = {
+    "a reset never ran": (outcomes, "TABLE", forgiving(Ending.BROKEN)),
+    "a time-out never ran": (outcomes, "TABLE", forgiving(Ending.TIME)),
+    "idle connections are not looked at": (Connection, "alive", lambda self: True),
+    "nothing is judged again at the first byte": (Connection, "write", blind_write),
+    "a connection leads wherever the host is": (Backends, "current", lambda self, connection: True),
+    "an ended attempt stays on its connection": (Connection, "end", lambda self, ending: self.attempt and
+        self.attempt.end(outcome(self.stage(), ending))),
+}  # fmt: skip
+
+
+@pytest.mark.patches_inside
+@pytest.mark.parametrize("mistake", PLANTED)
+def test_planted_mistakes_are_found(mistake: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    plant(monkeypatch, *PLANTED[mistake])
+    found = []
+    for name, steps in KNOWN.items():
+        try:
+            played(steps)
+        except (AssertionError, AttributeError) as error:
+            found.append(f"{name}: {error}")
+    assert found, "no known order shows it"
