--- a/benchmarks/long_values.py
+++ b/benchmarks/long_values.py
@@ -120,7 +120,7 @@
 async def ask_long(port: int, number: int, length: int, still: asyncio.Event) -> bool:
     """Whether the value came whole."""
     reader, writer = await asyncio.open_connection(LOCAL, port, limit=FIRST)
-    writer.write(request(b"long-%d" % number, b"API.READ", b"parcel-view", number))
+    writer.write(request(b"long-%d" % number, b"API.READ", b"tile-view", number))
     head = await reader.readline()
     got = len(await reader.readexactly(min(FIRST, length))) if head == b"$%d\r\n" % length else 0
     await still.wait()
@@ -133,7 +133,7 @@
 async def send_long(port: int, number: int, length: int) -> bool:
     """Whether it was served."""
     reader, writer = await asyncio.open_connection(LOCAL, port)
-    writer.write(request(b"w-%d" % number, b"API.WRITE", b"search-order", number, (b"b" * length,)))
+    writer.write(request(b"w-%d" % number, b"API.WRITE", b"tile-order", number, (b"b" * length,)))
     head = await reader.readline()
     writer.close()
     return head.startswith(b"$")
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -55,7 +55,7 @@
 
     def ask(self, serial: int, first: int) -> None:
         who = b"%016x" % (serial * 7919 % CUSTOMERS)
-        listed = b"c=parcel-view,t=bench,d=4000,units=1,spread=1,first=0"
+        listed = b"c=tile-view,t=bench,d=4000,units=1,spread=1,first=0"
         args = (b"API.READ", who, b"%08x%08x" % (first, serial), listed)
         self.sent.append(time.perf_counter())
         self.transport.write(b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(a), a) for a in args))
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -142,7 +142,7 @@
         self.serial += 1
         who = b"%016x" % ((self.number * 7919 + self.serial) % CUSTOMERS)
         id = b"%08x%08x" % (self.number, self.serial)
-        listed = b"c=parcel-view,t=bench,d=4000,units=1,spread=1,first=0"
+        listed = b"c=tile-view,t=bench,d=4000,units=1,spread=1,first=0"
         args = (b"API.READ", who, id, listed)
         self.began = time.perf_counter()
         self.transport.write(b"*4\r\n" + b"".join(b"$%d\r\n%b\r\n" % (len(a), a) for a in args))
--- a/roadpulley/checks.py
+++ b/roadpulley/checks.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import difflib
 import math
-import tomllib
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, TypeVar
@@ -23,6 +21,8 @@
 
 def read_toml(path: Path, read: Callable[[dict[str, Any]], T]) -> T:
     """What `read` makes of a file. Raises Bad with the file, also for what `read` complains of."""
+    import tomllib  # `run` reads no TOML, and is light to start
+
     try:
         raw = tomllib.loads(path.read_text())
     except OSError as error:
@@ -76,9 +76,10 @@
     def whole(self, key: str, default: Any = ..., least: int = 0, most: int = 10**9) -> int:
         right = f"give a whole number{limits(least, most)}"
         value = self.take(key, default, right)
-        if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
+        is_whole = isinstance(value, int) or (isinstance(value, float) and value.is_integer())
+        if isinstance(value, bool) or not is_whole or not least <= value <= most:
             raise Bad(self.at(key), f"is {shown(value)}", right)
-        return value
+        return int(value)
 
     def text(self, key: str, default: Any = ..., among: Iterable[str] = ()) -> str:
         choices = sorted(among)
@@ -129,5 +130,7 @@
 
 
 def nearest(word: str, words: Iterable[str]) -> str:
+    import difflib
+
     found = difflib.get_close_matches(word, list(words), 1)
     return f"did you mean {found[0]}?" if found else ""
--- a/roadpulley/core/judging.py
+++ b/roadpulley/core/judging.py
@@ -1,6 +1,7 @@
 """Judges a gateway's configuration before anything of it is taken: the bad key, and what would be right.
 
-Imported when there is something to judge: at `roadpulley check` and at SIGHUP, not at the start.
+At `roadpulley check` and at SIGHUP what is bad is refused. At the start there is no other one to go by:
+what can't be read ends the process with these words, and what is odd is said and served with.
 """
 
 from __future__ import annotations
--- a/roadpulley/core/settings.py
+++ b/roadpulley/core/settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import os
 from dataclasses import dataclass
 from pathlib import Path
@@ -11,6 +12,8 @@
 from mintford import interface as api
 from mintford.reading import read_settings
 
+log = logging.getLogger(__name__)
+
 Address = tuple[str, int]
 
 
@@ -73,7 +76,7 @@
     return int(value)
 
 
-def parse_config(raw: dict[str, Any]) -> Config:
+def parse_config(raw: Any) -> Config:
     try:
         settings = raw["settings"]
         caps = settings.get("caps") or {}
@@ -122,7 +125,24 @@
 
 
 def load_config(path: str) -> Config:
+    """The configuration at the start. Raises ConfigError, with the key and what would be right."""
+    from roadpulley.checks import Bad
+
+    from .judging import gateway
+
+    raw, odd = None, None
     try:
-        return parse_config(json.loads(Path(path).read_text()))
-    except (OSError, ValueError) as error:
+        raw = json.loads(Path(path).read_text())
+        gateway(raw)
+    except Bad as error:
+        odd = error
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(f"{path}: {error}") from error
+    try:
+        config = parse_config(raw)
+    except ConfigError as error:
+        named = "; give " in str(error) or odd is None
+        raise ConfigError(f"{path}: {error if named else odd}") from error
+    if odd is not None:
+        log.warning("%s: %s", path, odd)
+    return config
--- a/roadpulley/testbed/arrivals.py
+++ b/roadpulley/testbed/arrivals.py
@@ -112,8 +112,8 @@
             return kind
         draw -= share
     if draw < load.writes:
-        return "search-order"
-    return "deed-filing" if draw < load.writes + load.filings else "parcel-view"
+        return "tile-order"
+    return "deed-filing" if draw < load.writes + load.filings else "tile-view"
 
 
 def arrivals(scenario: Scenario) -> Iterator[Arrival]:
--- a/roadpulley/testbed/terms.py
+++ b/roadpulley/testbed/terms.py
@@ -13,7 +13,7 @@
 CELL = 4  # nodes that share a block number
 CLASSES: list[dict[str, Any]] = [
     {
-        "name": "parcel-view",
+        "name": "tile-view",
         "aim": 1500.0,
         "deadline": 4000.0,
         "effect": "pure",
@@ -22,7 +22,7 @@
         "repeatWindow": 5000.0,
     },
     {
-        "name": "search-order",
+        "name": "tile-order",
         "aim": 1500.0,
         "deadline": 4000.0,
         "effect": "token",
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -93,7 +93,7 @@
         ("settings.classes[0].effect", "safe", "give one of pure, side_effect, token"),
         ("settings.classes[1].deadline", -1, "give a number from 1"),
         ("settings.classes[1].aim", 9_000.0, "from 1 to 4000"),
-        ("settings.classes[1].name", "parcel-view", "give each name once"),
+        ("settings.classes[1].name", "tile-view", "give each name once"),
         ("settings.packages[2].rate", "fast", "give a number from 0"),
         ("settings.packages[2].open", -2, "give a whole number from 0"),
         ("settings.caps.maxAttempts", 0, "from 1 to 100"),
--- a/tests/cli/test_serve.py
+++ b/tests/cli/test_serve.py
@@ -53,7 +53,7 @@
     places = [parse_config({**RAW, "workers": 4, "worker": worker}).settings for worker in range(4)]
     assert [(s.index, s.gateways) for s in places] == [(4, 12), (5, 12), (6, 12), (7, 12)]
     of = Terms(places[0], workers=4)
-    listed = b"c=parcel-view,t=basic,d=480,units=1,spread=2,first=1"
+    listed = b"c=tile-view,t=basic,d=480,units=1,spread=2,first=1"
     asked = of.parse([b"API.READ", b"00000000b4d65521", b"r1", listed])
     assert (asked.spread, asked.first) == (8, 4)
     assert of.parse([b"API.READ", b"00000000b4d65521", b"r2", listed]).spread == 8  # and on the short way
--- a/tests/fleet/test_orders_gateways.py
+++ b/tests/fleet/test_orders_gateways.py
@@ -73,12 +73,12 @@
 
 def test_a_rate_a_block_and_a_shed_hold_also_while_those_that_give_out_are_killed() -> None:
     """And a backend is kept off."""
-    rate = Order("rate", "class", "parcel-view", rate=20.0, burst=10.0, why="a rush")
+    rate = Order("rate", "class", "tile-view", rate=20.0, burst=10.0, why="a rush")
 
     def choose(world: Installation) -> list[Order]:
         customers = [a.customer for a in world.ledger.attempts]
         most = max(sorted(set(customers)), key=customers.count)
-        others = [Order("shed", "class", "search-order"), Order("keep-off", "backend", "t3")]
+        others = [Order("shed", "class", "tile-order"), Order("keep-off", "backend", "t3")]
         return [Order("block", "customer", most), *others, rate]
 
     faults = tuple(Fault(at, "kill", name, seconds=1.0) for at, name in ((6.0, "n0"), (8.0, "n1")))
@@ -109,7 +109,7 @@
 def test_no_more_are_open_at_once_than_ordered_and_a_pool_has_its_rate() -> None:
     """Two of the nodes hang, so that some requests stay open for long."""
     faults = tuple(Fault(2.0, "node-hang", name, seconds=15.0) for name in ("t0", "t1"))
-    most = Order("open", "class", "search-order", most=4)
+    most = Order("open", "class", "tile-order", most=4)
     pool = Order("rate", "pool", "hall-a", rate=10.0, burst=5.0)
     _, world, _, at = played(SCENARIO.with_(faults=faults, seconds=18.0), lambda _: [most, pool])
     rows = world.ledger.attempts
--- /dev/null
+++ b/tests/test_deployments.py
@@ -0,0 +1,168 @@
+"""One program for every deployment: no name of any in it, and errors that name the key and what is right."""
+
+from __future__ import annotations
+
+import copy
+import json
+import logging
+import re
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from loopback import LOCAL, SETTINGS, Backend, World, encode, in_loop, refused_start, request, running
+
+from roadpulley.core.settings import load_config
+
+ROOT = Path(__file__).parents[1]
+SITES = sorted((ROOT / "deploy/sites").glob("*.toml"))
+PROGRAM = [p for top in ("mintford", "roadpulley") for p in (ROOT / top).rglob("*.*") if p.suffix != ".pyc"]
+OURS = "plotline brennan lagos turku naas parcel-view search-order space-query map-fleet".split()
+
+
+def names(site: Path) -> list[str]:
+    raw = tomllib.loads(site.read_text())
+    told = [each["name"] for kind in ("class", "tier", "tenant") for each in raw[kind]]
+    return [raw["name"], *told]
+
+
+@pytest.mark.parametrize("site", SITES, ids=lambda site: site.stem)
+def test_no_name_of_a_deployment_stands_in_the_program(site: Path) -> None:
+    # Whole words in quotes: `track` is English, and a class's name only where something is compared with it.
+    quoted = re.compile("|".join(rf"""["']{re.escape(name)}["']""" for name in names(site)))
+    found = [(path.name, got[0]) for path in PROGRAM if (got := quoted.search(path.read_text()))]
+    assert not found
+
+
+@pytest.mark.parametrize("name", OURS)
+def test_no_name_of_a_customer_stands_in_the_program(name: str) -> None:
+    assert not [path.name for path in PROGRAM if name in path.read_text().lower()]
+
+
+def site_settings(site: Path) -> dict[str, Any]:
+    """What a gateway of such a deployment is told of its classes, plans and rules."""
+    raw = tomllib.loads(site.read_text())
+    effects = {"safe": "pure", "keyed": "token", "unsafe": "side_effect"}
+    return {
+        **SETTINGS,
+        "az": raw["net"]["zones"][0] if len(raw["net"]["zones"]) > 1 else "",
+        "classes": [
+            {
+                "name": c["name"],
+                "aim": float(c["aim_ms"]),
+                "deadline": float(c["deadline_ms"]),
+                "effect": effects[c["effect"]],
+                "group": c.get("group", "all"),
+                "repeatWindow": float(c.get("window_ms", 0)),
+                "importance": float(c["worth"]),
+            }
+            for c in raw["class"]
+        ],
+        "packages": [
+            {"name": tenant["name"], "rate": plan["rate"][1] * 10, "mostAtOnce": 50.0, "overrunCost": 1.0}
+            for tenant, plan in zip(raw["tenant"], raw["fam"]["plan"], strict=True)
+        ],
+        "rules": {**SETTINGS["rules"], "drainGrace": float(raw["rules"]["drain_grace_ms"])},
+    }
+
+
+@pytest.mark.parametrize("site", SITES, ids=lambda site: site.stem)
+def test_each_deployment_is_served_in_all_its_classes_and_plans(site: Path) -> None:
+    told = site_settings(site)
+
+    class Elsewhere(World):
+        def config(self) -> dict[str, Any]:
+            return {**super().config(), "settings": told}
+
+    async def scenario() -> None:
+        async with running(Elsewhere(Backend())) as world:
+            peer = await world.client()
+            for number, kind in enumerate(told["classes"]):
+                for place, plan in enumerate(told["packages"]):
+                    verb = b"API.READ" if kind["effect"] == "pure" else b"API.WRITE"
+                    customer, id = b"%016x" % (number * 10 + place), b"%d-%d" % (number, place)
+                    listed = f"c={kind['name']},t={plan['name']},d={int(kind['deadline'])}"
+                    key = ",k=one" if kind["effect"] == "token" else ""
+                    listed += f"{key},units=1,spread=1,first=0"
+                    peer.send(verb, customer, id, listed.encode())
+                    assert await peer.receive() == b"value", (kind["name"], plan["name"])
+
+    in_loop(scenario)
+
+
+def config() -> dict[str, Any]:
+    return {
+        "name": "n0",
+        "listen": f"{LOCAL}:1",
+        "discovery": f"{LOCAL}:2",
+        "seed": "1",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "settings": copy.deepcopy(SETTINGS),
+    }
+
+
+@pytest.mark.parametrize(
+    ("path", "words"),
+    [
+        (("listen",), "listen: is missing; give"),
+        (("discovery",), "discovery: is missing; give"),
+        (("settings",), "settings: is missing; give the table"),
+        (("settings", "classes", 0, "deadline"), "classes[0].deadline: is missing; give a number from 1"),
+        (("settings", "classes", 1, "effect"), "settings.classes[1].effect: is missing; give one of"),
+        (("settings", "classes", 2, "name"), "settings.classes[2].name: is missing; give"),
+        (("settings", "packages", 1, "name"), "settings.packages[1].name: is missing; give"),
+    ],
+    ids=str,
+)
+def test_a_start_short_of_a_key_names_it_and_what_would_be_right(
+    tmp_path: Path, path: tuple[Any, ...], words: str
+) -> None:
+    raw = config()
+    table: Any = raw
+    for key in path[:-1]:
+        table = table[key]
+    del table[path[-1]]
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(raw))
+    assert words in refused_start(file)
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "words"),
+    [
+        ("deadline", "soon", "settings.classes[0].deadline: is 'soon'; give a number from 1"),
+        ("deadline", [], "settings.classes[0].deadline: is []; give a number from 1"),
+        ("effect", "perhaps", "settings.classes[0].effect: is 'perhaps'; give one of"),
+        ("group", "hall", "settings.classes[0].group: is 'hall'; did you mean all?"),
+    ],
+)
+def test_a_start_with_nonsense_names_the_key_and_what_would_be_right(
+    tmp_path: Path, key: str, value: object, words: str
+) -> None:
+    raw = config()
+    raw["settings"]["classes"][0][key] = value
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(raw))
+    assert words in refused_start(file)
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "words"),
+    [("deadline", -5, "deadline: is -5"), ("aim", 9e9, "aim: is 9000000000.0"), ("repeatWindow", -1, "is -1")],
+)
+def test_what_is_odd_and_can_be_read_is_said_and_served_with(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture, key: str, value: object, words: str
+) -> None:
+    """At a start there is no other configuration to go by."""
+    raw = config()
+    raw["settings"]["classes"][0][key] = value
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(raw))
+    with caplog.at_level(logging.WARNING):
+        assert load_config(str(file)).settings.classes[0].name == "view"
+    assert words in caplog.text
+
+
+def test_the_requests_of_these_tests_are_as_clients_write_them() -> None:
+    assert encode(*request()).startswith(b"*4\r\n$8\r\nAPI.READ\r\n")
--- a/tests/testbed/test_auditor.py
+++ b/tests/testbed/test_auditor.py
@@ -28,14 +28,14 @@
 
 TERMS = terms.Terms.read(terms.settings(0, 2))
 T0 = 1_000_000.0
-KINDS = ("parcel-view", "search-order", "deed-filing")
+KINDS = ("tile-view", "tile-order", "deed-filing")
 
 
 def put(
     ledger: Ledger,
     id: str,
     at: float,
-    kind: str = "parcel-view",
+    kind: str = "tile-view",
     plan: str = "business",
     customer: str = "c1",
     node: str = "t0",
@@ -43,7 +43,7 @@
 ) -> tuple[Ask, Attempt]:
     """One request that is answered as it should be: sent, run at a node, served."""
     serial = len(ledger.attempts) + 1
-    key = f"k{id}" if kind == "search-order" else ""
+    key = f"k{id}" if kind == "tile-order" else ""
     t = T0 + at
     ask = Ask(
         id, gateway, customer, plan, kind, 1.0, 4_000.0, T0 + at, id, "served", T0 + at + 80, node, serial
@@ -84,7 +84,7 @@
         "t1",
         again(ledger, first, 100, how="served", ran=True).serial,
     )
-    _, first = put(ledger, "repeat", 9_600, "search-order")
+    _, first = put(ledger, "repeat", 9_600, "tile-order")
     first.how, first.gone_at = "gone", first.ended_at
     ledger.asks[-1].node, ledger.asks[-1].serial = "t1", again(ledger, first, 100, how="served").serial
     # A drain that was heard in time, and a node that started cold.
--- a/tests/testbed/test_front.py
+++ b/tests/testbed/test_front.py
@@ -53,7 +53,7 @@
         """A value that a node has made for this request."""
         now, serial = now_ms(), len(self.ledger.attempts) + 1
         self.ledger.attempts.append(
-            Attempt("t0", "n0", id.decode(), WHO.id, "basic", "parcel-view", "", 1.0, now, now, now, now,
+            Attempt("t0", "n0", id.decode(), WHO.id, "basic", "tile-view", "", 1.0, now, now, now, now,
                     how="served", ran=True, serial=serial)
         )  # fmt: skip
         said = b"tile %b t0 %d ..." % (id, serial)
@@ -68,9 +68,9 @@
         self.relay = Relay("clients>n0", "", Origins(), lambda: self.gateway.port)
         self.alive = True
 
-    async def ask(self, number: int = 0, kind: str = "parcel-view", patience: float = 2_000.0) -> Result:
+    async def ask(self, number: int = 0, kind: str = "tile-view", patience: float = 2_000.0) -> Result:
         count = len(self.results)
-        key = "k" if kind == "search-order" else ""
+        key = "k" if kind == "tile-order" else ""
         self.front.start(Arrival(0.0, f"{number:016x}", WHO, kind, key, 0, patience))
         await until(lambda: len(self.results) > count)
         return self.results[-1]
@@ -212,14 +212,14 @@
 @pytest.mark.parametrize(
     ("kind", "how", "since", "again"),
     [
-        ("parcel-view", "failed", 0, True),
-        ("parcel-view", "lost", 0, True),
+        ("tile-view", "failed", 0, True),
+        ("tile-view", "lost", 0, True),
         ("deed-filing", "failed", 0, False),
         ("deed-filing", "lost", 0, False),
         ("deed-filing", "refused", 0, True),
         ("deed-filing", "unreachable", 0, True),
-        ("search-order", "failed", 0, True),
-        ("search-order", "failed", 3_600, False),
+        ("tile-order", "failed", 0, True),
+        ("tile-order", "failed", 3_600, False),
     ],
 )
 def test_a_client_tries_again_only_where_it_may(kind: str, how: str, since: float, again: bool) -> None:
@@ -247,7 +247,7 @@
     async def scenario() -> None:
         async with scene(well, pipeline=8) as s:
             for number in range(20):
-                s.front.start(Arrival(0.0, f"{number:016x}", WHO, "parcel-view", "", 0, 2_000.0))
+                s.front.start(Arrival(0.0, f"{number:016x}", WHO, "tile-view", "", 0, 2_000.0))
             await until(lambda: len(s.results) == 20)
             assert {r.how for r in s.results} == {"served"} and s.verdict().ok
 
--- a/tests/testbed/test_scenario.py
+++ b/tests/testbed/test_scenario.py
@@ -122,7 +122,7 @@
 
 def test_only_keyed_requests_have_a_key_and_sets_lie_among_the_gateways() -> None:
     for arrival in arrivals(BUSY):
-        assert bool(arrival.key) == (arrival.kind == "search-order")
+        assert bool(arrival.key) == (arrival.kind == "tile-order")
         assert 0 <= arrival.customer.first < BUSY.gateways
         assert 0 <= arrival.place < arrival.customer.spread <= BUSY.gateways
 
--- a/tests/testbed/test_scenarios.py
+++ b/tests/testbed/test_scenarios.py
@@ -186,7 +186,7 @@
 
 
 def listed(id: int) -> tuple[bytes, ...]:
-    values = b"c=parcel-view,t=basic,d=3000,units=1,spread=1,first=0"
+    values = b"c=tile-view,t=basic,d=3000,units=1,spread=1,first=0"
     return (b"API.READ", b"%016x" % (id + 77), b"%016x" % id, values)
 
 
--- a/tests/testbed/test_standins.py
+++ b/tests/testbed/test_standins.py
@@ -25,8 +25,8 @@
 from roadpulley.testbed.server import Origins, Port
 
 QUICK = NodeKind(work_ms=5.0, work_cv=0.0, error_rate=0.0, handshake_ms=0.0, value_bytes=64)
-LISTED = b"c=parcel-view,t=basic,d=3000,units=1,spread=1,first=0"
-KEYED = b"c=search-order,t=basic,d=3000,k=5c0f,units=1,spread=1,first=0"
+LISTED = b"c=tile-view,t=basic,d=3000,units=1,spread=1,first=0"
+KEYED = b"c=tile-order,t=basic,d=3000,k=5c0f,units=1,spread=1,first=0"
 
 
 # ---- nodes ----
@@ -61,7 +61,7 @@
             (attempt,) = node.ledger.attempts
             assert (attempt.id, attempt.kind, attempt.plan, attempt.how) == (
                 "r1",
-                "parcel-view",
+                "tile-view",
                 "basic",
                 "served",
             )
