--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import random
+import resource
 import signal
 import socket
 import sys
@@ -125,6 +126,23 @@
     return max(STILL_COMING_S, longest + LAST_ANSWER_S - aim), longest + LAST_ANSWER_S
 
 
+def descriptors(told: int) -> int:
+    """How many this process may hold: what the platform tells, and no more than the kernel allows.
+
+    Danger: clients take their share of these. Shares of more than there are leave none for discovery, the
+    counter and backends once idle clients have come by hundreds.
+    """
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= told:
+        return told
+    if hard == resource.RLIM_INFINITY or hard > soft:
+        soft = told if hard == resource.RLIM_INFINITY else min(told, hard)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    if soft < told:
+        log.warning("%d descriptors are told and %d allowed", told, soft)
+    return soft
+
+
 def inherited() -> socket.socket | None:
     """The listening socket that the platform holds for every process of this gateway. Raises ConfigError."""
     told = os.environ.get("LB_ACCEPT_FD")
@@ -163,14 +181,14 @@
     loop, begun = asyncio.get_running_loop(), now_ms()
     timers = Timers(loop)
     tallies = Tallies()
-    memory = int(config.memory_mb * MEMORY_SHARE * 2**20)
+    memory, sockets = int(config.memory_mb * MEMORY_SHARE * 2**20), descriptors(config.sockets)
     backends = Backends(
         loop,
         timers,
         config.connect_timeout,
         config.keepalive,
         config.settings.rules.drain_grace,
-        int(config.sockets * BACKEND_SHARE),
+        int(sockets * BACKEND_SHARE),
         memory,
         tallies,
     )
@@ -188,7 +206,7 @@
         timers,
         driver,
         Terms(config.settings, config.workers),
-        int(config.sockets * CLIENT_SHARE),
+        int(sockets * CLIENT_SHARE),
         memory,
         tallies,
     )
--- a/roadpulley/core/watch.py
+++ b/roadpulley/core/watch.py
@@ -121,10 +121,10 @@
         return Open(self.call, self.address, self.version)
 
     def lost(self, now: float, reason: str) -> Leave:
-        pause = self.pause(self.wait)
+        pause = self.backoff(self.wait)
         self.wait = min(BACKOFF_MS[1], self.wait * 2)
         self.state, self.due, self.call = State.WAITING, now + pause, self.call + 1
         return Leave(f"{reason}; again in {pause / 1000:.2f} s")
 
-    def pause(self, wait: float) -> float:
+    def backoff(self, wait: float) -> float:
         return wait * (1 - JITTER * self.chance.random())
