--- a/benchmarks/long_values.py
+++ b/benchmarks/long_values.py
@@ -73,7 +73,7 @@
         {**kind, "aim": WAIT_S * 1000, "deadline": WAIT_S * 1000} for kind in settings["classes"]
     ]
     hosts = [
-        {"host": f"t{n}", "dial": f"{LOCAL}:{at}", "site": "hall-a", "class": "m2", "block": 0,
+        {"host": f"t{n}", "dial": f"{LOCAL}:{at}", "site": "zone-a", "class": "m2", "block": 0,
          "health": "up", "share": 1.0, "born_ms": 0}
         for n, at in enumerate(ports)
     ]  # fmt: skip
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -266,7 +266,7 @@
 
 def hosts_of(ports: list[int]) -> list[dict[str, Any]]:
     return [
-        {"host": f"t{n}", "dial": f"{LOCAL}:{port}", "site": "hall-a", "class": "m2", "block": n // 4,
+        {"host": f"t{n}", "dial": f"{LOCAL}:{port}", "site": "zone-a", "class": "m2", "block": n // 4,
          "health": "up", "share": 1.0, "born_ms": 0}
         for n, port in enumerate(ports)
     ]  # fmt: skip
--- a/mintford/load.py
+++ b/mintford/load.py
@@ -17,7 +17,7 @@
 ERROR_COST, AVOIDED = 8.0, 0.5  # what failing always adds to a cost; the mark that counts as avoided
 CHANCE = 0.25  # how far chance spreads the choice: half the cost is chosen sixteen times as often
 SUBSET, COVER = 8, 8  # backends that a gateway of a large fleet uses; gateways that each backend needs
-CROSSING = 15.0  # of its price: how much another hall adds to a cost; 0.02 a crossing: as 30% more load
+CROSSING = 15.0  # of its price: how much another zone adds to a cost; 0.02 a crossing: as 30% more load
 DRAWN = 12  # candidates of one choice: the work of a choice does not grow with the fleet
 NOISE = [(-math.log(1 - (i + 0.5) / 1024)) ** CHANCE for i in range(1024)]  # quantiles of the chance in it
 PATIENCE = 0.4  # of the aim: how long to wait before anything is known
@@ -46,7 +46,7 @@
         self.typical, self.recent, self.recent_at = 0.0, 0.0, 0.0  # mean latency of the answers, and lately
         self.samples, self.rate, self.answered_at = 0.0, 0.0, 0.0  # answers; a second
         self.floor = 0.0  # always allowed out
-        self.crossing = 1 + CROSSING * settings.offers.price_crossing  # what another hall adds to a cost
+        self.crossing = 1 + CROSSING * settings.offers.price_crossing  # what another zone adds to a cost
 
     def retune(self, now: float, settings: api.Settings) -> None:
         self.settings, self.crossing = settings, 1 + CROSSING * settings.offers.price_crossing
--- a/mintford/reading.py
+++ b/mintford/reading.py
@@ -107,7 +107,7 @@
     keyed = [f"{c.name} (by {c.group.value}, {c.repeat_window:g} ms)" for c in settings.classes
              if c.effect is api.Effect.KEYED]  # fmt: skip
     return [
-        f"gateway {settings.index} of {settings.gateways}, hall {settings.zone or 'not told'}",
+        f"gateway {settings.index} of {settings.gateways}, zone {settings.zone or 'not told'}",
         f"load reports: {offers.reports}" + (f" ({', '.join(offers.fields)})" if offers.fields else ""),
         f"probes: {f'allowed, {offers.price_probe:g} each' if offers.probes else 'not allowed'}",
         f"units: {'a guess, settled by the answer' if offers.settles else 'as the request says'},"
@@ -121,6 +121,6 @@
         f"hard ceilings: {', '.join(rules[0]) or 'no plan'};"
         f" limits on open attempts: {', '.join(rules[1]) or 'no plan'}",
         f"prices: waste {offers.price_waste:g}, late failures {offers.price_late:g},"
-        f" crossing halls {offers.price_crossing:g}",
+        f" crossing zones {offers.price_crossing:g}",
         f"the class that fares worst decides {offers.worst_class:.0%} of the result",
     ]
--- a/mintford/records.py
+++ b/mintford/records.py
@@ -99,7 +99,7 @@
 
     def __init__(self, entry: api.BackendEntry, settings: api.Settings) -> None:
         self.id, self.out, self.started, self.rules = entry.backend, 0, -1.0, settings.rules
-        self.here = settings.zone  # this gateway's own hall
+        self.here = settings.zone  # this gateway's own zone
         self.slow, self.bad, self.faded_at = 0.0, 0.0, -math.inf  # two marks as they stood at that time
         self.hearsay, self.answered_at = 0.0, -math.inf  # failing as others say; the last own answer
         self.update(entry)
--- a/roadpulley/testbed/terms.py
+++ b/roadpulley/testbed/terms.py
@@ -9,7 +9,7 @@
 from mintford.reading import read_class, read_plan
 from roadpulley.checks import Bad
 
-ZONES = ("hall-a", "hall-b")
+ZONES = ("zone-a", "zone-b")
 CELL = 4  # nodes that share a block number
 CLASSES: list[dict[str, Any]] = [
     {
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -69,7 +69,7 @@
     file.write_text(json.dumps(raw))
     said = judge(file)
     assert "load reports: answers (util, queue)" in said and "probes: allowed, 0.0079 each" in said
-    assert "units: a guess, settled by the answer, 8 at most" in said and "crossing halls 0.02" in said
+    assert "units: a guess, settled by the answer, 8 at most" in said and "crossing zones 0.02" in said
 
 
 @pytest.mark.parametrize(
--- a/tests/decisions/test_decisions.py
+++ b/tests/decisions/test_decisions.py
@@ -355,7 +355,7 @@
 
     assert 0.42 < away(0) < 0.58
     assert away(0.02) < 0.35 and away(0.05) < 0.2
-    assert away(0.02, load=2) > 0.9, "a busy hall is left all the same"
+    assert away(0.02, load=2) > 0.9, "a busy zone is left all the same"
 
 
 def test_beyond_quota_is_shed_by_what_it_earns_net() -> None:
--- a/tests/decisions/test_flat.py
+++ b/tests/decisions/test_flat.py
@@ -131,5 +131,5 @@
         company.update((a, b) for a in few for b in few if a == 0 < b)
     mean = 8_000 * DRAWN / 200
     assert len(drawn) == 200 and max(abs(n - mean) for n in drawn.values()) < 0.25 * mean
-    # Danger: were neighbours always drawn together, a choice inside a failing hall would find nothing else.
+    # Danger: were neighbours always drawn together, a choice inside a failing zone would find nothing else.
     assert len({b for _, b in company}) > 100 and max(company.values()) < drawn[0] / 3
--- a/tests/fleet/test_orders.py
+++ b/tests/fleet/test_orders.py
@@ -228,12 +228,12 @@
 
 
 def test_a_module_is_told_limits_by_scope_and_the_rest_by_subject() -> None:
-    rate = Order("rate", "pool", "hall-a", 5.0, 5.0)
-    most = Order("open", "pool", "hall-a", most=3)
+    rate = Order("rate", "pool", "zone-a", 5.0, 5.0)
+    most = Order("open", "pool", "zone-a", most=3)
     others = BLOCK, Order("shed", "class", "view"), Order("keep-off", "backend", "t3")
     assert told((rate, most, *others)) == api.OrdersChanged(
-        {("pool", "hall-a"): (rate.limit_name, most.limit_name)},
-        ("hall-a",),
+        {("pool", "zone-a"): (rate.limit_name, most.limit_name)},
+        ("zone-a",),
         frozenset({"acme"}),
         frozenset({"view"}),
         frozenset({host_number("t3")}),
--- a/tests/fleet/test_orders_gateways.py
+++ b/tests/fleet/test_orders_gateways.py
@@ -110,7 +110,7 @@
     """Two of the nodes hang, so that some requests stay open for long."""
     faults = tuple(Fault(2.0, "node-hang", name, seconds=15.0) for name in ("t0", "t1"))
     most = Order("open", "class", "tile-order", most=4)
-    pool = Order("rate", "pool", "hall-a", rate=10.0, burst=5.0)
+    pool = Order("rate", "pool", "zone-a", rate=10.0, burst=5.0)
     _, world, _, at = played(SCENARIO.with_(faults=faults, seconds=18.0), lambda _: [most, pool])
     rows = world.ledger.attempts
     late = [a for a in rows if a.first_at >= at + FOLLOWED_MS]
