--- /dev/null
+++ b/tests/decisions/test_windows.py
@@ -0,0 +1,56 @@
+"""Until when a repeat may go out is told with it: it may wait for its connection past its window."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+from helpers import KEYED, RULES, SAFE, UNSAFE, World, entry, sends, settings
+
+from mintford import interface as api
+from mintford.guards import END_MS, may_repeat, repeat_until
+
+FIRST, OTHER = entry(1), entry(2)
+
+
+def again(kind: api.RequestClass, outcome: api.Outcome) -> api.Send | None:
+    world = World((entry(1), entry(2), entry(3)), classes=(kind,), rules=RULES, may_count=False)
+    (first,) = sends(world.ask(kind.name))
+    assert (first.attempt, first.latest) == (0, math.inf)
+    began = world.now
+    world.pass_time(100)
+    found = sends(world.end(first, outcome, finished=False))
+    assert began == world.now - 100
+    return found[0] if found else None
+
+
+def test_a_repeat_of_keyed_work_tells_the_end_of_its_window() -> None:
+    second = again(KEYED, api.Outcome.RESET)
+    assert second is not None and second.attempt == 1
+    assert second.latest == 10_000 + KEYED.repeat_window - END_MS
+
+
+@pytest.mark.parametrize("outcome", [api.Outcome.CONNECT, api.Outcome.FULL, api.Outcome.IGNORED])
+@pytest.mark.parametrize("kind", [SAFE, KEYED, UNSAFE], ids=lambda kind: kind.name)
+def test_what_surely_never_ran_goes_again_without_a_window(
+    kind: api.RequestClass, outcome: api.Outcome
+) -> None:
+    second = again(kind, outcome)
+    assert second is not None and second.latest == math.inf
+
+
+@pytest.mark.parametrize("outcome", [api.Outcome.RESET, api.Outcome.FAILED, api.Outcome.TIMED_OUT])
+def test_unsafe_work_that_may_have_run_never_goes_again(outcome: api.Outcome) -> None:
+    assert again(UNSAFE, outcome) is None
+
+
+@pytest.mark.parametrize("window", [0.0, 40.0, 60.0, 500.0])
+def test_a_window_of_any_length_ends_a_little_before_it_is_forgotten(window: float) -> None:
+    kind = api.RequestClass("k", 1000, 3000, effect=api.Effect.KEYED, repeat_window=window)
+    until = repeat_until(kind, 1_000.0)
+    assert until == 1_000 + window - END_MS
+    for now in (1_000.0, until - 1, until, until + 1):
+        assert may_repeat(kind, FIRST, 1_000.0, OTHER, now) == (now < until)
+    assert repeat_until(SAFE, 1_000.0) == math.inf
+    assert repeat_until(UNSAFE, 1_000.0) <= 1_000.0
+    assert settings().max_attempts == 3
