--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -37,8 +37,12 @@
 CUTOFF_MARGIN_MS = 50.0  # before the end of the grace for new work to a draining backend
 READ_BYTES = 64 * 1024
 NOTHING = memoryview(b"")
-STALLED_MS = 5_000.0  # a long value of which nothing has come for this long, though it is read, is broken
-REST_MS = 5.0  # before a connection is used again: what follows its last answer uncalled for shows by then
+# A long value of which nothing has come for this long, though it is read, is broken. Danger: past its
+# request's time its client is owed an end within half a second, and would wait for it in vain.
+STALLED_MS, OVERDUE_MS, LOOK_MS = 5_000.0, 400.0, 100.0
+# Before a connection is used again: a second answer may come some milliseconds after the first, and would be
+# taken for the next request's. Each stands idle so much longer, which is little beside a request's own time.
+REST_MS = 20.0
 
 
 class Freshness:
@@ -247,6 +251,10 @@
         self.drop_answer()
         attempt.passes_on = True
         self.long, self.sink = LongValue(length), sink
+        self.heard_at = now_ms()
+        if not self.pool.looking:
+            self.pool.looking = True
+            self.pool.timers.at(self.heard_at + LOOK_MS, self.pool.look_at_long)
         self.pool.long[self] = None
         return came
 
@@ -378,6 +386,7 @@
         self.hosts: dict[int, Host] = {}
         self.connections: set[Connection] = set()
         self.long: dict[Connection, None] = {}  # of these, those with a long value under way
+        self.looking = False  # a look at these is to come
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
         self.view = memoryview(self.buffer)
         self.unopened: Tally[str] = Tally()  # since the last sweep: one line tells of all
@@ -469,13 +478,22 @@
         if idle:
             min(idle, key=lambda c: c.idle_since).close()
 
-    def sweep(self) -> None:
+    def look_at_long(self) -> None:
+        """End long values that don't go on, as long as any are under way."""
         now = now_ms()
-        self.freshness.fade()
         for connection in list(self.long):
-            if not connection.paused and now - connection.heard_at > STALLED_MS:
+            attempt = connection.attempt
+            overdue = attempt is not None and now > attempt.expires
+            if not connection.paused and now - connection.heard_at > (OVERDUE_MS if overdue else STALLED_MS):
                 self.spoilt["a long value that did not go on"] += 1
                 connection.end(Ending.BROKEN)
+        self.looking = bool(self.long)
+        if self.looking:
+            self.timers.at(now + LOOK_MS, self.look_at_long)
+
+    def sweep(self) -> None:
+        now = now_ms()
+        self.freshness.fade()
         for backend, host in list(self.hosts.items()):
             for connection in list(host.idle):
                 if now - connection.idle_since < min(self.idle_ms, self.freshness.limit):
--- a/tests/edges/test_long_values.py
+++ b/tests/edges/test_long_values.py
@@ -9,6 +9,8 @@
 import pytest
 from loopback import LOCAL, Peer, World, encode, in_loop, request, running, server_seen, until
 
+from roadpulley.core.backends import STALLED_MS
+from roadpulley.core.clock import now_ms
 from roadpulley.core.resp import BEGUN_BYTES, LARGEST_ANSWER, LONG_ANSWER, LongValue, Malformed, long_value
 from roadpulley.edges.clients import ClientServer
 from roadpulley.testbed.server import Server
@@ -169,6 +171,26 @@
     in_loop(scenario)
 
 
+def test_a_value_whose_backend_falls_silent_ends_soon_after_its_time() -> None:
+    """Its client would wait for an end that came seconds later, too late to count as one."""
+
+    async def scenario() -> None:
+        async def script(writer: asyncio.StreamWriter) -> bool:
+            writer.write(answer(value(MIB))[:100_000])
+            await asyncio.Event().wait()
+            return True
+
+        async with running(world(script)) as w:
+            peer = await w.client()
+            began = now_ms()
+            peer.send(*request(wait=300))
+            got = await peer.reader.read(-1)
+            assert got.startswith(b"$%d\r\n" % MIB) and len(got) < MIB
+            assert now_ms() - began < STALLED_MS
+
+    in_loop(scenario)
+
+
 def test_a_client_that_leaves_ends_the_attempt() -> None:
     in_loop(leaves)
 
