--- a/tests/cli/test_dev.py
+++ b/tests/cli/test_dev.py
@@ -93,7 +93,7 @@
     assert any("node-hang t1" in line for line in lines) and any(
         "over: node-hang t1" in line for line in lines
     )
-    assert any(line.startswith("tile-view   basic") for line in lines)
+    assert any(line.startswith("tile-view     basic") for line in lines)
     assert lines[-1] == "every rule held"
 
 
