--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -98,6 +98,19 @@
         self.unread = True
         self.pump()
 
+    def _more(self) -> None:
+        """Read what has come behind the last command: it is owed an answer too."""
+        try:
+            count = self.socket.recv_into(self.server.buffer)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            count = 0
+        if not count:
+            return self.close()
+        self.reader.feed(self.server.view[:count])
+        self.unread = True
+
     def _writable(self) -> None:
         self._send()
         if self.slots and self.state < LINGERING and (long := self.slots[0].long) and long.started:
@@ -114,17 +127,22 @@
         try:
             if self.slots:
                 self._write()
+                if self.server.draining and self.at_rest:
+                    self._more()
             while self.unread and not self._stuck():
                 self._take()
                 self._write()
+                # Danger: the end of a drain goes out with the last answer. A turn of the loop later its client
+                # has taken the connection for free and sent its next request, which would be turned back.
+                if self.server.draining and self.at_rest:
+                    self._more()
         finally:
             self.pumping = False
         if not self.slots and not self.unsent:
             if self.state == LAST:
                 self.linger()
             elif self.server.draining and self.at_rest:
-                # Not in this call: what came behind the request is read first, and is owed an answer too.
-                self.server.loop.call_soon(self.leave)
+                self.leave()
         self._throttle()
 
     def _stuck(self) -> bool:
