--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -132,7 +132,7 @@
             while self.unread and not self._stuck():
                 self._take()
                 self._write()
-                # Danger: the end of a drain goes out with the last answer. A turn of the loop later its client
+                # Danger: the end of a drain goes out with the last answer. A turn later its client
                 # has taken the connection for free and sent its next request, which would be turned back.
                 if self.server.draining and self.at_rest:
                     self._more()
