--- a/tests/decisions/test_cold_fleet.py
+++ b/tests/decisions/test_cold_fleet.py
@@ -126,11 +126,13 @@
     assert 0 < fleet.most, "no cold backend was sent anything"
 
 
+@pytest.mark.patches_inside
 def test_a_ramp_that_counts_cold_backends_as_warm_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(load, "cold_share", lambda rules, warm: 1.0)
     assert any(Fleet(20, seed).run().over for seed in range(4))
 
 
+@pytest.mark.patches_inside
 def test_a_ramp_for_each_gateway_alone_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
     """Each would keep to what a cold backend bears from it, and all of them together would fell it."""
     monkeypatch.setattr(load, "cold_share", lambda rules, warm: min(1.0, warm * 20))
