--- a/tests/edges/test_closes.py
+++ b/tests/edges/test_closes.py
@@ -147,6 +147,22 @@
     played(scenario, Backend(held))
 
 
+def test_the_end_of_a_drain_goes_out_with_the_last_answer() -> None:
+    """A turn of the loop later its client has taken the connection for free, and sent its next request on it."""
+
+    async def scenario(world: World, server: ClientServer) -> None:
+        client = Raw(world.port)
+        client.write(encode(*request(b"last")))
+        await until(lambda: world.backends[0].got)
+        server.stand(says_yes=True, accepts=True, keeps=False)
+        (one,) = server.connections
+        one.slots[0].answer(VALUE)
+        assert one.state == connection.LINGERING  # in this call
+        assert await client.rest() == VALUE and not client.reset
+
+    played(scenario, Backend(silent))
+
+
 def test_what_comes_after_the_end_was_told_is_never_sent_on_and_resets_nothing() -> None:
     async def scenario(world: World, server: ClientServer) -> None:
         client = Raw(world.port)
