--- a/tests/edges/test_closes.py
+++ b/tests/edges/test_closes.py
@@ -148,7 +148,7 @@
 
 
 def test_the_end_of_a_drain_goes_out_with_the_last_answer() -> None:
-    """A turn of the loop later its client has taken the connection for free, and sent its next request on it."""
+    """A turn later its client has taken the connection for free, and sent its next request on it."""
 
     async def scenario(world: World, server: ClientServer) -> None:
         client = Raw(world.port)
