--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -98,19 +98,6 @@
         self.unread = True
         self.pump()
 
-    def _more(self) -> None:
-        """Read what has come behind the last command: it is owed an answer too."""
-        try:
-            count = self.socket.recv_into(self.server.buffer)
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError:
-            count = 0
-        if not count:
-            return self.close()
-        self.reader.feed(self.server.view[:count])
-        self.unread = True
-
     def _writable(self) -> None:
         self._send()
         if self.slots and self.state < LINGERING and (long := self.slots[0].long) and long.started:
@@ -128,14 +115,14 @@
             if self.slots:
                 self._write()
                 if self.server.draining and self.at_rest:
-                    self._more()
+                    self._readable()
             while self.unread and not self._stuck():
                 self._take()
                 self._write()
                 # Danger: the end of a drain goes out with the last answer. A turn later its client
                 # has taken the connection for free and sent its next request, which would be turned back.
                 if self.server.draining and self.at_rest:
-                    self._more()
+                    self._readable()
         finally:
             self.pumping = False
         if not self.slots and not self.unsent:
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 import pytest
-from loopback import LOCAL, SETTINGS, Backend, World, encode, in_loop, refused_start, request, running
+from loopback import LOCAL, SETTINGS, Backend, World, in_loop, refused_start, running
 
 from roadpulley.core.settings import load_config
 
@@ -162,7 +162,3 @@
     with caplog.at_level(logging.WARNING):
         assert load_config(str(file)).settings.classes[0].name == "view"
     assert words in caplog.text
-
-
-def test_the_requests_of_these_tests_are_as_clients_write_them() -> None:
-    assert encode(*request()).startswith(b"*4\r\n$8\r\nAPI.READ\r\n")
