--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -4,14 +4,17 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
+import sys
+import tomllib
 from pathlib import Path
 from typing import Any
 
 import pytest
 from loopback import LOCAL, SETTINGS, Backend, Reply, World, encode, in_loop, request, until
-from test_process import Held, connect, launched
+from test_process import ROOT, Held, connect, launched
 
 SHORT = {  # of classes: the drain is over after 0.45 s, and the process after 0.7 s and a little
     **SETTINGS,
@@ -84,6 +87,49 @@
     in_loop(scenario)
 
 
+def test_a_new_configuration_that_is_told_while_it_starts_does_not_end_it(tmp_path: Path) -> None:
+    """SIGHUP from the first moment of the program on, again and again until it serves."""
+
+    async def scenario() -> None:
+        world = World(Backend())
+        for server in (*world.backends, world.counter, world.discovery):
+            await server.start()
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(world.config()))
+        deployed = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        assert ".venv/bin/python" in deployed
+        process = await asyncio.create_subprocess_exec(
+            "/bin/sh",
+            "-c",
+            deployed.replace(".venv/bin/python", sys.executable),
+            cwd=ROOT,
+            env={**os.environ, "LB_CONFIG": str(config)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        assert process.stderr is not None
+        image = Path(f"/proc/{process.pid}/comm")
+        try:
+            await until(lambda: process.returncode is not None or image.read_text().startswith("python"))
+            said = asyncio.create_task(process.stderr.readline())
+            while b"serves at" not in (line := said.result() if said.done() else b""):
+                if said.done():
+                    assert line, "it ended"
+                    said = asyncio.create_task(process.stderr.readline())
+                assert process.returncode is None, f"it ended with {process.returncode}"
+                process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.001)
+            process.send_signal(signal.SIGTERM)
+            assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+            for server in (*world.backends, world.counter, world.discovery):
+                await server.stop()
+
+    in_loop(scenario)
+
+
 @pytest.mark.parametrize("signals", [[signal.SIGTERM] * 2, [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP]])
 def test_signals_that_cross_end_it_once(tmp_path: Path, signals: list[signal.Signals]) -> None:
     async def scenario() -> None:
