--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -199,7 +199,7 @@
     if config.known:
         known = read_list(config.known)
         version = known.version
-        driver.members(ListScope.SAVED, known.members)
+        driver.members(ListScope.SAVED, known.members, now_ms())
     discovery = Discovery(config.discovery, version, driver.members, random.Random(config.seed))
     server = ClientServer(
         loop,
--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -399,9 +399,17 @@
 
     # ---- the list ----
 
-    def update(self, backend: int, address: Address, state: BackendState, started: float = 0.0) -> None:
+    def update(
+        self,
+        backend: int,
+        address: Address,
+        state: BackendState,
+        started: float = 0.0,
+        since: float | None = None,
+    ) -> None:
+        """`since`: from when on this may have counted as told; None: from now on."""
         if state is not BackendState.READY:
-            return self.retire(backend)
+            return self.retire(backend, since)
         host = self.hosts.get(backend)
         if host is None:
             host = self.hosts[backend] = Host(address, started)
@@ -410,9 +418,11 @@
             host.address, host.started = address, started
         host.cutoff = float("inf")
 
-    def retire(self, backend: int) -> None:
+    def retire(self, backend: int, since: float | None = None) -> None:
         if host := self.hosts.get(backend):
-            host.cutoff = min(host.cutoff, now_ms() + self.drain_grace - CUTOFF_MARGIN_MS)
+            # Danger: a drain counts as told while no watch is open; its grace may be over as it is heard.
+            since = now_ms() if since is None else since
+            host.cutoff = min(host.cutoff, since + self.drain_grace - CUTOFF_MARGIN_MS)
             self.close_idle(host)
 
     # ---- attempts ----
--- a/roadpulley/core/discovery.py
+++ b/roadpulley/core/discovery.py
@@ -48,7 +48,8 @@
     members: tuple[Member, ...]
 
 
-Listener = Callable[[ListScope, tuple[Member, ...]], None]
+# With the time, in milliseconds, from when on what is listed may have counted as told.
+Listener = Callable[[ListScope, tuple[Member, ...], float], None]
 
 
 def host_number(host: str) -> int:
@@ -240,7 +241,8 @@
         try:
             got = read_list(json.loads(text))
             if got.whole or got.members:
-                self.listener(ListScope.FULL if got.whole else ListScope.CHANGES, got.members)
+                scope = ListScope.FULL if got.whole else ListScope.CHANGES
+                self.listener(scope, got.members, self.watch.since)
             self.watch.version = got.version
         except (DiscoveryError, ValueError, RecursionError) as error:
             self.watch.version = None  # what this change held is not known: read everything again
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -198,14 +198,15 @@
         self.settings, self.max_open = settings, max_open
         self.give(api.SettingsChanged(settings))
 
-    def members(self, scope: api.ListScope, members: tuple[Member, ...]) -> None:
+    def members(self, scope: api.ListScope, members: tuple[Member, ...], since: float) -> None:
+        """`since`: from when on what is listed may have counted as told, in milliseconds."""
         if scope is not api.ListScope.CHANGES:
             listed = {m.entry.backend for m in members}
             for backend in set(self.backends.hosts) - listed:
-                self.backends.retire(backend)
+                self.backends.retire(backend, since)
         for member in members:
             entry = member.entry
-            self.backends.update(entry.backend, member.address, entry.state, entry.started)
+            self.backends.update(entry.backend, member.address, entry.state, entry.started, since)
         self.give(api.BackendsChanged(scope, tuple(m.entry for m in members)))
 
     def on_command(self, command: Command, slot: Slot) -> None:
--- a/roadpulley/core/watch.py
+++ b/roadpulley/core/watch.py
@@ -18,6 +18,9 @@
 acted on after a move. Bytes that are no whole line yet don't count: an agent that dies in the middle of one
 is silent.
 
+What the agent has counts as told whether or not a watch is open. So what the first line of a call tells may
+have counted since the last line of the call before it: `since` says so, and drains are dated from there.
+
 How late a change can be, in milliseconds from when discovery had it and could be reached. It counts as told
 after 6,000, after a move 4,000; an answer takes no time that counts, and calls that are refused at once
 cost less:
@@ -83,6 +86,9 @@
         self.due = -math.inf  # calls at the first event of time
         self.wait = BACKOFF_MS[0]  # the next pause at the longest
         self.whole = False  # the call under way is for the whole list
+        self.heard_at = -math.inf  # of the last whole line: then the list was as the agent had it
+        self.since = -math.inf  # from when on what the last line tells may have counted as told
+        self.first = True  # the next line is its call's first
 
     def on_time(self, now: float) -> Act:
         if now < self.due:
@@ -99,7 +105,8 @@
         """A line came whole; whether it is to be acted on."""
         if call != self.call or self.state is not State.FOLLOWING:
             return False
-        self.due, self.wait = now + SILENT_MS, BACKOFF_MS[0]
+        self.since, self.heard_at = self.heard_at if self.first else now, now
+        self.due, self.wait, self.first = now + SILENT_MS, BACKOFF_MS[0], False
         return True
 
     def on_end(self, now: float, call: int, reason: str, clean: bool = False) -> Act:
@@ -117,7 +124,7 @@
 
     def open(self, now: float) -> Open:
         self.state, self.call, self.whole = State.CALLING, self.call + 1, self.version is None
-        self.due = now + ANSWER_MS
+        self.due, self.first = now + ANSWER_MS, True
         return Open(self.call, self.address, self.version)
 
     def lost(self, now: float, reason: str) -> Leave:
--- a/tests/core/test_discovery.py
+++ b/tests/core/test_discovery.py
@@ -7,13 +7,17 @@
 from typing import Any
 
 import pytest
-from loopback import LOCAL, Backend, Discovery, World, host, in_loop, running, until
+from loopback import LOCAL, SETTINGS, Backend, Discovery, World, host, in_loop, request, running, until
 
 from mintford.interface import BackendState, ListScope
 from roadpulley.core import discovery as module
 from roadpulley.core import watch as pure
+from roadpulley.core.backends import Connection
+from roadpulley.core.clock import now_ms
 from roadpulley.core.discovery import DiscoveryError, Member, host_number, read_list
+from roadpulley.core.driver import Driver
 
+GRACE_MS = 200.0
 Heard = list[tuple[ListScope, list[tuple[int, BackendState]]]]
 
 
@@ -23,7 +27,7 @@
     def __init__(self, version: int | None = 41) -> None:
         self.service, self.version, self.heard = Discovery(), version, Heard()
 
-    def take(self, scope: ListScope, members: tuple[Member, ...]) -> None:
+    def take(self, scope: ListScope, members: tuple[Member, ...], since: float) -> None:
         self.heard.append((scope, [(m.entry.backend, m.entry.state) for m in members]))
 
     async def __aenter__(self) -> Watch:
@@ -113,10 +117,10 @@
             await watch.watched(1)
             take, faults = watch.take, [RuntimeError("not now")]
 
-            def faulty(scope: ListScope, members: tuple[Member, ...]) -> None:
+            def faulty(scope: ListScope, members: tuple[Member, ...], since: float) -> None:
                 if faults:
                     raise faults.pop()
-                take(scope, members)
+                take(scope, members, since)
 
             watch.client.listener = faulty
             watch.service.whole = {"seq": 43, "whole": True, "hosts": [host("h1", 1)]}
@@ -165,6 +169,49 @@
     in_loop(scenario)
 
 
+class ShortGrace(World):
+    def config(self) -> dict[str, Any]:
+        config = super().config()
+        config["settings"] = {**SETTINGS, "rules": {**SETTINGS["rules"], "drainGrace": GRACE_MS}}
+        return config
+
+
+@pytest.mark.patches_inside
+def test_a_drain_that_a_watch_ended_instead_of_telling_keeps_a_waiting_attempt_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It counts as told while no watch is open: as the next one tells of it, its grace is over."""
+    monkeypatch.setattr(pure, "BACKOFF_MS", (1.0, 1.0))
+    stuck: list[Connection] = []
+
+    async def scenario() -> None:
+        old, new = Backend(), Backend()
+        world = ShortGrace(old)
+        await new.start()
+        drivers: list[Driver] = []
+        async with running(world, attach=drivers.append):
+            known, hosts = drivers[0].gateway.fleet.backends, drivers[0].backends.hosts
+            world.discovery.change(42, host("h8", 1, "draining"))
+            await until(lambda: host_number("h8") in known)  # here the list is as the agent has it
+            heard = now_ms()
+            await until(lambda: now_ms() > heard + GRACE_MS)
+            with monkeypatch.context() as held:  # the connection comes up late
+                held.setattr(Connection, "_came_up", lambda late: stuck.append(late))
+                peer = await world.client()
+                peer.send(*request())
+                await until(lambda: stuck)
+            world.discovery.hang_up()
+            await until(lambda: len(world.discovery.requests) == 2 and world.discovery.watches)
+            world.discovery.change(43, host("h0", old.port, "draining"), host("h9", new.port))
+            await until(lambda: host_number("h9") in hosts)
+            stuck[0]._came_up()
+            assert await peer.receive() == b"value"
+            assert not old.got and len(new.got) == 1
+        await new.stop()
+
+    in_loop(scenario)
+
+
 def test_a_move_reads_the_whole_list_at_the_new_address_first() -> None:
     async def scenario() -> None:
         async with Watch() as watch:
--- a/tests/core/test_watch.py
+++ b/tests/core/test_watch.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import os
 import random
 import socket
@@ -71,6 +72,25 @@
     assert not watch.on_line(10, old) and watch.due == 9 + SILENT_MS
 
 
+def test_what_the_first_line_of_a_call_tells_may_be_as_old_as_the_last_line_before_it() -> None:
+    """What the agent has counts as told whether or not a watch is open; it may end one instead of telling."""
+    watch = at(State.FOLLOWING)
+    assert watch.on_line(100, watch.call) and watch.since == -math.inf  # a process that has just started
+    assert watch.on_line(1_500, watch.call) and watch.since == 1_500
+    watch.on_end(1_900, watch.call, "reset")
+    for failed in (2_200, 2_900):  # calls that bring nothing don't make it younger
+        watch.on_time(failed)
+        watch.on_head(failed, watch.call)
+        watch.on_end(failed, watch.call, "ended")
+    watch.on_time(3_600)
+    watch.on_head(3_600, watch.call)
+    assert watch.on_line(3_601, watch.call) and watch.since == 1_500
+    assert watch.on_line(5_000, watch.call) and watch.since == 5_000
+    watch.on_move(6_000, THERE)
+    watch.on_head(6_001, watch.call)
+    assert watch.on_line(6_002, watch.call) and watch.since == 5_000
+
+
 def test_a_whole_list_is_followed_at_once_and_a_broken_one_after_a_pause() -> None:
     for clean, kind in ((True, Open), (False, Leave)):
         watch = Watch(HERE, None, random.Random(1))
@@ -229,6 +249,7 @@
     def __init__(self) -> None:
         self.calls: list[Call] = []
         self.heard: list[tuple[ListScope, list[int]]] = []
+        self.since: list[float] = []
         self.ended = 0
 
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -241,8 +262,9 @@
         self.ended += 1
         writer.close()
 
-    def take(self, scope: ListScope, members: tuple[Member, ...]) -> None:
+    def take(self, scope: ListScope, members: tuple[Member, ...], since: float) -> None:
         self.heard.append((scope, [m.address[1] for m in members]))
+        self.since.append(since)
 
     async def called(self, count: int) -> Call:
         await until(lambda: len(self.calls) >= count)
