--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -200,6 +200,8 @@
 
     def members(self, scope: api.ListScope, members: tuple[Member, ...], since: float) -> None:
         """`since`: from when on what is listed may have counted as told, in milliseconds."""
+        now = now_ms()
+        since = min(since, now - self.lag(now))  # while this loop stood still it lay unread
         if scope is not api.ListScope.CHANGES:
             listed = {m.entry.backend for m in members}
             for backend in set(self.backends.hosts) - listed:
--- a/tests/core/test_discovery.py
+++ b/tests/core/test_discovery.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
+import time
 from typing import Any
 
 import pytest
@@ -177,10 +179,11 @@
 
 
 @pytest.mark.patches_inside
-def test_a_drain_that_a_watch_ended_instead_of_telling_keeps_a_waiting_attempt_back(
-    monkeypatch: pytest.MonkeyPatch,
+@pytest.mark.parametrize("how", ["the watch ended instead", "it lay unread"])
+def test_a_drain_that_was_told_earlier_than_it_was_heard_keeps_a_waiting_attempt_back(
+    how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """It counts as told while no watch is open: as the next one tells of it, its grace is over."""
+    """It counts as told while no watch is open or the loop stands still: as it is heard, its grace is over."""
     monkeypatch.setattr(pure, "BACKOFF_MS", (1.0, 1.0))
     stuck: list[Connection] = []
 
@@ -200,9 +203,15 @@
                 peer = await world.client()
                 peer.send(*request())
                 await until(lambda: stuck)
-            world.discovery.hang_up()
-            await until(lambda: len(world.discovery.requests) == 2 and world.discovery.watches)
-            world.discovery.change(43, host("h0", old.port, "draining"), host("h9", new.port))
+            said = world.discovery.listed(43, host("h0", old.port, "draining"), host("h9", new.port))
+            if how == "it lay unread":
+                line = b"%x\r\n%b\n\r\n" % (len(said) + 1, said)
+                os.write(world.discovery.watches[-1].get_extra_info("socket").fileno(), line)
+                time.sleep(GRACE_MS / 1000)
+            else:
+                world.discovery.hang_up()
+                await until(lambda: len(world.discovery.requests) == 2 and world.discovery.watches)
+                world.discovery.tell(said)
             await until(lambda: host_number("h9") in hosts)
             stuck[0]._came_up()
             assert await peer.receive() == b"value"
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -131,8 +131,11 @@
     def tell(self, line: bytes, watch: int = -1) -> None:
         self.say(line, self.watches[watch])
 
+    def listed(self, seq: int, *hosts: dict[str, Any], whole: bool = False) -> bytes:
+        return json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode()
+
     def change(self, seq: int, *hosts: dict[str, Any], whole: bool = False) -> None:
-        self.tell(json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode())
+        self.tell(self.listed(seq, *hosts, whole=whole))
 
 
 def host(name: str, port: int, health: str = "up", born_ms: float = 0) -> dict[str, Any]:
