--- a/tests/core/test_discovery.py
+++ b/tests/core/test_discovery.py
@@ -183,7 +183,7 @@
 def test_a_drain_that_was_told_earlier_than_it_was_heard_keeps_a_waiting_attempt_back(
     how: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """It counts as told while no watch is open or the loop stands still: as it is heard, its grace is over."""
+    """It counts as told while no watch is open or the loop stands still; its grace is over as it is heard."""
     monkeypatch.setattr(pure, "BACKOFF_MS", (1.0, 1.0))
     stuck: list[Connection] = []
 
