--- a/tests/edges/test_long_values.py
+++ b/tests/edges/test_long_values.py
@@ -9,7 +9,7 @@
 import pytest
 from loopback import LOCAL, Peer, World, encode, in_loop, request, running, server_seen, until
 
-from roadpulley.core.backends import STALLED_MS
+from roadpulley.core.backends import LOOK_MS, OVERDUE_MS, STALLED_MS
 from roadpulley.core.clock import now_ms
 from roadpulley.core.resp import BEGUN_BYTES, LARGEST_ANSWER, LONG_ANSWER, LongValue, Malformed, long_value
 from roadpulley.edges.clients import ClientServer
@@ -171,6 +171,11 @@
     in_loop(scenario)
 
 
+def test_the_times_of_a_value_that_stalls_leave_room_within_half_a_second() -> None:
+    """It falls silent as its request's time ends, just after a look; a fifth is the loop's and the way's."""
+    assert OVERDUE_MS + LOOK_MS <= 500 - 100
+
+
 def test_a_value_whose_backend_falls_silent_ends_soon_after_its_time() -> None:
     """Its client would wait for an end that came seconds later, too late to count as one."""
 
