--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -38,8 +38,8 @@
 READ_BYTES = 64 * 1024
 NOTHING = memoryview(b"")
 # A long value of which nothing has come for this long, though it is read, is broken. Danger: past its
-# request's time its client is owed an end within half a second, and would wait for it in vain. The silence may
-# begin at that very time and be seen a look later, and the loop and the way to the client need some of it too.
+# request's time its client is owed an end within half a second, and would wait for it in vain. The silence
+# may begin at that very time and be seen a look later, and the loop and the way to the client need some too.
 STALLED_MS, OVERDUE_MS, LOOK_MS = 5_000.0, 300.0, 100.0
 # Before a connection is used again: a second answer may come some milliseconds after the first, and would be
 # taken for the next request's. Each stands idle so much longer, which is little beside a request's own time.
