--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -12,9 +12,10 @@
 from mintford import Gateway
 from mintford import interface as api
 
-from .backends import Attempt, Backends
+from .backends import Backends
 from .clock import Timer, Timers, now_ms
 from .command import Command, Sink, Slot, Source
+from .connection import Attempt
 from .counter import Counter
 from .discovery import Member
 from .figures import read_cost
--- a/tests/core/test_backends.py
+++ b/tests/core/test_backends.py
@@ -14,8 +14,9 @@
 
 from mintford.interface import BackendState, Outcome
 from roadpulley.core import backends as module
-from roadpulley.core.backends import Attempt, Backends
+from roadpulley.core.backends import Backends
 from roadpulley.core.clock import Timers, now_ms
+from roadpulley.core.connection import Attempt
 from roadpulley.core.outcomes import Ending
 
 VALUE = b"*3\r\n$5\r\nvalue\r\n"
--- a/tests/core/test_discovery.py
+++ b/tests/core/test_discovery.py
@@ -14,8 +14,8 @@
 from mintford.interface import BackendState, ListScope
 from roadpulley.core import discovery as module
 from roadpulley.core import watch as pure
-from roadpulley.core.backends import Connection
 from roadpulley.core.clock import now_ms
+from roadpulley.core.connection import Connection
 from roadpulley.core.discovery import DiscoveryError, Member, host_number, read_list
 from roadpulley.core.driver import Driver
 
--- a/tests/core/test_outcomes.py
+++ b/tests/core/test_outcomes.py
@@ -24,8 +24,9 @@
 from mintford.guards import NEVER_RAN as MODULES
 from mintford.interface import BackendState, Outcome
 from roadpulley.core import outcomes
-from roadpulley.core.backends import REST_MS, Attempt, Backends, Connection
+from roadpulley.core.backends import REST_MS, Backends
 from roadpulley.core.clock import Timers, now_ms
+from roadpulley.core.connection import Attempt, Connection
 from roadpulley.core.outcomes import NEVER_RAN, TABLE, Ending, Stage, outcome
 
 BIG = b"x" * 6_000_000  # more than the kernel takes at once
--- a/tests/edges/test_long_values.py
+++ b/tests/edges/test_long_values.py
@@ -9,8 +9,9 @@
 import pytest
 from loopback import LOCAL, Peer, World, encode, in_loop, request, running, server_seen, until
 
-from roadpulley.core.backends import LOOK_MS, OVERDUE_MS, STALLED_MS
+from roadpulley.core.backends import OVERDUE_MS, STALLED_MS
 from roadpulley.core.clock import now_ms
+from roadpulley.core.connection import LOOK_MS
 from roadpulley.core.resp import BEGUN_BYTES, LARGEST_ANSWER, LONG_ANSWER, LongValue, Malformed, long_value
 from roadpulley.edges.clients import ClientServer
 from roadpulley.testbed.server import Server
