--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -145,10 +145,14 @@
             return True
         now = now_ms()
         oldest = next((c for c in self.silent if c.idle), None)
-        if oldest is not None and now - oldest.used_at > YOUNG_MS and oldest.retire(room=True):
-            return True
+        if oldest is not None and now - oldest.used_at > YOUNG_MS:
+            oldest.retire(room=True)
+            if oldest.closed:
+                return True
         spare = next((c for c in self.connections if c.idle and c not in self.silent), None)
-        return spare is not None and now - spare.used_at > SPARE_MS and spare.retire(room=True)
+        if spare is not None and now - spare.used_at > SPARE_MS:
+            spare.retire(room=True)
+        return spare is not None and spare.closed
 
     # ---- connections ----
 
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -14,6 +14,7 @@
 | bytes                                    | commands, in order            | stay unread | dropped         |
 | end, reset, or the kernel tells of one   | CLOSED                        | CLOSED     | CLOSED          |
 | QUIT, malformed bytes, time of a command | LAST                          | -          | -               |
+| the time until its first command         | read once more; LINGERING at rest | -      | -               |
 | the last answer is written               | LINGERING in a drain, at rest | LINGERING  | -               |
 | drain, idle for long                     | read once more; LINGERING at rest | -      | -               |
 | room is short                            | CLOSED if unused              | -          | CLOSED          |
@@ -297,6 +298,9 @@
     def idle(self) -> bool:
         return self.state == OPEN and not self.slots and not self.unsent
 
+    def overdue(self, now: float) -> bool:
+        return self.state == OPEN and self.due is not None and now > self.due
+
     @property
     def waits_for_bytes(self) -> bool:
         """A command has begun and it is its client's turn, or it waits for room."""
@@ -322,19 +326,18 @@
                 self.close()
         return self.state >= LINGERING
 
-    def retire(self, room: bool = False) -> bool:
+    def retire(self, room: bool = False) -> None:
         """End it unless something is open here, also what has come and was not read yet.
 
         `room`: its descriptor is needed now. What it was answered last arrived long ago.
         """
         if self.idle and self.reading:
             self._readable()
-        if self.idle and not (self.server.draining and self.reader.held):
+        if self.at_rest or (room and self.idle and not self.server.draining):
             if room:
                 self.close()
             else:
                 self.linger()
-        return self.closed
 
     def leave(self) -> None:
         """The server drains: end it once nothing is open here.
@@ -367,9 +370,15 @@
         elif self.unsent and now - self.moved_at > (LONG_SLOW_MS if self.long else SLOW_MS):
             self.server.refused["answers left unread"] += 1
             self.close()
-        elif self.state == OPEN and self.due is not None and now > self.due and self.waits_for_bytes:
-            self.refuse_protocol("command not whole in time")
-            self.pump()
+        elif self.overdue(now) and self.waits_for_bytes:
+            if self.reading:
+                self._readable()  # while the loop was late the rest may have come
+            if self.at_rest:
+                # Danger: an error now would be read as the answer to the first request, if that is under way.
+                self.retire()
+            elif self.overdue(now):
+                self.refuse_protocol("command not whole in time")
+                self.pump()
         elif self.idle and now - self.used_at > IDLE_MS:
             self.retire()
 
--- a/tests/edges/test_closes.py
+++ b/tests/edges/test_closes.py
@@ -13,6 +13,7 @@
 import pytest
 from loopback import LOCAL, Backend, Reply, World, encode, in_loop, request, running, server_seen, until
 
+from roadpulley.core.clock import now_ms
 from roadpulley.edges import clients, connection
 from roadpulley.edges.clients import ClientServer
 
@@ -190,6 +191,47 @@
     played(scenario)
 
 
+@pytest.mark.parametrize("crosses", [False, True])
+def test_a_connection_that_never_asked_ends_without_a_word(
+    crosses: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An error would be read as the answer to the first request, if that is under way just then."""
+    monkeypatch.setattr(connection, "WHOLE_MS", 50.0)
+
+    async def scenario(world: World, server: ClientServer) -> None:
+        client = Raw(world.port)
+        await until(lambda: server.connections)
+        (one,) = server.connections
+        await until(lambda: now_ms() > one.used_at + connection.WHOLE_MS)
+        if crosses:
+            client.write(encode(*request()))
+        one.check(now_ms())
+        assert one.state == (connection.OPEN if crosses else connection.LINGERING)
+        if crosses:
+            assert await client.take(len(VALUE)) == VALUE
+        else:
+            assert await client.rest() == b"" and not client.reset
+
+    played(scenario)
+
+
+def test_a_command_whose_rest_lies_unread_at_its_time_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The loop was late: its timers are due before it has read what came meanwhile."""
+    monkeypatch.setattr(connection, "WHOLE_MS", 50.0)
+
+    async def scenario(world: World, server: ClientServer) -> None:
+        client, command = Raw(world.port), encode(*request())
+        client.write(command[:20])
+        await until(lambda: any(c.reader.held for c in server.connections))
+        (one,) = server.connections
+        await until(lambda: one.overdue(now_ms()))
+        client.write(command[20:])
+        one.check(now_ms())
+        assert await client.take(len(VALUE)) == VALUE
+
+    played(scenario)
+
+
 # ---- bounds of a lingering close ----
 
 
