--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -15,8 +15,11 @@
 
 import pytest
 from loopback import LOCAL, Backend, Peer, World, host, in_loop, request, until
+from test_process import connect, launched
 
 from roadpulley.__main__ import BACKEND_SHARE, CLIENT_SHARE, descriptors
+from roadpulley.core.clock import now_ms
+from roadpulley.core.watch import TOLD_MS
 
 ROOT = Path(__file__).parents[1]
 ALLOWED = 96
@@ -83,6 +86,54 @@
     in_loop(scenario)
 
 
+def test_without_a_descriptor_all_goes_on_once_there_is_one_again(tmp_path: Path) -> None:
+    """EMFILE on accept, on a connect to a backend and on the watch: none of them is given up for good."""
+
+    async def scenario() -> None:
+        old, new = Backend(), Backend()
+        world = World(old)
+        await new.start()
+        async with launched(world, tmp_path) as (process, _, port):
+            peer = await connect(port)
+            peer.send(*request(b"first"))
+            assert await peer.receive() == b"value"
+            await until(lambda: world.discovery.watches)
+            allowed = resource.prlimit(process.pid, resource.RLIMIT_NOFILE)
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (3, allowed[1]))
+            world.discovery.change(42, host("h0", old.port, "draining"), host("h1", new.port))
+            await until(lambda: old.ended)  # the change is heard
+            peer.send(*request(b"second"))  # and the other backend can't be reached
+            assert str(await peer.receive()).startswith(("BUSY", "ERR"))
+            waiting = Peer(*await asyncio.open_connection(LOCAL, port))
+            waiting.send(*request(b"third"))
+            calls = len(world.discovery.requests)
+            world.discovery.hang_up()
+            await said(process, b"not accepted: ")
+            await said(process, b"watch ", b"Too many open files")
+            assert len(world.discovery.requests) == calls and not new.got
+            began = now_ms()
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, allowed)
+            await until(lambda: len(world.discovery.requests) > calls)
+            assert now_ms() - began < TOLD_MS
+            assert await waiting.receive() == b"value"
+            peer.send(*request(b"fourth"))
+            assert await peer.receive() == b"value" and len(new.got) == 2
+            for one in (peer, waiting):
+                one.close()
+        await new.stop()
+
+    in_loop(scenario)
+
+
+async def said(process: asyncio.subprocess.Process, *words: bytes) -> None:
+    """Until a line of its log holds all of these."""
+    assert process.stderr is not None
+    line = b""
+    while not all(word in line for word in words):
+        line = await process.stderr.readline()
+        assert line, "it ended"
+
+
 def test_shares_are_of_what_may_be_held_and_leave_a_part_for_the_rest(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
