--- a/tests/operations/test_link.py
+++ b/tests/operations/test_link.py
@@ -8,11 +8,12 @@
 import signal
 import socket
 import sys
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import pytest
-from loopback import LOCAL, Backend, Peer, World, in_loop, request, until
+from loopback import LOCAL, Backend, Peer, Reply, World, in_loop, request, until
 
 from mintford import interface as api
 from roadpulley.operations import link as module
@@ -203,6 +204,11 @@
         self.readers: list[asyncio.Task[None]] = []
 
     async def start(self) -> int:
+        number = await self.spawn()
+        await self.heard(number, "serves at")
+        return number
+
+    async def spawn(self) -> int:
         config = self.folder / "config.json"
         config.write_text(json.dumps({**self.world.config(), "listen": f"{LOCAL}:{self.port}"}))
         process = await asyncio.create_subprocess_exec(
@@ -223,9 +229,7 @@
         lines: list[str] = []
         self.said.append(lines)
         self.readers.append(asyncio.create_task(self.read(process, lines)))
-        number = len(self.processes) - 1
-        await self.heard(number, "serves at")
-        return number
+        return len(self.processes) - 1
 
     async def read(self, process: asyncio.subprocess.Process, lines: list[str]) -> None:
         assert process.stderr is not None
@@ -233,7 +237,7 @@
             lines.append(line.decode())
 
     async def heard(self, number: int, words: str) -> None:
-        await until(lambda: any(words in line for line in self.said[number]))
+        await until(lambda: any(words in line for line in ["", *self.said[number]]))
 
     async def close(self) -> None:
         for process in self.processes:
@@ -245,8 +249,14 @@
         self.listener.close()
 
 
+async def slowly(command: list[bytes]) -> Reply:
+    """So that requests are open at any moment."""
+    await asyncio.sleep(0.03)
+    return b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+
 async def played(folder: Path, play: Any) -> None:
-    world = World(Backend())
+    world = World(Backend(slowly))
     servers = [*world.backends, world.counter, world.discovery]
     for server in servers:
         await server.start()
@@ -296,3 +306,57 @@
         await upgraded.heard(last, "customers' leases taken over")
 
     in_loop(lambda: played(tmp_path, play))
+
+
+# What the new process has said by then.
+STEPS = ["", "customers' leases taken over", "list heard", "serves at"]
+
+
+@pytest.mark.parametrize("who", ["old", "new", "both"])
+def test_a_stop_at_any_step_of_a_hand_over_loses_no_request(who: str, tmp_path: Path) -> None:
+    async def steps() -> None:
+        async with asyncio.TaskGroup() as group:
+            for number, step in enumerate(STEPS):
+                folder = tmp_path / str(number)
+                folder.mkdir()
+                group.create_task(played(folder, partial(stopped_at, step=step, who=who)))
+
+    in_loop(steps)
+
+
+async def stopped_at(upgraded: Upgraded, step: str, who: str) -> None:
+    """Two clients ask on and on; a request whose connection ends with no answer goes again elsewhere."""
+    answers: list[str] = []
+
+    async def client(name: int) -> None:
+        number = 0
+        while True:
+            peer = Peer(*await asyncio.open_connection(LOCAL, upgraded.port))
+            while True:
+                peer.send(*request(b"%d-%d" % (name, number), wait=1_000))
+                if (got := await peer.receive()) is None:
+                    break
+                answers.append(str(got))
+                number += 1
+                await asyncio.sleep(0.002)
+            peer.close()
+
+    await upgraded.start()
+    clients = [asyncio.create_task(client(name)) for name in range(2)]
+    await until(lambda: len(answers) > 20)
+    new = await upgraded.spawn()
+    await upgraded.heard(new, step)
+    told = {"old": [0], "new": [new], "both": [0, new]}[who]
+    for one in told:
+        upgraded.processes[one].send_signal(signal.SIGTERM)
+    for one in told:
+        # A process that was not yet there to be told ends by the signal itself.
+        assert await upgraded.processes[one].wait() in ([0, -signal.SIGTERM] if not step else [0])
+    if who != "both":
+        after = len(answers)
+        await until(lambda: len(answers) > after + 20)
+    for task in clients:
+        task.cancel()
+    asked = [command[2] for command in upgraded.world.backends[0].got]
+    assert len(asked) == len(set(asked))  # sent on twice: it was taken, and its answer was lost
+    assert all(answer == "b'value'" or answer.startswith("BUSY") for answer in answers), set(answers)
