--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -24,13 +24,14 @@
 from .core.counter import Counter
 from .core.discovery import Discovery, DiscoveryError, read_list
 from .core.driver import Driver
-from .core.settings import Address, Config, ConfigError, load_again, load_config
+from .core.settings import Config, ConfigError, load_again, load_config
 from .core.tallies import Tallies
 from .edges.clients import ClientServer
 from .edges.terms import Terms
 from .operations.address import OperatorAddress
 from .operations.life import Life
 from .operations.lifecycle import Event, Lifecycle, Times
+from .operations.listening import listening
 
 if TYPE_CHECKING:
     from .operations.link import Link
@@ -212,9 +213,11 @@
     )
     life = Life(Lifecycle(times(config.settings)), timers, driver, server)
     ends = await linked(config, driver, life) if link else None
-    operators = await operators_at(config.admin, loop, life) if config.admin else None
-    watch = loop.create_task(discovery.run())
     stopped = loop.create_task(stop.wait())
+    operators = OperatorAddress(loop, life.answer)
+    if config.admin is not None:
+        await listening("admin", config.admin, partial(operators.listen, config.admin), stopped)
+    watch = loop.create_task(discovery.run())
     if again is not None and load is not None:
         again.ready(Retuning(config, load, life, discovery, counter))
     # Danger: what the agent has counts as told from the first moment on, and what is known may be old.
@@ -222,10 +225,10 @@
     await asyncio.wait({told, stopped}, timeout=FIRST_LIST_S, return_when=asyncio.FIRST_COMPLETED)
     told.cancel()
     log.info("list %s after %.0f ms", "heard" if told.done() else "not heard", now_ms() - begun)
-    if stop.is_set():
+    port = await listening("listen", config.listen, partial(server.listen, *config.listen, listener), stopped)
+    if port is None:
         life.give(Event.STOP)  # before anybody could come
     else:
-        port = server.listen(*config.listen, listener)
         driver.watch_lag()
         if attach is not None:
             attach(driver)
@@ -252,8 +255,7 @@
     backends.close()
     if counter is not None:
         counter.close()
-    if operators is not None:
-        operators.close()
+    operators.close()
 
 
 async def drained(
@@ -288,18 +290,6 @@
     return link
 
 
-async def operators_at(address: Address, loop: asyncio.AbstractEventLoop, life: Life) -> OperatorAddress:
-    """Listen for operators from now on. Raises ConfigError where the address can't be had."""
-    operators = OperatorAddress(loop, life.answer)
-    try:
-        await operators.listen(address)
-    except OSError as error:
-        host, port = address
-        raise ConfigError(f"admin is {host}:{port}, where nobody can listen ({error.strerror}); "
-                          "give a free address of this machine") from error  # fmt: skip
-    return operators
-
-
 async def run(path: str) -> None:
     loop, stop, again = asyncio.get_running_loop(), asyncio.Event(), Reload()
     for signum in (signal.SIGTERM, signal.SIGINT):
--- a/roadpulley/edges/clients.py
+++ b/roadpulley/edges/clients.py
@@ -78,7 +78,7 @@
         self.empty = asyncio.Event()
         self.empty.set()
 
-    def listen(self, host: str, port: int, given: socket.socket | None = None) -> int:
+    async def listen(self, host: str, port: int, given: socket.socket | None = None) -> int:
         """Start to accept; gives the port. A socket that is given is bound; other processes have it too."""
         self.shared = given is not None
         self.listener = given or socket.create_server((host, port), backlog=BACKLOG)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -65,6 +65,15 @@
         await asyncio.sleep(0.002)
 
 
+async def said(process: asyncio.subprocess.Process, *words: bytes) -> None:
+    """Until a line of its log holds all of these."""
+    assert process.stderr is not None
+    line = b""
+    while not all(word in line for word in words):
+        line = await process.stderr.readline()
+        assert line, "it ended"
+
+
 class Peer:
     """One end of a RESP connection."""
 
--- a/tests/operations/test_link.py
+++ b/tests/operations/test_link.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+import tempfile
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -313,13 +314,13 @@
 
 
 @pytest.mark.parametrize("who", ["old", "new", "both"])
-def test_a_stop_at_any_step_of_a_hand_over_loses_no_request(who: str, tmp_path: Path) -> None:
+def test_a_stop_at_any_step_of_a_hand_over_loses_no_request(who: str) -> None:
+    async def one(step: str) -> None:
+        with tempfile.TemporaryDirectory() as folder:  # short: the path of a Unix socket holds some 100 bytes
+            await played(Path(folder), partial(stopped_at, step=step, who=who))
+
     async def steps() -> None:
-        async with asyncio.TaskGroup() as group:
-            for number, step in enumerate(STEPS):
-                folder = tmp_path / str(number)
-                folder.mkdir()
-                group.create_task(played(folder, partial(stopped_at, step=step, who=who)))
+        await asyncio.gather(*map(one, STEPS))
 
     in_loop(steps)
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 import pytest
-from loopback import LOCAL, Backend, Peer, World, host, in_loop, request, until
+from loopback import LOCAL, Backend, Peer, World, host, in_loop, request, said, until
 from test_process import connect, launched
 
 from roadpulley.__main__ import BACKEND_SHARE, CLIENT_SHARE, descriptors
@@ -125,15 +125,6 @@
     in_loop(scenario)
 
 
-async def said(process: asyncio.subprocess.Process, *words: bytes) -> None:
-    """Until a line of its log holds all of these."""
-    assert process.stderr is not None
-    line = b""
-    while not all(word in line for word in words):
-        line = await process.stderr.readline()
-        assert line, "it ended"
-
-
 def test_shares_are_of_what_may_be_held_and_leave_a_part_for_the_rest(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -7,14 +7,15 @@
 import os
 import signal
 import socket
+import subprocess
 import sys
 import tomllib
 from pathlib import Path
 from typing import Any
 
 import pytest
-from loopback import LOCAL, SETTINGS, Backend, Reply, World, encode, in_loop, request, until
-from test_process import ROOT, Held, connect, launched
+from loopback import LOCAL, SETTINGS, Backend, Reply, World, encode, in_loop, request, said, until
+from test_process import ROOT, Held, connect, launched, start
 
 SHORT = {  # of classes: the drain is over after 0.45 s, and the process after 0.7 s and a little
     **SETTINGS,
@@ -130,6 +131,62 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize("key", ["listen", "admin"])
+@pytest.mark.parametrize("stops", [False, True])
+def test_an_address_that_the_process_before_holds_a_moment_longer_is_waited_for(
+    key: str, stops: bool, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        world = World(Backend())
+        with socket.create_server((LOCAL, 0)) as before, socket.create_server((LOCAL, 0)) as free:
+            held = before.getsockname()[1]
+            other = "admin" if key == "listen" else "listen"
+            free_port = free.getsockname()[1]
+            free.close()
+            addresses = {key: f"{LOCAL}:{held}", other: f"{LOCAL}:{free_port}"}
+            config = tmp_path / "config.json"
+            for server in (*world.backends, world.counter, world.discovery):
+                await server.start()
+            config.write_text(json.dumps({**world.config(), **addresses}))
+            process = await start(config)
+            assert process.stderr is not None
+            try:
+                await said(process, b"%b is held by another process" % key.encode())
+                if stops:
+                    process.send_signal(signal.SIGTERM)
+                else:
+                    before.close()
+                    await said(process, b"serves at")
+                    process.send_signal(signal.SIGTERM)
+                assert await process.wait() == 0
+            finally:
+                if process.returncode is None:
+                    process.kill()
+                await process.wait()
+                for server in (*world.backends, world.counter, world.discovery):
+                    await server.stop()
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("key", ["listen", "admin"])
+def test_an_address_of_another_machine_is_named_in_one_line(key: str, tmp_path: Path) -> None:
+    world = World()
+    config = tmp_path / "config.json"
+    config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:0", key: "192.0.2.1:7000"}))
+    run = subprocess.run(
+        [sys.executable, "-m", "roadpulley"],
+        cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(config)},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert run.returncode == 2 and "Traceback" not in run.stderr
+    assert f"bad configuration: {key} is 192.0.2.1:7000, where nobody can listen" in run.stderr
+    assert run.stderr.rstrip().endswith("give a free address of this machine")
+
+
 @pytest.mark.parametrize("signals", [[signal.SIGTERM] * 2, [signal.SIGHUP, signal.SIGTERM, signal.SIGHUP]])
 def test_signals_that_cross_end_it_once(tmp_path: Path, signals: list[signal.Signals]) -> None:
     async def scenario() -> None:
