--- a/roadpulley/core/discovery.py
+++ b/roadpulley/core/discovery.py
@@ -26,7 +26,7 @@
 LONGEST_OBJECT = 16 * 1024 * 1024
 # Before a call is given up for its time: what has come meanwhile is read first, also by a loop that was late.
 READ_FIRST_S = 0.002
-FIRST_LINE_S = 0.02  # from the head until the first line, which comes with it
+FIRST_LINE_S = 0.02  # from the head until the first line, which comes or begins to come with it
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 STATES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
 
@@ -87,6 +87,11 @@
         self.rest = b""  # of a line that is not
         self.depth = self.size = 0
 
+    @property
+    def begun(self) -> bool:
+        """Whether an object, or an empty line, has come in part."""
+        return bool(self.lines or self.rest)
+
     def feed(self, data: bytes, last: bool = False) -> list[bytes]:
         """Objects that are whole now, and b"" for each empty line between. Raises DiscoveryError.
 
@@ -223,7 +228,12 @@
     def on_head(self, number: int) -> None:
         self.watch.on_head(now_ms(), number)
         self.arm()
-        asyncio.get_running_loop().call_later(FIRST_LINE_S, self.told.set)
+        asyncio.get_running_loop().call_later(FIRST_LINE_S, self.on_no_line)
+
+    def on_no_line(self) -> None:
+        # Danger: where the first line comes in pieces, what it tells counts already. It is waited for.
+        if self.open is None or not self.open.objects.begun:
+            self.told.set()
 
     def on_line(self, number: int, text: bytes) -> None:
         if not self.watch.on_line(now_ms(), number):
--- a/tests/core/test_watch.py
+++ b/tests/core/test_watch.py
@@ -20,6 +20,7 @@
 from mintford.interface import ListScope
 from roadpulley.core import discovery as module
 from roadpulley.core import watch as pure
+from roadpulley.core.clock import now_ms
 from roadpulley.core.discovery import DiscoveryError, Member, Objects
 from roadpulley.core.watch import ANSWER_MS, BACKOFF_MS, SILENT_MS, TOLD_MS, Leave, Open, State, Watch
 
@@ -422,6 +423,26 @@
     followed(scenario)
 
 
+@pytest.mark.parametrize("begun", [False, True])
+def test_a_first_line_that_comes_in_pieces_is_waited_for_at_the_start(begun: bool) -> None:
+    """What it tells counts from the first moment on; an agent with nothing to tell may send a head only."""
+
+    async def scenario(agent: Scripted, client: module.Discovery) -> None:
+        call, line = await agent.called(1), chunk(change(42, 1))
+        call.say(CHUNKED + (line[:40] if begun else b""))
+        await until(lambda: client.watch.state is State.FOLLOWING)
+        headed = now_ms()
+        if not begun:
+            await client.told.wait()
+        await until(lambda: now_ms() > headed + 2_000 * module.FIRST_LINE_S)
+        assert client.told.is_set() != begun
+        call.say(line[40:] if begun else line)
+        await client.told.wait()
+        await until(lambda: agent.heard)
+
+    followed(scenario)
+
+
 def test_nothing_of_the_old_address_is_acted_on_after_a_move() -> None:
     """The old watch's last line lies in the kernel as the configuration is read again."""
 
