--- a/tests/operations/test_inherited.py
+++ b/tests/operations/test_inherited.py
@@ -32,6 +32,7 @@
     return process
 
 
+@pytest.mark.alone
 def test_a_new_process_takes_over_and_every_request_is_answered(tmp_path: Path) -> None:
     async def scenario() -> None:
         backend = Backend()
