--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -10,6 +10,8 @@
 import subprocess
 import sys
 import tomllib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
@@ -88,45 +90,60 @@
     in_loop(scenario)
 
 
+async def deployed(config: Path) -> asyncio.subprocess.Process:
+    """Started as `deploy/balancer.toml` says."""
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    assert ".venv/bin/python" in run
+    return await asyncio.create_subprocess_exec(
+        "/bin/sh",
+        "-c",
+        run.replace(".venv/bin/python", sys.executable),
+        cwd=ROOT,
+        env={**os.environ, "LB_CONFIG": str(config)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+@asynccontextmanager
+async def started(
+    folder: Path, how: Callable[[Path], Awaitable[asyncio.subprocess.Process]], **addresses: str
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, asyncio.StreamReader]]:
+    """The program as a process that may not serve yet, and its log."""
+    world = World(Backend())
+    servers = [*world.backends, world.counter, world.discovery]
+    for server in servers:
+        await server.start()
+    config = folder / "config.json"
+    config.write_text(json.dumps({**world.config(), **addresses}))
+    process = await how(config)
+    assert process.stderr is not None
+    try:
+        yield process, process.stderr
+    finally:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+        for server in servers:
+            await server.stop()
+
+
 def test_a_new_configuration_that_is_told_while_it_starts_does_not_end_it(tmp_path: Path) -> None:
     """SIGHUP from the first moment of the program on, again and again until it serves."""
 
     async def scenario() -> None:
-        world = World(Backend())
-        for server in (*world.backends, world.counter, world.discovery):
-            await server.start()
-        config = tmp_path / "config.json"
-        config.write_text(json.dumps(world.config()))
-        deployed = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
-        assert ".venv/bin/python" in deployed
-        process = await asyncio.create_subprocess_exec(
-            "/bin/sh",
-            "-c",
-            deployed.replace(".venv/bin/python", sys.executable),
-            cwd=ROOT,
-            env={**os.environ, "LB_CONFIG": str(config)},
-            stderr=asyncio.subprocess.PIPE,
-        )
-        assert process.stderr is not None
-        image = Path(f"/proc/{process.pid}/comm")
-        try:
+        async with started(tmp_path, deployed) as (process, log):
+            image = Path(f"/proc/{process.pid}/comm")
             await until(lambda: process.returncode is not None or image.read_text().startswith("python"))
-            said = asyncio.create_task(process.stderr.readline())
-            while b"serves at" not in (line := said.result() if said.done() else b""):
-                if said.done():
-                    assert line, "it ended"
-                    said = asyncio.create_task(process.stderr.readline())
+            line = asyncio.create_task(log.readline())
+            while not line.done() or b"serves at" not in line.result():
+                if line.done():
+                    assert line.result(), "it ended"
+                    line = asyncio.create_task(log.readline())
                 assert process.returncode is None, f"it ended with {process.returncode}"
                 process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(0.001)
             process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-            for server in (*world.backends, world.counter, world.discovery):
-                await server.stop()
 
     in_loop(scenario)
 
@@ -137,34 +154,17 @@
     key: str, stops: bool, tmp_path: Path
 ) -> None:
     async def scenario() -> None:
-        world = World(Backend())
         with socket.create_server((LOCAL, 0)) as before, socket.create_server((LOCAL, 0)) as free:
-            held = before.getsockname()[1]
             other = "admin" if key == "listen" else "listen"
-            free_port = free.getsockname()[1]
+            addresses = {key: f"{LOCAL}:{before.getsockname()[1]}", other: f"{LOCAL}:{free.getsockname()[1]}"}
             free.close()
-            addresses = {key: f"{LOCAL}:{held}", other: f"{LOCAL}:{free_port}"}
-            config = tmp_path / "config.json"
-            for server in (*world.backends, world.counter, world.discovery):
-                await server.start()
-            config.write_text(json.dumps({**world.config(), **addresses}))
-            process = await start(config)
-            assert process.stderr is not None
-            try:
+            async with started(tmp_path, start, **addresses) as (process, _):
                 await said(process, b"%b is held by another process" % key.encode())
-                if stops:
-                    process.send_signal(signal.SIGTERM)
-                else:
+                if not stops:
                     before.close()
                     await said(process, b"serves at")
-                    process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGTERM)
                 assert await process.wait() == 0
-            finally:
-                if process.returncode is None:
-                    process.kill()
-                await process.wait()
-                for server in (*world.backends, world.counter, world.discovery):
-                    await server.stop()
 
     in_loop(scenario)
 
