--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -142,6 +142,8 @@
                 assert process.returncode is None, f"it ended with {process.returncode}"
                 process.send_signal(signal.SIGHUP)
                 await asyncio.sleep(0.001)
+            process.send_signal(signal.SIGHUP)
+            await said(process, b"reloaded")  # from now on it is heard
             process.send_signal(signal.SIGTERM)
             assert await process.wait() == 0
 
