--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -8,7 +8,7 @@
 import signal
 import socket
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -34,6 +34,7 @@
 from roadpulley.core.settings import ConfigError, parse_config
 
 ROOT = Path(__file__).parents[1]
+Start = Callable[[Path], Awaitable[asyncio.subprocess.Process]]
 
 
 async def start(config: Path) -> asyncio.subprocess.Process:
@@ -56,20 +57,18 @@
 
 
 @asynccontextmanager
-async def launched(
-    world: World, folder: Path, *others: Server
-) -> AsyncIterator[tuple[asyncio.subprocess.Process, Path, int]]:
-    """The program as a process in a world; gives its configuration and port too."""
+async def started(
+    world: World, folder: Path, *others: Server, how: Start = start, **addresses: str
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, Path]]:
+    """The program as a process in a world, which may not serve yet; gives its configuration too."""
     servers = [*world.backends, world.counter, world.discovery, *others]
     for server in servers:
         await server.start()
-    with socket.create_server((LOCAL, 0)) as free:
-        port = free.getsockname()[1]
     config = folder / "config.json"
-    config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
-    process = await start(config)
+    config.write_text(json.dumps({**world.config(), **addresses}))
+    process = await how(config)
     try:
-        yield process, config, port
+        yield process, config
     finally:
         if process.returncode is None:
             process.kill()
@@ -78,6 +77,17 @@
             await server.stop()
 
 
+@asynccontextmanager
+async def launched(
+    world: World, folder: Path, *others: Server
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, Path, int]]:
+    """The same at a port that is given too."""
+    with socket.create_server((LOCAL, 0)) as free:
+        port = free.getsockname()[1]
+    async with started(world, folder, *others, listen=f"{LOCAL}:{port}") as (process, config):
+        yield process, config, port
+
+
 class Held:
     """A backend's script that answers once it may."""
 
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -10,14 +10,12 @@
 import subprocess
 import sys
 import tomllib
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
 
 import pytest
 from loopback import LOCAL, SETTINGS, Backend, Reply, World, encode, in_loop, request, said, until
-from test_process import ROOT, Held, connect, launched, start
+from test_process import ROOT, Held, connect, launched, started
 
 SHORT = {  # of classes: the drain is over after 0.45 s, and the process after 0.7 s and a little
     **SETTINGS,
@@ -104,34 +102,13 @@
     )
 
 
-@asynccontextmanager
-async def started(
-    folder: Path, how: Callable[[Path], Awaitable[asyncio.subprocess.Process]], **addresses: str
-) -> AsyncIterator[tuple[asyncio.subprocess.Process, asyncio.StreamReader]]:
-    """The program as a process that may not serve yet, and its log."""
-    world = World(Backend())
-    servers = [*world.backends, world.counter, world.discovery]
-    for server in servers:
-        await server.start()
-    config = folder / "config.json"
-    config.write_text(json.dumps({**world.config(), **addresses}))
-    process = await how(config)
-    assert process.stderr is not None
-    try:
-        yield process, process.stderr
-    finally:
-        if process.returncode is None:
-            process.kill()
-        await process.wait()
-        for server in servers:
-            await server.stop()
-
-
 def test_a_new_configuration_that_is_told_while_it_starts_does_not_end_it(tmp_path: Path) -> None:
     """SIGHUP from the first moment of the program on, again and again until it serves."""
 
     async def scenario() -> None:
-        async with started(tmp_path, deployed) as (process, log):
+        async with started(World(Backend()), tmp_path, how=deployed) as (process, _):
+            log = process.stderr
+            assert log is not None
             image = Path(f"/proc/{process.pid}/comm")
             await until(lambda: process.returncode is not None or image.read_text().startswith("python"))
             line = asyncio.create_task(log.readline())
@@ -160,7 +137,7 @@
             other = "admin" if key == "listen" else "listen"
             addresses = {key: f"{LOCAL}:{before.getsockname()[1]}", other: f"{LOCAL}:{free.getsockname()[1]}"}
             free.close()
-            async with started(tmp_path, start, **addresses) as (process, _):
+            async with started(World(Backend()), tmp_path, **addresses) as (process, _):
                 await said(process, b"%b is held by another process" % key.encode())
                 if not stops:
                     before.close()
