--- a/tests/edges/test_closes.py
+++ b/tests/edges/test_closes.py
@@ -191,45 +191,38 @@
     played(scenario)
 
 
-@pytest.mark.parametrize("crosses", [False, True])
-def test_a_connection_that_never_asked_ends_without_a_word(
-    crosses: bool, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """An error would be read as the answer to the first request, if that is under way just then."""
-    monkeypatch.setattr(connection, "WHOLE_MS", 50.0)
-    monkeypatch.setattr(clients, "SWEEP_MS", 60_000.0)  # the check is the test's
-
-    async def scenario(world: World, server: ClientServer) -> None:
-        client = Raw(world.port)
-        await until(lambda: server.connections)
-        (one,) = server.connections
-        await until(lambda: now_ms() > one.used_at + connection.WHOLE_MS)
-        if crosses:
-            client.write(encode(*request()))
-        one.check(now_ms())
-        assert one.state == (connection.OPEN if crosses else connection.LINGERING)
-        if crosses:
-            assert await client.take(len(VALUE)) == VALUE
-        else:
-            assert await client.rest() == b"" and not client.reset
-
-    played(scenario)
+WHOLE = encode(*request())
 
 
-def test_a_command_whose_rest_lies_unread_at_its_time_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The loop was late: its timers are due before it has read what came meanwhile."""
+@pytest.mark.parametrize(
+    ("before", "unread", "answer"),
+    [
+        # An error would be read as the answer to the first request, if that is under way just then.
+        pytest.param(b"", b"", b"", id="never asked"),
+        pytest.param(b"", WHOLE, VALUE, id="a request crosses"),
+        # The loop was late: its timers are due before it has read what came meanwhile.
+        pytest.param(WHOLE[:20], WHOLE[20:], VALUE, id="the rest lies unread"),
+        pytest.param(WHOLE[:20], b"", b"-ERR protocol error\r\n", id="half a command"),
+    ],
+)
+def test_what_is_told_at_the_time_of_a_command(
+    before: bytes, unread: bytes, answer: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(connection, "WHOLE_MS", 50.0)
     monkeypatch.setattr(clients, "SWEEP_MS", 60_000.0)  # the check is the test's
 
     async def scenario(world: World, server: ClientServer) -> None:
-        client, command = Raw(world.port), encode(*request())
-        client.write(command[:20])
-        await until(lambda: any(c.reader.held for c in server.connections))
+        client = Raw(world.port)
+        client.write(before)
+        await until(lambda: [c for c in server.connections if bool(c.reader.held) == bool(before)])
         (one,) = server.connections
         await until(lambda: one.overdue(now_ms()))
-        client.write(command[20:])
+        client.write(unread)
         one.check(now_ms())
-        assert await client.take(len(VALUE)) == VALUE
+        stays = answer == VALUE
+        assert one.state == (connection.OPEN if stays else connection.LINGERING)
+        assert await (client.take(len(VALUE)) if stays else client.rest()) == answer
+        assert not client.reset
 
     played(scenario)
 
