--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,11 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Generator
 
 import pytest
 from hypothesis import settings
-from known_red import COLLECTED, LIST, read
+from known_red import COLLECTED, ENTRIES, LIST_PATH, apply_entries, parse_list, summary_lines
 
 settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
 settings.load_profile("repeatable")
@@ -16,17 +17,18 @@
     monkeypatch.setattr("roadpulley.__main__.drain_times", lambda settings: (0.01, 3.4))
 
 
+def pytest_configure(config: pytest.Config) -> None:
+    config.stash[ENTRIES] = parse_list(LIST_PATH.read_text()) if LIST_PATH.exists() else []
+
+
 @pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
-    """Mark what needs the cores for itself, and what is known to fail.
+    """Mark what needs the cores for itself.
 
     Where compiled code is expected, skip what reaches inside it.
     """
     config.stash[COLLECTED] = {item.nodeid for item in items}
-    red = {entry.test: entry for entry in (read(LIST.read_text()) if LIST.exists() else ())}
     for item in items:
-        if entry := red.get(item.nodeid):  # it runs, and its end is printed below
-            item.add_marker(pytest.mark.xfail(reason=f"{entry.cause}, {entry.issue}", strict=False))
         if "workers" in item.path.parts:  # a stalled machine breaks what several processes owe each other
             item.add_marker(pytest.mark.alone)
     if os.environ.get("ROADPULLEY_EXPECT") != "compiled":
@@ -41,8 +43,22 @@
             item.add_marker(pytest.mark.skip(reason="replaces parts that are fixed where compiled"))
 
 
-def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
-    for how, word in (("xfailed", "failed"), ("xpassed", "passed")):
-        for report in terminalreporter.stats.get(how, []):
-            reason = report.wasxfail.removeprefix("reason: ")
-            terminalreporter.line(f"known red: {report.nodeid} {word}: {reason}")
+@pytest.hookimpl(wrapper=True)
+def pytest_runtest_makereport(
+    item: pytest.Item, call: pytest.CallInfo[None]
+) -> Generator[None, pytest.TestReport, pytest.TestReport]:
+    """Pass over the expected failures of listed tests; with --runxfail, over none."""
+    report = yield
+    if not item.config.option.runxfail:
+        failure = f"{call.excinfo.typename}: {call.excinfo.value}" if call.excinfo else ""
+        apply_entries(report, item.config.stash[ENTRIES], failure)
+    return report
+
+
+def pytest_terminal_summary(
+    terminalreporter: pytest.TerminalReporter, exitstatus: int, config: pytest.Config
+) -> None:
+    stats = terminalreporter.stats
+    reports = [*stats.get("xfailed", []), *stats.get("xpassed", [])]
+    for line in summary_lines(reports, config.stash[ENTRIES]):
+        terminalreporter.line(line)
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,62 +1,115 @@
-"""The list of known failures is short, names real tests, and lets nothing else pass."""
+"""The list of known failures names real tests and their expected failures, and lets nothing else pass."""
 
 from __future__ import annotations
 
 import pytest
-from known_red import COLLECTED, LIST, BadList, Entry, read, unmatched
+from known_red import COLLECTED, LIST_PATH, Entry, KnownRedError, find_missing_tests, parse_list
 
 pytest_plugins = ["pytester"]
-GOOD = "tests/a/test_b.py::test_c | the cause | issue 7"
+COMMAND = "pytest tests/a/test_b.py"
+GOOD = f"test tests/a/test_b.py::test_c | {COMMAND} | late by \\d+ ms | issue 7"
+CASE = "case a long soak | roadpulley soak --seed 3 --for 600 | two requests lost | issue 7"
 
 
 def test_the_list_as_it_stands(request: pytest.FixtureRequest) -> None:
-    entries = read(LIST.read_text())
-    root = LIST.parent
-    assert not [e.test for e in entries if not (root / e.test.partition("::")[0]).is_file()]
-    assert not unmatched(entries, request.config.stash[COLLECTED])
+    entries = parse_list(LIST_PATH.read_text())
+    root = LIST_PATH.parent
+    assert not [e.name for e in entries if e.is_test and not (root / e.file).is_file()]
+    assert not find_missing_tests(entries, request.config.stash[COLLECTED])
 
 
-def test_an_entry_is_a_test_a_cause_and_an_issue() -> None:
-    assert read("# what this is\n\n" + GOOD) == [Entry("tests/a/test_b.py::test_c", "the cause", "issue 7")]
+def test_an_entry_is_a_test_or_case_a_command_a_failure_and_an_issue() -> None:
+    test = Entry("tests/a/test_b.py::test_c", COMMAND, r"late by \d+ ms", "issue 7")
+    case = Entry(
+        "a long soak", "roadpulley soak --seed 3 --for 600", "two requests lost", "issue 7", is_test=False
+    )
+    assert parse_list("# what this is\n\n" + GOOD + "\n" + CASE) == [test, case]
+
+
+def test_one_test_may_be_listed_for_several_faults() -> None:
+    other = GOOD.replace("late by", "lost after")
+    assert len(parse_list(GOOD + "\n" + other)) == 2
 
 
 @pytest.mark.parametrize(
     "text",
     [
-        "tests/a/test_b.py::test_c",
-        "tests/a/test_b.py::test_c | the cause",
-        "tests/a/test_b.py::test_c | | issue 7",
-        "tests/a/test_b.py::test_c | the cause | ",
-        "tests/a/test_b.py::test_c | the cause | some day",
-        "tests/a/test_b.py | the cause | issue 7",
-        "* | the cause | issue 7",
+        "test tests/a/test_b.py::test_c",
+        f"test tests/a/test_b.py::test_c | {COMMAND} | late",
+        f"test tests/a/test_b.py::test_c | {COMMAND} |  | issue 7",
+        "test tests/a/test_b.py::test_c |  | late | issue 7",
+        "test tests/a/test_b.py::test_c | pytest tests/a/test_z.py | late | issue 7",
+        f"test tests/a/test_b.py::test_c | {COMMAND} | late | ",
+        f"test tests/a/test_b.py::test_c | {COMMAND} | late | some day",
+        f"test tests/a/test_b.py | {COMMAND} | late | issue 7",
+        f"test * | {COMMAND} | late | issue 7",
+        f"tests/a/test_b.py::test_c | {COMMAND} | late | issue 7",
+        GOOD.replace(r"late by \d+ ms", "late ("),
+        GOOD.replace(r"late by \d+ ms", ".*"),
         GOOD + "\n" + GOOD,
-        "\n".join(GOOD.replace("test_c", f"test_{n}") for n in range(4)),
+        "case a long soak |  | two requests lost | issue 7",
+        "case | roadpulley soak --seed 3 | two requests lost | issue 7",
     ],
 )
 def test_anything_else_is_refused(text: str) -> None:
-    with pytest.raises(BadList):
-        read(text)
+    with pytest.raises(KnownRedError):
+        parse_list(text)
 
 
 def test_an_entry_that_is_no_test_is_found_where_its_file_is_collected() -> None:
-    entries = read(GOOD)
-    assert unmatched(entries, {"tests/a/test_b.py::test_d"}) == ["tests/a/test_b.py::test_c"]
-    assert unmatched(entries, {"tests/a/test_b.py::test_c"}) == []
-    assert unmatched(entries, {"tests/a/test_z.py::test_z"}) == []
+    entries = parse_list(GOOD + "\n" + CASE)
+    assert find_missing_tests(entries, {"tests/a/test_b.py::test_d"}) == ["tests/a/test_b.py::test_c"]
+    assert find_missing_tests(entries, {"tests/a/test_b.py::test_c"}) == []
+    assert find_missing_tests(entries, {"tests/a/test_z.py::test_z"}) == []
+
+
+LISTED = """
+test tests/test_x.py::test_expected | pytest tests/test_x.py | late by \\d+ ms | issue 7
+test tests/test_x.py::test_another_failure | pytest tests/test_x.py | late by \\d+ ms | issue 7
+test tests/test_x.py::test_passes | pytest tests/test_x.py | late by \\d+ ms | issue 8
+test tests/test_x.py::test_skipped | pytest tests/test_x.py | late by \\d+ ms | issue 7
+case a long soak | roadpulley soak --seed 3 | two requests lost | issue 9
+"""
+TESTS = """
+import pytest
+
+def test_expected():
+    assert False, "late by 30 ms"
 
+def test_another_failure():
+    assert False, "an effect happened twice"
 
-def test_what_is_listed_runs_and_is_printed_and_what_is_not_still_fails(pytester: pytest.Pytester) -> None:
-    root = LIST.parent
+def test_passes():
+    pass
+
+def test_skipped():
+    pytest.skip("not here")
+
+def test_not_listed():
+    assert False, "late by 30 ms"
+"""
+
+
+@pytest.mark.parametrize("workers", [(), ("-n", "1")], ids=["one process", "xdist"])
+def test_only_the_expected_failure_of_a_listed_test_is_passed_over(
+    pytester: pytest.Pytester, workers: tuple[str, ...]
+) -> None:
+    root = LIST_PATH.parent
+    (pytester.path / "tests").mkdir()
     for name in ("known_red.py", "conftest.py"):
-        text = (root / "tests" / name).read_text()
-        (pytester.path / "tests").mkdir(exist_ok=True)
-        (pytester.path / "tests" / name).write_text(text)
-    (pytester.path / "KNOWN-RED.txt").write_text("tests/test_x.py::test_red | a cause | issue 7\n")
-    (pytester.path / "tests/test_x.py").write_text(
-        "def test_red():\n    assert False\n\ndef test_other():\n    assert False\n"
-    )
+        (pytester.path / "tests" / name).write_text((root / "tests" / name).read_text())
+    (pytester.path / "KNOWN-RED.txt").write_text(LISTED)
+    (pytester.path / "tests/test_x.py").write_text(TESTS)
     (pytester.path / "pytest.ini").write_text("[pytest]\npythonpath = tests\nmarkers = patches_inside: x\n")
-    result = pytester.runpytest_subprocess("-p", "no:cacheprovider", "tests")
-    result.assert_outcomes(failed=1, xfailed=1)
-    result.stdout.fnmatch_lines(["*known red: tests/test_x.py::test_red failed: a cause, issue 7*"])
+    result = pytester.runpytest_subprocess("-p", "no:cacheprovider", *workers, "tests")
+    result.assert_outcomes(failed=3, xfailed=1, xpassed=1)
+    result.stdout.fnmatch_lines_random(
+        [
+            "known red: tests/test_x.py::test_expected failed as listed (issue 7): *late by 30 ms*",
+            "known red: tests/test_x.py::test_passes passed this time (issue 8)",
+            "known red: case a long soak not run (issue 9): roadpulley soak --seed 3",
+            "FAILED tests/test_x.py::test_another_failure*",
+            "FAILED tests/test_x.py::test_skipped*",
+            "FAILED tests/test_x.py::test_not_listed*",
+        ]
+    )
