Auditor: windows and ceilings count by when a gateway sent, not when a link delivered

WIRE counts the window from send to send, the auditor counted from receipt to receipt. A late first byte and another clock are ruled out by the same trace.

Mend: the testbed's links record when bytes were handed to them, and the auditor judges by that. It is stricter too: sends too far apart are a breach also where a link delivers them together. Ceilings had the same fault.

--- a/roadpulley/testbed/ledger.py
+++ b/roadpulley/testbed/ledger.py
@@ -59,6 +59,7 @@
     capacity: float = 0.0  # of the node when the last byte came, in cores
     cold: bool = False
     cost: float = 0.0  # the true units, where its answer settled a guess
+    departed_at: float | None = None  # its gateway had written the last byte; None: no link told
 
 
 @dataclass(slots=True)
--- a/roadpulley/testbed/node.py
+++ b/roadpulley/testbed/node.py
@@ -7,7 +7,7 @@
 import re
 from collections import deque
 from dataclasses import dataclass, field
-from typing import cast
+from typing import NamedTuple, cast
 
 from roadpulley.core.clock import now_ms
 from roadpulley.core.resp import CommandReader, Malformed
@@ -40,6 +40,13 @@
     fails: bool = False
 
 
+class Receipt(NamedTuple):
+    """When a command came: its first byte here, and its last one from the gateway, if a link told."""
+
+    first_at: float
+    departed_at: float | None
+
+
 @dataclass
 class Asked:
     """What a command says."""
@@ -91,12 +98,13 @@
         self.node = node
         self.reader = CommandReader()
         self.turns: deque[Turn] = deque()  # begun, in the order of the commands
-        self.behind: deque[tuple[list[bytes], float]] = deque()  # commands past `streams`
+        self.behind: deque[tuple[list[bytes], Receipt]] = deque()  # commands past `streams`
         self.first_at: float | None = None  # the first byte of the command that is not whole
         self.fresh = True
         self.gateway = ""
         self.peer = 0
         self.used_at = now_ms()
+        self.received = 0  # bytes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -114,13 +122,15 @@
         if self.first_at is None:
             self.first_at = now
         self.reader.feed(data)
+        self.received += len(data)
         try:
             while (args := self.reader.next()) is not None:
                 first, self.first_at = self.first_at or now, None
+                receipt = Receipt(first, self.departed_at())
                 if len(self.turns) < self.node.kind.streams and not self.behind:
-                    self.node.command(self, args, first, now)
+                    self.node.command(self, args, receipt, now)
                 else:
-                    self.behind.append((args, first))
+                    self.behind.append((args, receipt))
         except Malformed as error:
             self.node.odd(self, str(error))
             self.transport.write(SYNTAX)
@@ -128,6 +138,13 @@
         if self.reader.held and self.first_at is None:
             self.first_at = now
 
+    def departed_at(self) -> float | None:
+        """When the gateway had written the last byte of the command that has just been read."""
+        departures = self.node.origins.departures.get(self.peer)
+        if departures is None:
+            return None
+        return departures.departed_at(self.received - self.reader.held)
+
     def pump(self) -> None:
         """Write what is due, in the order of the commands."""
         now = now_ms()
@@ -138,8 +155,8 @@
             self.transport.write(turn.reply or b"")
             self.used_at = now
         while self.behind and len(self.turns) < self.node.kind.streams:
-            args, first = self.behind.popleft()
-            self.node.command(self, args, first, now)
+            args, receipt = self.behind.popleft()
+            self.node.command(self, args, receipt, now)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.node.connections.discard(self)
@@ -233,7 +250,7 @@
 
     # ---- commands ----
 
-    def command(self, connection: Connection, args: list[bytes], first_at: float, now: float) -> None:
+    def command(self, connection: Connection, args: list[bytes], receipt: Receipt, now: float) -> None:
         turn = Turn(connection, None)
         connection.turns.append(turn)
         verb = args[0].upper()
@@ -247,7 +264,8 @@
         gateway, machine = connection.gateway, self.machine
         turn.attempt = attempt = Attempt(
             self.name, gateway, asked.id, asked.customer, asked.plan, asked.kind, asked.key, asked.units,
-            first_at, now, cold=machine.warmth(now) < 1, capacity=machine.capacity(now),
+            receipt.first_at, now, departed_at=receipt.departed_at,
+            cold=machine.warmth(now) < 1, capacity=machine.capacity(now),
         )  # fmt: skip
         self.ledger.attempts.append(attempt)
         attempt.work = draw_work(self.rng, self.kind)
--- a/roadpulley/testbed/relay.py
+++ b/roadpulley/testbed/relay.py
@@ -16,7 +16,7 @@
 
 from roadpulley.core.clock import now_ms
 
-from .server import LOCAL, Origins, Port
+from .server import LOCAL, Departures, Origins, Port
 
 GARBAGE = b"\x00\xff?!garbage\r\n$-7\r\n"
 DRIP_MS = 20.0  # between the pieces of a drip
@@ -45,10 +45,13 @@
         self.sink: asyncio.Transport | None = None
         self.queue: deque[tuple[float, bytes | None]] = deque()  # None: the end of sending
         self.passed = 0
+        self.departures = Departures()
         self.spoilt = False
         self.timer: asyncio.TimerHandle | None = None
 
     def feed(self, data: bytes | None) -> None:
+        if data is not None:
+            self.departures.record(len(data), now_ms())
         delay = max((t.ms for t in self.troubles("delay")), default=0.0)
         due = now_ms() + delay
         if self.queue:
@@ -152,6 +155,7 @@
         assert side.transport is not None
         self.far_port = side.transport.get_extra_info("sockname")[1]
         self.relay.origins.names[self.far_port] = self.relay.origin
+        self.relay.origins.departures[self.far_port] = self.there.departures
         self.relay.origins.ended.pop(self.far_port, None)  # the port may have been another's
         if self.ended_at is not None:
             self.relay.origins.ended[self.far_port] = self.ended_at
--- a/roadpulley/testbed/server.py
+++ b/roadpulley/testbed/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from typing import Any
 
 LOCAL = "127.0.0.1"
@@ -46,6 +47,24 @@
         return f"{LOCAL}:{self.number}"
 
 
+class Departures:
+    """When the bytes of one direction of a connection were handed to the link, however long it held them."""
+
+    def __init__(self) -> None:
+        self.total = 0  # bytes so far
+        self.marks: deque[tuple[int, float]] = deque()  # total and time, after each piece
+
+    def record(self, count: int, now: float) -> None:
+        self.total += count
+        self.marks.append((self.total, now))
+
+    def departed_at(self, total: int) -> float | None:
+        """When the byte with this number, counted from 1, departed; earlier numbers are not asked again."""
+        while self.marks and self.marks[0][0] < total:
+            self.marks.popleft()
+        return self.marks[0][1] if self.marks else None
+
+
 class Origins:
     """Who is behind a connection that came through a relay: the relay's own port tells.
 
@@ -55,6 +74,7 @@
     def __init__(self) -> None:
         self.names: dict[int, str] = {}
         self.ended: dict[int, float] = {}  # when the gateway's own end of it was closed
+        self.departures: dict[int, Departures] = {}  # of what the gateway has written
 
     def name(self, transport: Any) -> str:
         """The gateway behind a connection; "" for one that came directly."""
--- a/tests/testbed/test_auditor.py
+++ b/tests/testbed/test_auditor.py
@@ -371,3 +371,13 @@
             taken += units
         assert -1e-9 <= bucket.level <= burst
         assert taken <= burst + rate * now / 1000 + 1e-6
+
+
+def test_a_ceiling_counts_sends_by_their_departure_and_not_by_when_a_link_delivers_them() -> None:
+    """What a cut held up arrives at once when it heals; the gateway had sent it at a rate that holds."""
+    for apart_ms, ok in ((100.0, True), (1.0, False)):
+        ledger = good()
+        for number in range(57):
+            _, attempt = put(ledger, f"e{number}", 20_000 + number, plan="enterprise", customer="rich")
+            attempt.departed_at = T0 + 14_000 + number * apart_ms
+        assert (broken(judge(ledger, TERMS)) == set()) == ok
