Supervisor: beats that lie unread no longer have healthy workers killed

What callers saw: all open requests of a gateway lost at once after its supervisor was not run for 3 s. Cause: timers run before pipes are read after a standstill, and the first beat judged all other workers; a beat, start or end that lay unread counted as not sent. A worker that stood still itself was killed as stuck by its first beat. Mend: a worker is killed only if an earlier look, 0.25 s before, found it overdue too, and as stuck by two beats in a row; a hanging one is killed after 3 s as before.

--- a/roadpulley/workers/machine.py
+++ b/roadpulley/workers/machine.py
@@ -8,6 +8,9 @@
     draining  it was told to end and may take `drain_s` for it
     ending    it was killed, and its end has not been heard yet
 
+A worker whose time is up is killed only if it was up at an earlier look too, `confirm_s` before. Danger: a
+supervisor that was not run for some seconds finds every beat overdue, and those that have come lie unread.
+
 A worker that ends uncalled, or is killed because it hangs, is started again after a wait that doubles with
 each time it did not serve for `steady_s`. A replacement takes the workers one by one: the next is drained
 only once the one before serves again, so that no more than one is missing. Danger: without that, a version
@@ -41,6 +44,7 @@
     hang_s: float = 3.0  # without a beat: the process lives and does nothing
     stuck_s: float = 5.0  # a request open for longer than any deadline: the loop turns and answers nobody
     drain_s: float = 4.0  # after SIGTERM: the longest deadline that is waited for, and a second
+    confirm_s: float = 0.25  # between the look that finds a worker overdue and the one that has it killed
     first_wait_s: float = 0.1
     longest_wait_s: float = 30.0
     steady_s: float = 10.0  # having served for this long, a worker's next end starts the waits anew
@@ -88,6 +92,8 @@
     state: State = State.IDLE
     version: int = 0  # of what runs in it
     due: float = 0.0  # idle: when to start; else: when its patience ends
+    suspected_at: float | None = None  # the first look that found it overdue, or nearly so
+    is_stuck: bool = False  # its last beat told of a request that is open for too long
     served_at: float | None = None  # since when it serves
     beat_at: float = 0.0
     oldest: float = 0.0  # age of its oldest open request, seconds
@@ -123,6 +129,7 @@
         slot = self.slots.get(number)
         if slot is not None and slot.state is State.STARTING:
             slot.state, slot.served_at, slot.beat_at, slot.oldest = State.SERVING, now, now, 0.0
+            slot.suspected_at, slot.is_stuck = None, False
             if self.replacing == number:
                 self.replacing = None
         if slot is not None and slot.state is not State.IDLE:
@@ -131,9 +138,14 @@
 
     def beat(self, now: float, number: int, oldest: float) -> list[Action]:
         slot = self.slots.get(number)
+        out: list[Action] = []
         if slot is not None and slot.state is State.SERVING:
-            slot.beat_at, slot.oldest = now, oldest
-        return self.tick(now)
+            slot.beat_at, slot.oldest, slot.suspected_at = now, oldest, None
+            # Danger: a worker that was not run for some seconds beats before it has ended what is overdue.
+            was_stuck, slot.is_stuck = slot.is_stuck, oldest > self.limits.stuck_s
+            if was_stuck and slot.is_stuck:
+                self._kill(slot, f"a request is open for {oldest:.1f} s", out)
+        return out + self.tick(now)
 
     def closed(self, now: float, number: int) -> list[Action]:
         """A worker says that it accepts no more connections."""
@@ -199,10 +211,10 @@
         """When `tick` must be called next; infinity if only an event can change anything."""
         times = [float("inf")]
         for slot in self.slots.values():
-            if slot.state is State.SERVING:
-                times.append(slot.beat_at + self.limits.hang_s)
-            elif slot.state is not State.ENDING:
+            if slot.state is State.IDLE:
                 times.append(slot.due)
+            elif slot.state is not State.ENDING:
+                times.append(self._look_at(slot))
         return min(times)
 
     def wait(self, failures: int) -> float:
@@ -216,16 +228,30 @@
     def _look(self, now: float, slot: Slot, out: list[Action]) -> None:
         if slot.state is State.IDLE and now >= slot.due and not self.stopping:
             slot.state, slot.version = State.STARTING, self.version
-            slot.due = now + self.limits.start_s
+            slot.due, slot.suspected_at = now + self.limits.start_s, None
             out.append(Start(slot.number, slot.version))
-        elif slot.state is State.STARTING and now >= slot.due:
+        elif slot.state is State.STARTING and self._is_overdue(now, slot):
             self._kill(slot, f"it did not serve within {self.limits.start_s:g} s", out)
-        elif slot.state is State.DRAINING and now >= slot.due:
+        elif slot.state is State.DRAINING and self._is_overdue(now, slot):
             self._kill(slot, f"it did not end within {self.limits.drain_s:g} s", out)
-        elif slot.state is State.SERVING and now - slot.beat_at >= self.limits.hang_s:
+        elif slot.state is State.SERVING and self._is_overdue(now, slot):
             self._kill(slot, f"no beat for {now - slot.beat_at:.1f} s", out)
-        elif slot.state is State.SERVING and slot.oldest > self.limits.stuck_s:
-            self._kill(slot, f"a request is open for {slot.oldest:.1f} s", out)
+
+    def _due(self, slot: Slot) -> float:
+        """When the time of a worker is up."""
+        return slot.beat_at + self.limits.hang_s if slot.state is State.SERVING else slot.due
+
+    def _look_at(self, slot: Slot) -> float:
+        """When to look at a worker next: first shortly before its time is up, then when it is."""
+        due, confirm = self._due(slot), self.limits.confirm_s
+        return due - confirm if slot.suspected_at is None else max(due, slot.suspected_at + confirm)
+
+    def _is_overdue(self, now: float, slot: Slot) -> bool:
+        if now < self._look_at(slot):
+            return False
+        if slot.suspected_at is None:
+            slot.suspected_at = now
+        return now >= self._look_at(slot)
 
     def _kill(self, slot: Slot, why: str, out: list[Action]) -> None:
         slot.state = State.ENDING
@@ -243,8 +269,11 @@
             del self.slots[slot.number]
             self.replacing = None if self.replacing == slot.number else self.replacing
         elif slot.state in (State.STARTING, State.SERVING):
-            slot.state, slot.due = State.DRAINING, now + self.limits.drain_s
-            out.append(Drain(slot.number))
+            self._drain(now, slot, out)
+
+    def _drain(self, now: float, slot: Slot, out: list[Action]) -> None:
+        slot.state, slot.due, slot.suspected_at = State.DRAINING, now + self.limits.drain_s, None
+        out.append(Drain(slot.number))
 
     def _replace_next(self, now: float, out: list[Action]) -> None:
         """Drain the next worker of an old version, if all others serve."""
@@ -256,8 +285,7 @@
         old = next((s for s in wanted if s.version != self.version), None)
         if old is not None:
             self.replacing = old.number
-            old.state, old.due = State.DRAINING, now + self.limits.drain_s
-            out.append(Drain(old.number))
+            self._drain(now, old, out)
 
     def _call_off(self) -> None:
         """The others stay what they are; the one that does not start goes on trying, ever more slowly."""
--- a/tests/workers/test_worker_hard_cases.py
+++ b/tests/workers/test_worker_hard_cases.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import signal
 from pathlib import Path
@@ -14,6 +15,7 @@
 from roadpulley.testbed.installation import Installation
 from roadpulley.testbed.ledger import Ended
 from roadpulley.testbed.quotas import uses
+from roadpulley.workers.machine import Limits
 
 pytestmark = pytest.mark.timeout(120)
 
@@ -23,6 +25,24 @@
     return log_of(world).count("serves at port")
 
 
+def test_a_supervisor_that_was_not_run_kills_no_worker() -> None:
+    """What callers saw: every open request lost at once, each time the supervisor was not run for 3 s.
+
+    Its log then said of each worker "is killed: no beat for 3.4 s". All had beaten: the beats lay unread.
+    """
+
+    async def act(world: Installation) -> None:
+        await until(lambda: serves(world) == 3)
+        workers, supervisor = workers_of(world), world.gateways["n0"]
+        supervisor.signal(signal.SIGSTOP)
+        await asyncio.sleep(Limits().hang_s + 0.4)
+        supervisor.signal(signal.SIGCONT)
+        await asyncio.sleep(1.0)  # it judges within the confirmation of 0.25 s
+        assert workers_of(world) == workers and "is killed" not in log_of(world)
+
+    held(play("3", act, seconds=6.0))
+
+
 def test_all_workers_are_replaced_under_four_times_the_load() -> None:
     async def act(world: Installation) -> None:
         await until(lambda: serves(world) == 3)
