Auditor: a time limit is widened by standstills as far as they follow on

Cause: a limit was widened by what stood still before it, and not by the standstill in which an answer that was there lay unread past it. Mend: the limit is the moment by which the time allowed has really passed. The new test fails without it.

--- a/roadpulley/testbed/ledger.py
+++ b/roadpulley/testbed/ledger.py
@@ -153,6 +153,16 @@
                 reached = end
         return total
 
+    def due_at(self, gateway: str, since: float, allowed_ms: float) -> float:
+        """When so much time has passed since then, without what this gateway or the machine stood still.
+
+        What stood still past the time that is allowed counts too: an answer that was there lay unread.
+        """
+        due = since + allowed_ms
+        while (later := since + allowed_ms + self.paused(gateway, since, due)) > due:
+            due = later
+        return due
+
     def disturbed(self, link: str, since: float, until: float) -> bool:
         return any(fault.touches(link, since, until) for fault in self.link_faults)
 
--- a/tests/testbed/test_auditor.py
+++ b/tests/testbed/test_auditor.py
@@ -268,6 +268,21 @@
     assert broken(judge(ledger, TERMS)) == {"answered"}
 
 
+def test_time_stood_still_past_the_limit_counts_as_far_as_it_follows_on() -> None:
+    """What was seen: answers late by 3,740 ms at five gateways at once, as the testbed stood still.
+
+    The limit was widened by what stood still before it, and not by the same standstill beyond it, in which an
+    answer that is there lies unread.
+    """
+    for late_by, ok in ((900, True), (1_001, False)):
+        ledger = good()
+        limit = T0 + 900 + 4_058
+        find(ledger, "r3").answered_at = limit + late_by
+        ledger.pauses.append(Pause(MACHINE, limit - 300, limit + 200))  # widens it by 300, then by 200
+        ledger.pauses.append(Pause(MACHINE, limit + 400, limit + 900))  # and by 500
+        assert broken(judge(ledger, TERMS)) == (set() if ok else {"answered"}), late_by
+
+
 def test_a_hang_of_one_gateway_excuses_that_one_only() -> None:
     for who, expected in (("n1", set()), ("n0", {"answered"})):
         ledger = good()
