--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -61,10 +61,10 @@
         """
 
 
-class Witness(Protocol):
+class AttemptObserver(Protocol):
     """Hears how attempts ended, for others."""
 
-    def saw(self, backend: int, outcome: api.Outcome) -> None:
+    def record(self, backend: int, outcome: api.Outcome) -> None:
         """The module decides by `AttemptEnded`; this is told beside it."""
 
 
@@ -120,7 +120,7 @@
         self.busy = False
         self.meter: Meter | None = None  # counts what is sent on
         self.rights: Rights | None = None  # where gateways of a fleet have them
-        self.witness: Witness | None = None  # where they tell each other what they find
+        self.attempt_observer: AttemptObserver | None = None  # where they tell each other what they find
         self.look_due, self.behind = math.inf, 0.0  # the next look at the lag; that of the last one
         self.strained = self.lagging = False  # the module turns some away at the door; it was told of a lag
         self.hand_over: Callable[[api.Estate], object] = lambda _: None  # to this gateway's other process
@@ -289,8 +289,8 @@
         if finished:
             self.settle(owner)
         lag = now_ms() - sent_at
-        if self.witness is not None:
-            self.witness.saw(attempt.backend, outcome)
+        if self.attempt_observer is not None:
+            self.attempt_observer.record(attempt.backend, outcome)
         cost = read_cost(attempt.use) if attempt.use and self.settings.offers.settles else 0.0
         if cost > 0 and outcome is api.Outcome.OK and owner.counted is not None and self.meter is not None:
             # As the module charges it: what one request can count, and once.
--- a/roadpulley/fleet/agent.py
+++ b/roadpulley/fleet/agent.py
@@ -43,8 +43,8 @@
 from .rights.work import DUTY as RIGHTS
 from .settings import DutySettings, FleetSettings, named
 from .settings import address as checked
+from .verdicts.messages import HealthReportBatch, ObservationBatch
 from .verdicts.service import Verdicts
-from .verdicts.terms import Claims, Saw
 
 log = structlog.get_logger("roadpulley.fleet")
 
@@ -76,7 +76,7 @@
     | ForRights
     | ForCounts
     | ForOrders
-    | Claims
+    | HealthReportBatch
 )
 DECODER: msgspec.msgpack.Decoder[Body] = msgspec.msgpack.Decoder(Body)
 MEMBERS = (Ping, PingFor, Ack, Nack, PageAsk, Page)
@@ -326,7 +326,7 @@
         elif isinstance(body, ForOrders):
             if self.orders is not None:
                 self.orders.heard((address, who.boot), who.name, body)
-        elif isinstance(body, Claims):
+        elif isinstance(body, HealthReportBatch):
             if self.verdicts is not None:
                 self.verdicts.heard(who, body)
         elif isinstance(body, Offer):
@@ -365,7 +365,7 @@
         if isinstance(body, Add):
             if self.counting is not None:
                 self.counting.asked(body)
-        elif isinstance(body, Saw):
+        elif isinstance(body, ObservationBatch):
             if self.verdicts is not None:
                 self.verdicts.beside_said(body)
         elif isinstance(body, Poll):
--- a/roadpulley/fleet/beside.py
+++ b/roadpulley/fleet/beside.py
@@ -18,11 +18,11 @@
 from .orders.terms import Poll
 from .place import Datagrams, Place
 from .rights.terms import FromHolder
-from .verdicts.terms import Saw
+from .verdicts.messages import ObservationBatch
 
 MOST_HOLDERS = 1_024  # processes beside this instance; those heard least lately go
 
-Said: TypeAlias = FromHolder | Add | Poll | Saw
+Said: TypeAlias = FromHolder | Add | Poll | ObservationBatch
 DECODER: msgspec.msgpack.Decoder[Said] = msgspec.msgpack.Decoder(Said)
 ENCODER = msgspec.msgpack.Encoder()
 
--- a/roadpulley/fleet/line.py
+++ b/roadpulley/fleet/line.py
@@ -17,12 +17,12 @@
 from .orders.terms import Sheet, Standing
 from .place import Datagrams, Place
 from .rights.terms import Hello, ToHolder
-from .verdicts.terms import Told
+from .verdicts.messages import VerdictSnapshot
 
 HELLO_S = 0.5
 NUMBER_BITS = 53
 
-Heard: TypeAlias = ToHolder | Added | Standing | Sheet | Told
+Heard: TypeAlias = ToHolder | Added | Standing | Sheet | VerdictSnapshot
 DECODER: msgspec.msgpack.Decoder[Heard] = msgspec.msgpack.Decoder(Heard)
 ENCODER = msgspec.msgpack.Encoder()
 
--- a/roadpulley/fleet/settings.py
+++ b/roadpulley/fleet/settings.py
@@ -24,8 +24,8 @@
 from .peers.envelope import LEAST_KEY, MOST_KEY
 from .rights.settings import RightsSettings, read_rights
 from .rights.work import DUTY as RIGHTS
-from .verdicts.machine import Terms as VerdictTerms
 from .verdicts.service import read_verdicts
+from .verdicts.state_machine import VerdictSettings
 
 NAME = re.compile(r"[a-z0-9][a-z0-9.-]{0,31}")
 MOST_DUTIES = 512  # bits of one claim; more would not fit into a datagram with others
@@ -61,7 +61,7 @@
     counts: CountsSettings | None = None  # numbers that all add to, in place of a counter
     rights: RightsSettings | None = None  # to spend of the limits that hold over all gateways
     orders: OrdersSettings | None = None  # of operators, followed by all
-    verdicts: VerdictTerms | None = None  # of backends, by what all find out
+    verdicts: VerdictSettings | None = None  # of backends, by what all find out
 
     @property
     def static(self) -> dict[str, str]:
--- a/roadpulley/fleet/verdicts/client.py
+++ b/roadpulley/fleet/verdicts/client.py
@@ -12,55 +12,57 @@
 from roadpulley.fleet.line import Line
 
 from .evidence import FAILURES, Evidence
-from .terms import Saw, Told
+from .messages import ObservationBatch, VerdictSnapshot
 
-SOON_S = 0.02  # between two words, where something fails
-UNTOLD_SAYS = 4.0  # words missed after which no verdict holds any more
+MIN_REPORT_INTERVAL_S = 0.02  # between two words, where something fails
+MAX_MISSED_SNAPSHOTS = 4.0  # words missed after which no verdict holds any more
 
 
-class Witness:
-    """See `core.driver.Witness`. `say`: seconds between two words."""
+class VerdictClient:
+    """See `core.driver.AttemptObserver`. `report_interval_s`: seconds between two reports."""
 
-    def __init__(self, line: Line, driver: Driver, say: float, clock: Clock | None = None) -> None:
-        self.line, self.driver, self.say = line, driver, say
+    def __init__(
+        self, line: Line, driver: Driver, report_interval_s: float, clock: Clock | None = None
+    ) -> None:
+        self.line, self.driver, self.report_interval_s = line, driver, report_interval_s
         self.clock = clock or from_environment()
         self.evidence = Evidence()
-        self.said_at = 0.0  # by our clock
-        self.told_at = 0.0  # by our clock; 0: nothing holds
+        self.reported_at = 0.0  # by our clock
+        self.snapshot_at = 0.0  # by our clock; 0: nothing holds
         line.listeners.append(self._heard)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
     def close(self) -> None:
         self.task.cancel()
 
-    def saw(self, backend: int, outcome: Outcome) -> None:
+    def record(self, backend: int, outcome: Outcome) -> None:
         known = self.driver.gateway.fleet.backends.get(backend)
         if known is None:
             return
         now = self.clock.now()
-        self.evidence.saw(now, backend, known.started, outcome)
-        if outcome in FAILURES and now - self.said_at >= SOON_S:
+        self.evidence.record(now, backend, known.started, outcome)
+        if outcome in FAILURES and now - self.reported_at >= MIN_REPORT_INTERVAL_S:
             self._tell(now)
 
     def _tell(self, now: float) -> None:
-        self.said_at = now
+        self.reported_at = now
         ready = sum(b.ready for b in self.driver.gateway.fleet.backends.values())
-        self.line.send(Saw(self.line.number, ready, tuple(self.evidence.rows(now))))
+        self.line.send(ObservationBatch(self.line.number, ready, tuple(self.evidence.rows(now))))
 
     async def _run(self) -> None:
         while True:
-            await asyncio.sleep(self.say)
+            await asyncio.sleep(self.report_interval_s)
             now = self.clock.now()
             self._tell(now)
             # Danger: an instance that is gone would leave its last verdicts here for good.
-            if self.told_at and now - self.told_at > UNTOLD_SAYS * self.say:
+            if self.snapshot_at and now - self.snapshot_at > MAX_MISSED_SNAPSHOTS * self.report_interval_s:
                 self._give({})
 
     def _heard(self, body: Any) -> None:
-        if isinstance(body, Told) and (body.verdicts or self.told_at):
+        if isinstance(body, VerdictSnapshot) and (body.verdicts or self.snapshot_at):
             now = now_ms()
             self._give({v.backend: (v.started, v.level, now - v.age_ms) for v in body.verdicts})
 
     def _give(self, found: dict[int, tuple[float, float, float]]) -> None:
-        self.told_at = self.clock.now() if found else 0.0
+        self.snapshot_at = self.clock.now() if found else 0.0
         self.driver.give(Hearsay(found))
--- a/roadpulley/fleet/verdicts/evidence.py
+++ b/roadpulley/fleet/verdicts/evidence.py
@@ -8,17 +8,17 @@
 from mintford.interface import Outcome
 from roadpulley.fleet.duties.terms import Mono
 
-from .terms import MOST_ROWS, Row
+from .messages import MAX_ROWS, ObservationRow
 
 WINDOW_S = 1.5  # memory of tries and failures
-RECENT = 0.6  # of what came before, at each try: a backend that begins to fail served until then
-LEAST = 0.2  # tries: under this it was not met lately
+CARRY_RATIO = 0.6  # of what came before, at each try: a backend that begins to fail served until then
+MIN_TRIES = 0.2  # tries: under this it was not observation lately
 # Danger: a full queue is load, and a request that its client or this gateway called off says nothing.
 FAILURES = {Outcome.FAILED, Outcome.RESET, Outcome.CONNECT, Outcome.TIMED_OUT}
 
 
 @dataclass(slots=True)
-class Met:
+class BackendObservation:
     started: float
     tries: float
     failures: float
@@ -31,28 +31,37 @@
 
 class Evidence:
     def __init__(self) -> None:
-        self.met: dict[int, Met] = {}
+        self.observations: dict[int, BackendObservation] = {}
 
-    def saw(self, now: Mono, backend: int, started: float, outcome: Outcome) -> None:
+    def record(self, now: Mono, backend: int, started: float, outcome: Outcome) -> None:
         if outcome is not Outcome.OK and outcome not in FAILURES:
             return
-        known = self.met.get(backend)
+        known = self.observations.get(backend)
         if known is None or known.started != started:
-            known = self.met[backend] = Met(started, 0.0, 0.0, now)
-        fade = known.fade(now) * RECENT
+            known = self.observations[backend] = BackendObservation(started, 0.0, 0.0, now)
+        fade = known.fade(now) * CARRY_RATIO
         known.tries = known.tries * fade + 1
         known.failures = known.failures * fade + (outcome is not Outcome.OK)
         known.run = 0.0 if outcome is Outcome.OK else known.run + 1
         known.at = now
 
-    def rows(self, now: Mono) -> list[Row]:
-        """Of what was met lately, the ones that fail most first."""
+    def rows(self, now: Mono) -> list[ObservationRow]:
+        """Of what was observation lately, the ones that fail most first."""
         found = []
-        for backend, met in list(self.met.items()):
-            fade = met.fade(now)
-            if met.tries * fade < LEAST:
-                del self.met[backend]
+        for backend, observation in list(self.observations.items()):
+            fade = observation.fade(now)
+            if observation.tries * fade < MIN_TRIES:
+                del self.observations[backend]
                 continue
-            age = int(1000 * (now - met.at))
-            found.append(Row(backend, met.started, met.tries * fade, met.failures * fade, age, met.run))
-        return sorted(found, key=lambda row: -row.failures)[:MOST_ROWS]
+            age = int(1000 * (now - observation.at))
+            found.append(
+                ObservationRow(
+                    backend,
+                    observation.started,
+                    observation.tries * fade,
+                    observation.failures * fade,
+                    age,
+                    observation.run,
+                )
+            )
+        return sorted(found, key=lambda row: -row.failures)[:MAX_ROWS]
--- a/roadpulley/fleet/verdicts/service.py
+++ b/roadpulley/fleet/verdicts/service.py
@@ -15,55 +15,55 @@
 from roadpulley.fleet.duties.terms import Mono, Who
 from roadpulley.fleet.peers.service import Route
 
-from .machine import Book, Terms
-from .terms import Body, Row, Saw, Told, Verdict
+from .messages import Body, ObservationBatch, ObservationRow, Verdict, VerdictSnapshot
+from .state_machine import HealthReportTable, VerdictSettings
 
-SOON_S = 0.03  # between two looks, where something new is heard: doubled each time, up to the usual
-SEEN_S = 1.0  # for which what a process said counts
-AGES = 4_096  # of verdicts as they were told here, the latest
+MIN_JUDGE_INTERVAL_S = 0.03  # after news: doubled each time, up to the usual interval
+OBSERVATION_LIFETIME_S = 1.0  # for which what a process said counts
+MAX_AGES = 4_096  # of verdicts as they were told here, the latest
 
 log = structlog.get_logger("roadpulley.fleet.verdicts")
 
 
-def read_verdicts(table: Table) -> Terms:
+def read_verdicts(table: Table) -> VerdictSettings:
     """Raises Bad."""
     say, life = table.number("say_s", 0.25, 0.05, 5), table.number("life_s", 3.0, 0.5, 60)
     share = table.number("most_share", 0.3, 0.0, 1.0)
     table.done()
-    return Terms(say, life, share)
+    return VerdictSettings(say, life, share)
 
 
-def failures(saw: Saw) -> float:
+def failures(saw: ObservationBatch) -> float:
     return sum(row.failures for row in saw.rows)
 
 
-def together(one: Row, other: Row) -> Row:
+def together(one: ObservationRow, other: ObservationRow) -> ObservationRow:
     """What two processes of one instance saw of one backend; the run is of who tried it last."""
     last, before = (one, other) if one.age_ms <= other.age_ms else (other, one)
     run = last.run + before.run if last.run else 0.0
     tries, failures = one.tries + other.tries, one.failures + other.failures
-    return Row(one.backend, one.started, tries, failures, last.age_ms, run)
+    return ObservationRow(one.backend, one.started, tries, failures, last.age_ms, run)
 
 
 class Verdicts:
     def __init__(
         self,
-        terms: Terms,
+        settings: VerdictSettings,
         me: Who,
         beside: Beside,
         clock: Clock,
         tell: Callable[[Route, Body], None],
         everybody: Callable[[], list[Route]],
     ) -> None:
-        self.terms, self.me, self.beside, self.clock = terms, me, beside, clock
+        self.settings, self.me, self.beside, self.clock = settings, me, beside, clock
         self.tell, self.everybody = tell, everybody
-        self.book = Book(me, terms)
-        self.said: dict[int, tuple[Mono, Saw]] = {}  # by process beside
+        self.table = HealthReportTable(me, settings)
+        self.said: dict[int, tuple[Mono, ObservationBatch]] = {}  # by process beside
         self.holding: list[Verdict] = []
-        self.ages: deque[int] = deque(maxlen=AGES)
-        self.foreign = 0  # claims in another's name
+        self.ages: deque[int] = deque(maxlen=MAX_AGES)
+        self.foreign = 0  # reports in another's name
         self.ticked_at: Mono = 0.0
-        self.gap = SOON_S
+        self.gap = MIN_JUDGE_INTERVAL_S
         self.soon: asyncio.TimerHandle | None = None
         self.task: asyncio.Task[None] | None = None
 
@@ -81,15 +81,15 @@
     async def _run(self) -> None:
         while True:
             self._tick()
-            self.gap = max(SOON_S, self.gap / 2)
-            await asyncio.sleep(self.terms.say)
+            self.gap = max(MIN_JUDGE_INTERVAL_S, self.gap / 2)
+            await asyncio.sleep(self.settings.say)
 
     def _soon(self) -> None:
         """Look at once, if the last look is not just over: a failing backend is met again every moment."""
         if self.soon is None:
             # Danger: where many backends fail at once, words at each failure would be a storm to all others.
             wait = max(0.0, self.ticked_at + self.gap - self.clock.now())
-            self.gap = min(self.terms.say, 2 * self.gap)
+            self.gap = min(self.settings.say, 2 * self.gap)
             self.soon = asyncio.get_running_loop().call_later(wait, self._tick)
 
     def _tick(self) -> None:
@@ -99,20 +99,22 @@
         self.ticked_at = self.clock.now()
         now, wall, routes = self.clock.now(), wall_ms(), self.everybody()
         ready, rows = self._seen(now)
-        for claims in self.book.saw(now, wall, ready, rows):
+        for reports in self.table.record_local(now, wall, ready, rows):
             for route in routes:
-                self.tell(route, claims)
-        self.book.forget(now)
-        before, self.holding = self.holding, self.book.judge(now, wall, len(routes) + 1)
+                self.tell(route, reports)
+        self.table.forget(now)
+        before, self.holding = self.holding, self.table.judge(now, wall, len(routes) + 1)
         self._log(before)
         if self.holding or before:
             self.ages.extend(verdict.age_ms for verdict in self.holding)
-            self.beside.tell_all(Told(tuple(self.holding)))
+            self.beside.tell_all(VerdictSnapshot(tuple(self.holding)))
 
-    def _seen(self, now: Mono) -> tuple[int, Iterable[Row]]:
+    def _seen(self, now: Mono) -> tuple[int, Iterable[ObservationRow]]:
         """What the processes beside saw, together."""
-        self.said = {holder: (at, saw) for holder, (at, saw) in self.said.items() if now - at < SEEN_S}
-        found: dict[int, Row] = {}
+        self.said = {
+            holder: (at, saw) for holder, (at, saw) in self.said.items() if now - at < OBSERVATION_LIFETIME_S
+        }
+        found: dict[int, ObservationRow] = {}
         for _, saw in self.said.values():
             for row in saw.rows:
                 known = found.get(row.backend)
@@ -136,11 +138,11 @@
             # Danger: what one says of another's evidence could outlive it, or be made up.
             self.foreign += 1
             return
-        self.book.heard(self.clock.now(), wall_ms(), body)
-        if any(claim.failures for claim in body.claims):
+        self.table.merge_remote(self.clock.now(), wall_ms(), body)
+        if any(report.failures for report in body.reports):
             self._soon()
 
-    def beside_said(self, saw: Saw) -> None:
+    def beside_said(self, saw: ObservationBatch) -> None:
         _, before = self.said.get(saw.holder, (0.0, None))
         self.said[saw.holder] = self.clock.now(), saw
         if failures(saw) > (failures(before) if before is not None else 0.0):
@@ -150,10 +152,10 @@
 
     def report(self) -> dict[str, Any]:
         now, wall = self.clock.now(), wall_ms()
-        claims: dict[int, list[str]] = {}
-        for owner, claim in self.book.fresh(now, wall):
-            words = f"{owner.name}: {claim.failures:.1f} of {claim.tries:.1f}"
-            claims.setdefault(claim.backend, []).append(words)
+        reports: dict[int, list[str]] = {}
+        for owner, report in self.table.fresh(now, wall):
+            words = f"{owner.name}: {report.failures:.1f} of {report.tries:.1f}"
+            reports.setdefault(report.backend, []).append(words)
         levels = {v.backend: v for v in self.holding}
         ages = sorted(self.ages)
         return {
@@ -164,13 +166,13 @@
                     "age_ms": levels[backend].age_ms if backend in levels else "",
                     "failed": "; ".join(sorted(words)),
                 }
-                for backend, words in sorted(claims.items())
+                for backend, words in sorted(reports.items())
             ],
-            "most_of_its_own_fails": self.book.broken(),
+            "most_of_its_own_fails": self.table.broken(),
             "ages_ms": {q: ages[int(share * (len(ages) - 1))] for q, share in (("p50", 0.5), ("p99", 0.99))}
             if ages
             else {},
-            "claims": self.book.number,
-            "not_taken": self.book.not_taken,
+            "claims": self.table.number,
+            "not_taken": self.table.not_taken,
             "foreign": self.foreign,
         }
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -140,9 +140,9 @@
         even = EvenParts(1.0 - json.loads(told)["part"], driver.settings.gateways)
         driver.rights = Paying(Purses(line), even)
     if say := os.environ.get(VERDICTS):
-        from roadpulley.fleet.verdicts.client import Witness
+        from roadpulley.fleet.verdicts.client import VerdictClient
 
-        driver.witness = Witness(line, driver, float(say))
+        driver.attempt_observer = VerdictClient(line, driver, float(say))
     if terms := os.environ.get(ORDERS):
         follow_orders(line, driver, json.loads(terms))
     if os.environ.get(COUNTS):
