Testbed: a spender is signalled only once it hears signals

What was seen: test_processes_that_stood_still_wake_with_rights_and_may_not_spend_them beside load ended with 'it was given nothing', in 3 of 14 plays on two cores. Traced in one: SigCgt held SIGINT only, then the process ended with -12: SIGUSR2 came, 0.6 s after the start, before its handler. Now it says 'ready' and Fleet.spend waits for that; the test and its bound are as they were.

--- a/roadpulley/testbed/fleet.py
+++ b/roadpulley/testbed/fleet.py
@@ -23,6 +23,7 @@
 from .processes import end_with_parent
 from .register import Register
 from .server import LOCAL, free_port
+from .spender import READY
 from .stalling import SECONDS
 
 END_S = 3.0
@@ -245,6 +246,7 @@
         env = {**os.environ, RATE: str(spender.rate)}
         words = (spender.settings, load.limit, load.rate, load.units, load.within, self.rng.randrange(2**32))
         with spender.log.open("ab") as log:
+            before = spender.log.read_bytes().count(READY)
             spender.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
@@ -256,6 +258,9 @@
                 preexec_fn=lambda: end_with_parent(parent),
                 start_new_session=True,
             )
+        if not load.rate:
+            # Danger: a signal that comes before its handler is there ends the process.
+            await self.until(lambda: spender.log.read_bytes().count(READY) > before, "a spender that hears")
 
     def kill(self, *names: str) -> None:
         for name in names:
--- a/roadpulley/testbed/spender.py
+++ b/roadpulley/testbed/spender.py
@@ -2,9 +2,9 @@
 
     python -m roadpulley.testbed.spender SOCKET LIMIT RATE UNITS WITHIN SEED
 
-Without a rate it wishes when it gets SIGUSR1, and has its units given out at SIGUSR2. One line a wish on
-standard output: when its end was known (for one that is paid, the look at the clock that let it), the limit,
-its units, 1 if it was paid, after how many seconds.
+Without a rate it wishes when it gets SIGUSR1, and has its units given out at SIGUSR2; the line `ready` says
+that it hears these. One line a wish on standard output: when its end was known (for one that is paid, the
+look at the clock that let it), the limit, its units, 1 if it was paid, after how many seconds.
 """
 
 from __future__ import annotations
@@ -23,6 +23,7 @@
 from roadpulley.fleet.rights.client import Purses
 
 LONGEST_GAP_S = 5.0
+READY = b"ready\n"
 
 
 class Spending:
@@ -54,6 +55,7 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGUSR1, spending.wish)
     loop.add_signal_handler(signal.SIGUSR2, spending.hold)
+    os.write(sys.stdout.fileno(), READY)
     due = loop.time()
     while not rate:
         await asyncio.sleep(LONGEST_GAP_S)
