--- a/tests/decisions/test_subsets.py
+++ b/tests/decisions/test_subsets.py
@@ -39,6 +39,17 @@
     assert max(map(len, chosen)) <= 1.5 * wanted + 1 < len(listed), "few of them"
 
 
+@pytest.mark.parametrize("gateways", [20, 200])
+def test_sixteen_times_the_backends_are_used_by_few_more_of_each_gateway_s_connections(gateways: int) -> None:
+    """STANDING bounds what a gateway needs with 3,200 backends in place of 200: descriptors twice and 40.
+
+    Each backend that is used holds a connection. The subset grows with backends over gateways: a process told
+    of 20 gateways held 209 descriptors before 200 backends and 1,512 before 3,200, told of 200 58 and 262.
+    """
+    usual, many = (len(subset(0, gateways, entries({"a": count}))) for count in (200, 3_200))
+    assert many <= 2 * usual + 40
+
+
 @pytest.mark.parametrize("gateways", [40, 200])
 def test_a_lost_zone_takes_no_more_than_its_part_of_any_subset(gateways: int) -> None:
     listed = entries({"a": 40, "b": 20})
