--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 
 lint: $(VENV)/.ready-test
 	$(BIN)/ruff check .
+	$(BIN)/ruff format --check -q .
 	$(BIN)/mypy
 
 bench: $(VENV)/.ready-dev
--- a/benchmarks/request_cost.py
+++ b/benchmarks/request_cost.py
@@ -255,7 +255,7 @@
     path = folder / "config.json"
     path.write_text(json.dumps(config))
     env = {"LB_CONFIG": str(path)}
-    installed = ["-P"] if SUBJECT != sys.executable else []  # not the source in this folder
+    installed = ["-P"] if sys.executable != SUBJECT else []  # not the source in this folder
     made = Part(SUBJECT, *installed, "-m", "roadpulley", env=env, speaks=False, judged=True)
     assert made.process.stderr is not None
     while "serves at" not in made.process.stderr.readline():
--- a/roadpulley/store/store.py
+++ b/roadpulley/store/store.py
@@ -10,7 +10,7 @@
 import threading
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from pathlib import Path
 
 from . import format
@@ -314,10 +314,8 @@
 
     def _rotate(self) -> None:
         """Seal the active segment and go on in a new one, unless the disk won't have it: then later."""
-        try:
+        with suppress(OSError, Failed):
             self._seal(self.active, None)
-        except (OSError, Failed):
-            pass
 
     def _seal(self, old: Segment, segment: Segment | None) -> None:
         """Go on in another segment. Raises OSError where all is as it was, Failed where that is not known."""
--- a/roadpulley/testbed/orders_world.py
+++ b/roadpulley/testbed/orders_world.py
@@ -171,9 +171,8 @@
                 looks = publisher.step is Step.READING
                 self.send(voter, Look(publisher.fence) if looks else ("take", publisher.book), node.name)
             self._seen(publisher)
-        if poll := node.follower.tick(now):
-            if self.holder:
-                self.send(self.holder, poll, node.name)
+        if (poll := node.follower.tick(now)) and self.holder:
+            self.send(self.holder, poll, node.name)
         self._judge_follower(node)
 
     def _wish(self, publisher: Publisher) -> None:
--- a/roadpulley/testbed/processes.py
+++ b/roadpulley/testbed/processes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import ctypes
 import json
 import os
@@ -164,10 +165,8 @@
 
     def signal(self, number: signal.Signals) -> None:
         if self.process is not None and self.process.returncode is None:
-            try:
+            with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
-            except ProcessLookupError:
-                pass
 
     async def ended(self, within: float) -> bool:
         """Wait for its end; whether it came."""
--- a/tests/core/test_watch.py
+++ b/tests/core/test_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import math
 import os
@@ -256,10 +257,8 @@
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         head = await reader.readuntil(b"\r\n\r\n")
         self.calls.append(Call(head.split()[1].decode(), writer))
-        try:
+        with contextlib.suppress(ConnectionError):
             await reader.read()
-        except ConnectionError:
-            pass
         self.ended += 1
         writer.close()
 
--- a/tests/decisions/test_cold_fleet.py
+++ b/tests/decisions/test_cold_fleet.py
@@ -123,7 +123,7 @@
 def test_cold_backends_bear_the_sum_of_what_all_gateways_send(gateways: int, seed: int) -> None:
     fleet = Fleet(gateways, seed).run()
     assert not fleet.over, f"seed {seed}: {fleet.over[:3]}"
-    assert 0 < fleet.most, "no cold backend was sent anything"
+    assert fleet.most > 0, "no cold backend was sent anything"
 
 
 @pytest.mark.patches_inside
--- a/tests/decisions/test_flat.py
+++ b/tests/decisions/test_flat.py
@@ -80,7 +80,7 @@
 
 def test_the_chance_in_a_choice_is_that_of_its_quantiles() -> None:
     mean = sum(NOISE) / len(NOISE)
-    assert NOISE == sorted(NOISE) and abs(mean - math.gamma(1.25)) < 0.01
+    assert sorted(NOISE) == NOISE and abs(mean - math.gamma(1.25)) < 0.01
 
 
 def test_requests_due_together_share_a_timer_and_each_is_looked_at() -> None:
--- a/tests/fleet/test_works.py
+++ b/tests/fleet/test_works.py
@@ -232,9 +232,8 @@
 def test_a_file_register_is_held_for_one_act_at_a_time(tmp_path: Path) -> None:
     register = FileRegister(tmp_path / "fence")
     assert register.claim(5, "a") is None
-    with register.under(5):
-        with pytest.raises(WorkFailed):
-            FileRegister(tmp_path / "fence").claim(6, "b")
+    with register.under(5), pytest.raises(WorkFailed):
+        FileRegister(tmp_path / "fence").claim(6, "b")
     assert register.claim(6, "b") is None
     assert register.claim(5, "a") == 6
     (tmp_path / "fence").write_text("who knows")
--- a/tests/operations/test_in_service.py
+++ b/tests/operations/test_in_service.py
@@ -176,7 +176,7 @@
             assert (await world.call(b"x" * 5000)).startswith(b"ERR unknown call; the calls are STATUS")
             for _, writer in silent:
                 writer.close()
-            assert operators.MOST_CALLERS < len(silent)
+            assert len(silent) > operators.MOST_CALLERS
 
     in_loop(scenario)
 
@@ -273,7 +273,7 @@
 def test_a_head_in_single_bytes_is_waited_for_as_long_as_a_client_may_take(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    assert 2_000 < connection.WHOLE_MS and connection.WHOLE_MS + 2 * clients.SWEEP_MS < 3_000
+    assert connection.WHOLE_MS > 2_000 and connection.WHOLE_MS + 2 * clients.SWEEP_MS < 3_000
     monkeypatch.setattr(connection, "WHOLE_MS", 1_500.0)
     monkeypatch.setattr(clients, "SWEEP_MS", 20.0)
 
--- a/tests/operations/test_retuning.py
+++ b/tests/operations/test_retuning.py
@@ -133,11 +133,10 @@
         first, answered = asyncio.Event(), asyncio.Event()
 
         async def script(command: list[bytes]) -> Reply:
-            if command[2] == b"old":
-                if not first.is_set():
-                    first.set()
-                    await answered.wait()
-                    return b"-ERR failed\r\n"  # it may have run
+            if command[2] == b"old" and not first.is_set():
+                first.set()
+                await answered.wait()
+                return b"-ERR failed\r\n"  # it may have run
             return b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
         served = Served(Sockets(Backend(script), Backend(script)), tmp_path)
--- a/tests/store/test_store_damage.py
+++ b/tests/store/test_store_damage.py
@@ -142,9 +142,8 @@
 
 def test_one_at_a_time() -> None:
     disk = MemoryDisk()
-    with Store.open(disk, SMALL):
-        with pytest.raises(Locked):
-            Store.open(disk, SMALL)
+    with Store.open(disk, SMALL), pytest.raises(Locked):
+        Store.open(disk, SMALL)
     Store.open(disk, SMALL).close()
 
 
--- a/tests/store/test_store_faults.py
+++ b/tests/store/test_store_faults.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
 import signal
@@ -117,10 +118,8 @@
         except WriteFailed:
             pass
         if number % 6 == 5:
-            try:
+            with contextlib.suppress(OSError, Failed):
                 store.compact()
-            except (OSError, Failed):
-                pass
     assert state(store) == sure
     store.close()
     disk.fault = lambda op: None
