--- a/roadpulley/cli/__init__.py
+++ b/roadpulley/cli/__init__.py
@@ -7,9 +7,9 @@
 
 import click
 
-from . import check, dev, fleet, frame, plan, quota_error, reserve, serve, store, usage
+from . import check, dev, fleet, frame, plan, quota_error, reserve, serve, soak, store, usage
 
-COMMANDS = (dev, serve, check, quota_error, store, plan, reserve, usage, fleet)
+COMMANDS = (dev, soak, serve, check, quota_error, store, plan, reserve, usage, fleet)
 
 
 def whole() -> click.Group:
--- /dev/null
+++ b/roadpulley/soak/planted.py
@@ -0,0 +1,146 @@
+"""A gateway with a mistake on purpose: `python -m roadpulley.soak.planted NAME`. The judge is tried by these.
+
+Each mistake is one that was made or mended here, or that a rule forbids. It replaces one function of the
+program before that is started; nothing of it is in the program itself.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any
+
+EVERY = 40  # of the requests that a mistake falls on, one
+
+
+class Turn:
+    """True once in so many calls."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    def comes(self) -> bool:
+        self.calls += 1
+        return self.calls % EVERY == 0
+
+
+def close_over_open_requests() -> None:
+    """A connection is closed in a drain though a request is open on it."""
+    from roadpulley.edges.connection import ClientConnection
+
+    def leave(self: ClientConnection) -> None:
+        if self.server.draining:
+            self.close()
+
+    ClientConnection.leave = leave  # type: ignore[method-assign]
+
+
+def repeat_unsafe_requests() -> None:
+    """A request that may not be repeated goes to another backend once the first has failed."""
+    from mintford import attempts
+
+    vars(attempts).update(may_repeat=lambda *_: True, repeat_until=lambda *_: float("inf"))
+
+
+def ignore_drains() -> None:
+    """Backends that drain are sent new requests."""
+    from mintford import interface as api
+    from mintford.records import BackendRecord
+    from roadpulley.core.backends import Host
+
+    update = BackendRecord.update
+
+    def ready_anyway(self: BackendRecord, entry: api.BackendEntry) -> None:
+        update(self, entry)
+        self.ready = True
+
+    BackendRecord.update = ready_anyway  # type: ignore[method-assign]
+    Host.takes_new = lambda self, now: True  # type: ignore[method-assign]
+
+
+def spend_ceilings_unseen() -> None:
+    """What is sent on is not charged to the hard ceiling."""
+    from mintford.ceilings import Ceiling
+
+    Ceiling.take = lambda self, units, counted: None  # type: ignore[method-assign]
+
+
+def answer_twice() -> None:
+    """Now and then a value is written twice."""
+    from roadpulley.edges.slots import Slot
+
+    answer, turn = Slot.answer, Turn()
+
+    def twice(self: Slot, reply: bytes) -> None:
+        answer(self, reply * 2 if reply.startswith(b"$") and turn.comes() else reply)
+
+    Slot.answer = twice  # type: ignore[method-assign]
+
+
+def answer_with_another_value() -> None:
+    """Now and then a request is answered with the value of the one before."""
+    from roadpulley.core.driver import Driver
+
+    finish, turn, last = Driver.finish, Turn(), [b""]
+
+    def mixed_up(self: Driver, request: str, reply: bytes) -> None:
+        if reply.startswith(b"$"):
+            reply, last[0] = (last[0] if last[0] and turn.comes() else reply), reply
+        finish(self, request, reply)
+
+    Driver.finish = mixed_up  # type: ignore[method-assign]
+
+
+def refuse_what_may_have_run() -> None:
+    """A failure is worded as a refusal, which promises that nothing ran."""
+    from mintford import attempts
+
+    vars(attempts).update(harmless=lambda *_: True)
+
+
+def forget_requests() -> None:
+    """Now and then a request has no answer at all."""
+    from roadpulley.core.driver import Driver
+
+    finish, turn = Driver.finish, Turn()
+
+    def forget(self: Driver, request: str, reply: bytes) -> None:
+        if not turn.comes():
+            finish(self, request, reply)
+
+    Driver.finish = forget  # type: ignore[method-assign]
+
+
+def leak_descriptors() -> None:
+    """Connections to backends are forgotten and not closed."""
+    from roadpulley.core.connection import Connection
+
+    kept: list[Any] = []
+    close = Connection.close
+
+    def leak(self: Connection) -> None:
+        if not self.closed:
+            kept.append(self.socket.dup())
+        close(self)
+
+    Connection.close = leak  # type: ignore[method-assign]
+
+
+MISTAKES: dict[str, Callable[[], None]] = {
+    "close-over-open-requests": close_over_open_requests,
+    "repeat-unsafe-requests": repeat_unsafe_requests,
+    "ignore-drains": ignore_drains,
+    "spend-ceilings-unseen": spend_ceilings_unseen,
+    "answer-twice": answer_twice,
+    "answer-with-another-value": answer_with_another_value,
+    "refuse-what-may-have-run": refuse_what_may_have_run,
+    "forget-requests": forget_requests,
+    "leak-descriptors": leak_descriptors,
+}
+
+
+if __name__ == "__main__":
+    MISTAKES[sys.argv[1]]()
+    from roadpulley.__main__ import main
+
+    sys.exit(main())
--- a/roadpulley/testbed/installation.py
+++ b/roadpulley/testbed/installation.py
@@ -6,7 +6,7 @@
 import random
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -91,8 +91,16 @@
 class Installation:
     """All parts of one scenario, on loopback. `say` is told of events in words."""
 
-    def __init__(self, scenario: Scenario, say: Say | None = None, folder: Path | None = None) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        say: Say | None = None,
+        folder: Path | None = None,
+        program: Sequence[str] | None = None,
+    ) -> None:
+        """`program`: module and arguments of the gateways, in place of the product's own."""
         self.scenario, self.say = scenario, say or (lambda words: None)
+        self.program = program or ("roadpulley",)
         self.ledger, self.origins, self.stats = Ledger(), Origins(), Stats()
         self.deployment = terms.DEPLOYMENTS[scenario.deployment]
         self.terms = terms.Terms.read(self.deployment.settings(0, scenario.gateways))
@@ -219,7 +227,9 @@
                 listener = port.listener()
         workers = self.scenario.workers
         more = ["--fleet", str(self.fleet), "--name", name] if self.fleet else []
-        process = GatewayProcess(name, self.folder, config, port, self.ledger, workers, listener, more)
+        process = GatewayProcess(
+            name, self.folder, config, port, self.ledger, workers, listener, more, self.program
+        )
         self.gateways[name] = process
         relay = self.relay(f"clients>{name}", "", lambda: port.number)
         await relay.listen()
--- a/roadpulley/testbed/processes.py
+++ b/roadpulley/testbed/processes.py
@@ -61,14 +61,15 @@
         workers: str = "",
         listener: socket.socket | None = None,
         more: Sequence[str] = (),
+        program: Sequence[str] = ("roadpulley",),
     ) -> None:
         """`listener`: outlives the process, which inherits it; so do those that take its place.
 
-        `more`: arguments of `serve`.
+        `more`: arguments of `serve`. `program`: module and arguments of a gateway without workers.
         """
         self.listener, self.path = listener, folder / f"{name}.json"
         self.name, self.folder, self.config, self.port, self.ledger = name, folder, config, port, ledger
-        self.args = ["roadpulley.cli", "serve", "--workers", workers, *more] if workers else ["roadpulley"]
+        self.args = ["roadpulley.cli", "serve", "--workers", workers, *more] if workers else [*program]
         self.process: asyncio.subprocess.Process | None = None
         self.lines: deque[str] = deque(maxlen=LOG_LINES)
         self.reader: asyncio.Task[None] | None = None
--- a/roadpulley/testbed/scenario.py
+++ b/roadpulley/testbed/scenario.py
@@ -17,7 +17,7 @@
 FOLDER = Path(__file__).parent / "scenarios"
 # What each kind of fault names, and whether it ends by itself after `for`.
 LINK_FAULTS = {"delay", "cut", "half-open", "reset", "drip", "garbage", "blackhole"}
-GATEWAY_FAULTS = {"kill", "hang", "restart", "pause", "retune", "upgrade"}
+GATEWAY_FAULTS = {"kill", "hang", "restart", "signals", "crowd", "pause", "retune", "upgrade"}
 NODE_FAULTS = {"node-hang", "node-slow", "node-fail", "node-kill", "node-start", "node-drain", "node-replace"}
 COUNTER_FAULTS = {"counter-lost", "counter-slow", "counter-full"}
 KINDS = {
@@ -34,6 +34,7 @@
     | COUNTER_FAULTS
     | {
         "hang",
+        "crowd",
         "pause",
         "retune",
         "node-hang",
@@ -59,7 +60,7 @@
     seconds: float = 0.0  # how long it lasts; 0: to the end
     ms: float = 0.0  # delay: one way; counter-slow: each call
     factor: float = 1.0  # rush: times the usual load; node-slow: times the usual work
-    after: int = 0  # reset, garbage: bytes of a connection that pass first
+    after: int = 0  # reset, garbage: bytes of a connection that pass first; crowd: idle connections
     direction: str = "both"  # of a link: there (away from the client's side), back, both
     rate: float = 0.0  # drip: bytes a second
     by: str = ""  # node-replace: the new node's name
@@ -230,6 +231,8 @@
         raise Bad(f"{path}.{name}", "is missing", f"{fault.kind} needs it")
     if fault.kind == "node-replace" and not fault.by:
         raise Bad(f"{path}.by", "is missing", "name the node that takes the address over")
+    if fault.kind == "crowd" and not (fault.after and fault.seconds):
+        raise Bad(f"{path}.after", "or for is missing", "give the idle connections and how long they stay")
     if fault.kind == "stall" and not 0 < fault.seconds <= 2:
         raise Bad(f"{path}.for", f"is {fault.seconds:g}", "give seconds, over 0 and up to 2")
     if fault.seconds and fault.kind not in LASTING | {"restart", "kill", "node-drain"}:
--- a/roadpulley/testbed/timeline.py
+++ b/roadpulley/testbed/timeline.py
@@ -6,6 +6,7 @@
 import fnmatch
 import signal
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -17,6 +18,7 @@
 from .processes import GatewayProcess
 from .relay import Relay, Trouble
 from .scenario import KINDS, Fault
+from .server import LOCAL
 
 if TYPE_CHECKING:
     from .installation import Installation
@@ -24,6 +26,7 @@
 ONCE_S = 1.0  # how long a reset or garbage goes on where the timeline does not say
 DOWN_S = 0.5  # of a restart, between the end and the new start
 LAST_S = 3.7  # after SIGTERM: the longest deadline that is waited for, and 0.7 s
+SIGNAL_GAP_S = 0.05  # between the signals of a series
 DRAIN_S = 2.0  # that a node goes on for after it was told to drain
 
 Heal = Callable[[], Awaitable[None]]
@@ -111,6 +114,8 @@
                 process.resume()
 
             return resume
+        if fault.kind == "crowd":
+            return await self.crowd(process, fault.after)
         if fault.kind == "pause":
             return await self.pause(process)
         if fault.kind == "retune":
@@ -125,6 +130,23 @@
         task.add_done_callback(self.restarting.discard)
         return None
 
+    async def crowd(self, process: GatewayProcess, count: int) -> Heal:
+        """Clients that connect and ask nothing."""
+        writers: list[asyncio.StreamWriter] = []
+
+        async def connect() -> None:
+            with suppress(OSError):
+                _, writer = await asyncio.open_connection(LOCAL, process.port.number)
+                writers.append(writer)
+
+        await asyncio.gather(*(connect() for _ in range(count)))
+
+        async def leave() -> None:
+            for writer in writers:
+                writer.transport.abort()
+
+        return leave
+
     async def pause(self, process: GatewayProcess) -> Heal:
         """An operator drains it; the front learns it by the next PING."""
         gate = next(g for g in self.world.front.gates if g.name == process.name)
@@ -162,6 +184,8 @@
             process.kill()
         else:
             process.terminate()
+            if fault.kind == "signals":
+                self.world.spawn(self.signal_again(process))
             leaving = self.world.spawn(self.world.front.leave(gate))
             if not await process.ended(LAST_S):
                 process.signal(signal.SIGKILL)  # its requests are lost, and that is its own doing
@@ -176,6 +200,12 @@
         self.world.front.back(gate)
         self.world.say(f"started again: {process.name}")
 
+    async def signal_again(self, process: GatewayProcess) -> None:
+        """After SIGTERM, while it drains: SIGHUP twice and SIGTERM once more."""
+        for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM):
+            await asyncio.sleep(SIGNAL_GAP_S)
+            process.signal(number)
+
     async def node(self, fault: Fault, node: Node) -> Heal | None:
         kind, discovery = fault.kind, self.world.discovery
         if kind == "node-hang":
