Tests: a gateway that does not serve in time is ended with the test that started it

Cause: eleven gateways of test_a_new_process_takes_over..., whose 20 s had passed before they served, lived on and asked for their list at a port that another play had by then. start() ends them now.

--- a/tests/operations/test_inherited.py
+++ b/tests/operations/test_inherited.py
@@ -27,8 +27,12 @@
         stderr=asyncio.subprocess.PIPE,
     )
     assert process.stderr is not None
-    while b"serves at" not in (line := await process.stderr.readline()):
-        assert line, "it ended"
+    try:
+        while b"serves at" not in (line := await process.stderr.readline()):
+            assert line, "it ended"
+    except BaseException:  # its time is up, too: nobody else knows of it yet
+        process.kill()
+        raise
     return process
 
 
