--- a/tests/operations/test_link.py
+++ b/tests/operations/test_link.py
@@ -281,7 +281,7 @@
 
 @pytest.fixture
 def short_folder() -> Iterator[Path]:
-    """A Unix socket has a path of some 100 bytes; pytest's own folders exceed it from the hundredth run on."""
+    """A Unix socket has a path of some 100 bytes; pytest's folders exceed it from the hundredth run on."""
     with tempfile.TemporaryDirectory() as folder:
         yield Path(folder)
 
