--- a/roadpulley/soak/plan.py
+++ b/roadpulley/soak/plan.py
@@ -27,7 +27,8 @@
 LAST_PART = 0.7  # of the play: later no fault begins, so that recovery is seen
 RECOVERY_S = 1.5  # after a fault, for which another one counts as overlapping
 MAX_FAILED_NODES_RATIO = 0.4
-MIN_FAULTS, MAX_FAULTS = 3, 6
+MIN_FAULTS = 3
+MAX_FAULTS = 6
 
 SINGLE_PROCESS_FAULTS = ("kill", "restart", "signals", "hang", "crowd", "pause", "retune", "upgrade")
 WORKER_FAULTS = ("kill", "restart", "signals", "hang", "crowd")
