--- a/roadpulley/testbed/server.py
+++ b/roadpulley/testbed/server.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 LOCAL = "127.0.0.1"
+MAX_MARKS = 4_096  # pieces that one connection may have under way
 
 
 class Port:
@@ -52,7 +53,8 @@
 
     def __init__(self) -> None:
         self.total = 0  # bytes so far
-        self.marks: deque[tuple[int, float]] = deque()  # total and time, after each piece
+        # Total and time, after each piece. Bounded, as only nodes ask: links to others would keep all.
+        self.marks: deque[tuple[int, float]] = deque(maxlen=MAX_MARKS)
 
     def record(self, count: int, now: float) -> None:
         self.total += count
