Handover: a customer without a record holds no units of the other process's share

Callers: after a hand-over whose remaining state was lost, a customer that had spent its half of a ceiling at the old process could spend the whole of it at the new one: 41 units at once where the ceiling's burst is 40. The old process did the same after its successor had died.

Cause: the own part of a ceiling was computed from the share at the moment of the customer's first request, not from the shares that the process had served since. A share that rises from a half to the whole must add room, not units.

Change: mintford/gateway_share.py keeps the changes of the share; a customer without a record gets what follows from all of them. A handed-over state counts as complete only since the last rise.

--- a/mintford/changes.py
+++ b/mintford/changes.py
@@ -66,6 +66,6 @@
     customer.ceiling = Ceiling(
         plan, customer.even_share, has_counted_quota, 0.0, customer.max_units, quotas.settings.rights_ratio
     )
-    customer.ceiling.set_gateway_share(quotas.gateway_share, 1.0)
+    customer.ceiling.set_gateway_share(quotas.gateway_share.current, 1.0)
     if old.ceiling_rate:
         customer.ceiling.carry_over_debt(old_ceiling)
--- a/mintford/handover.py
+++ b/mintford/handover.py
@@ -13,10 +13,9 @@
 
 def split_off(quotas: Quotas, fleet: Fleet, now: float, new_share: float) -> api.HandoverState:
     """Serve only this share of the gateway from now on. Return the state that this process gives up."""
-    snapshots, kept_ratio = (
-        [],
-        min(1.0, new_share / (quotas.gateway_share or new_share or 1.0)),
-    )
+    snapshots = []
+    complete_since = quotas.gateway_share.get_complete_since()
+    kept_ratio = quotas.gateway_share.change(now, new_share)
     for customer in quotas.customers.values():
         quotas.refill(now, customer)
         lease = {name: getattr(customer, attribute) for name, attribute in api.LEASE_FIELDS.items()}
@@ -38,10 +37,9 @@
             customer.unreported_units - amounts[3],
         )
         customer.ceiling.set_gateway_share(new_share, kept_ratio)
-    quotas.gateway_share = new_share
     health = (api.BackendSnapshot(b.id, b.started, b.marks) for b in fleet.backends.values() if b.marks)
     return api.HandoverState(
-        quotas.started_at, tuple(snapshots), tuple(health), fleet.typical_latency, fleet.recent_latency
+        complete_since, tuple(snapshots), tuple(health), fleet.typical_latency, fleet.recent_latency
     )
 
 
@@ -50,10 +48,12 @@
     # A customer that is not listed has sent no request since this time. So its ceiling has refilled since
     # then, and for no longer. Otherwise the ceiling could be exceeded.
     quotas.started_at = state.complete_since
+    quotas.gateway_share.restart(state.complete_since)
     for snapshot in state.customers:
         record = quotas.customers.get(snapshot.customer)
         if record is None:
-            record = quotas.add_customer(snapshot.customer, snapshot.plan, snapshot.spread, now, now, 0.0)
+            record = quotas.add_customer(snapshot.customer, snapshot.plan, snapshot.spread, now)
+            record.ceiling.set_gateway_share(quotas.gateway_share.current, 0.0)
             for name, value in snapshot.lease.items():
                 setattr(record, api.LEASE_FIELDS[name], value)
             record.tokens = 0.0
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -16,6 +16,7 @@
 
 from . import interface as api
 from .ceilings import Ceiling
+from .gateway_share import GatewayShare
 from .guards import LEASE_MS, NOT_RUN_OUTCOMES
 from .records import EPOCH_MS, Call, CallKind, CustomerRecord
 
@@ -69,20 +70,15 @@
 class Customer(CustomerRecord):
     """One customer at this gateway: its lease and its local buckets."""
 
-    def __init__(
-        self, key: str, plan: api.Plan, spread: int, now: float, since: float, settings: api.Settings
-    ) -> None:
-        largest_request, has_counted_quota = (
-            settings.max_request_units,
-            settings.has_counter and plan.rate > 0,
-        )
+    def __init__(self, key: str, plan: api.Plan, spread: int, now: float, settings: api.Settings) -> None:
+        largest_request = settings.max_request_units
+        has_counted_quota = settings.has_counter and plan.rate > 0
         super().__init__(key, plan.name, spread, largest_request, now)
         self.apply_plan(plan)
         self.store = plan.burst  # the store of all gateways, as far as this one knows
         self.tokens = max(largest_request, plan.burst * self.even_share)  # of the lease
-        seconds = (now - since) / 1000
         self.ceiling = Ceiling(
-            plan, self.even_share, has_counted_quota, seconds, largest_request, settings.rights_ratio
+            plan, self.even_share, has_counted_quota, 0.0, largest_request, settings.rights_ratio
         )
         self.lease_end = now + LEASE_MS
 
@@ -119,7 +115,7 @@
         self.pending_calls: dict[str, deque[Call]] = {}  # by the name of the number, oldest first
         # Customers whose units could not be reported within the call budget, oldest first.
         self.report_backlog: dict[str, None] = {}
-        self.gateway_share = 1.0  # the part of this gateway that this process serves
+        self.gateway_share = GatewayShare()  # the part of this gateway that this process serves
         self.call_budget = 1.0  # the ratio of refreshes that are made while the counter is crowded
         # The ratio of calls that are allowed at the start. At 1 the slow start is over.
         self.slow_start_ratio = SLOW_START_GATEWAYS / max(1, settings.gateways)
@@ -132,6 +128,7 @@
     def start(self, now: float) -> None:
         """Set the time of the first event."""
         self.started_at = self.cleaned_up_at = self.last_total_at = now
+        self.gateway_share.restart(now)
 
     def get_customer(self, now: float, event: api.RequestArrived, out: api.Actions) -> Customer:
         """Return the customer of a request, with its buckets refilled up to now."""
@@ -139,9 +136,7 @@
             self.remove_idle_customers(now, out)
         record = self.customers.get(event.customer)
         if record is None:
-            record = self.add_customer(
-                event.customer, event.plan, event.spread, now, self.started_at, self.gateway_share
-            )
+            record = self.add_customer(event.customer, event.plan, event.spread, now)
         self.refill(now, record)
         if self.report_backlog and self.call_budget >= BACKLOG_CALL_BUDGET_RATIO:
             # The customer may send no request to this gateway for a long time. Without this report all other
@@ -153,13 +148,14 @@
         record.recent_demand, record.demand_at = record.recent_demand * decay + event.units, now
         return record
 
-    def add_customer(
-        self, key: str, requested_plan: str, spread: int, now: float, since: float, kept_ratio: float
-    ) -> Customer:
-        """Add a customer. Its ceiling has refilled since a time, and keeps this ratio of its tokens."""
-        customer = Customer(key, self.get_plan(key, requested_plan), spread, now, since, self.settings)
-        customer.plan_name, self.customers[key] = requested_plan, customer
-        customer.ceiling.set_gateway_share(self.gateway_share, kept_ratio)
+    def add_customer(self, key: str, requested_plan: str, spread: int, now: float) -> Customer:
+        """Add a customer that has sent no request to this process so far."""
+        customer = Customer(key, self.get_plan(key, requested_plan), spread, now, self.settings)
+        customer.plan_name = requested_plan
+        self.customers[key] = customer
+        ceiling = customer.ceiling
+        ceiling.set_gateway_share(self.gateway_share.current, self.gateway_share.get_lowest())
+        ceiling.own_tokens = self.gateway_share.compute_own_tokens(now, *ceiling.gateway_limits)
         return customer
 
     def get_plan(self, key: str, requested_plan: str) -> api.Plan:
--- a/tests/decisions/test_leases.py
+++ b/tests/decisions/test_leases.py
@@ -300,7 +300,7 @@
 def test_epochs_of_customers_end_at_different_times() -> None:
     """Guards against the calls at the end of an epoch coming from all gateways at once."""
     now, seconds = 7 * EPOCH_MS, 30
-    customers = [Customer(f"c{n}", BASIC, 4, now, now, World().gateway.settings) for n in range(600)]
+    customers = [Customer(f"c{n}", BASIC, 4, now, World().gateway.settings) for n in range(600)]
     has_new_epoch = [
         [c.get_epoch(now + s * 1000)[0] > c.get_epoch(now)[0] for s in range(seconds + 1)] for c in customers
     ]
--- a/tests/operations/test_handover.py
+++ b/tests/operations/test_handover.py
@@ -8,7 +8,7 @@
 
 import pytest
 from helpers import FIRM, Counter, World, sends
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from mintford import interface as api
@@ -90,6 +90,7 @@
 
 
 @given(floods, floods, floods, st.booleans(), st.booleans())
+@example(before=[], during=[(False, 20, 0)], after=[(False, 21, 0)], delivered=False, counted=False)
 def test_two_processes_together_never_exceed_a_ceiling(
     before: list[tuple[bool, int, int]],
     during: list[tuple[bool, int, int]],
@@ -168,6 +169,36 @@
     assert len(pair.sent) == 1 + HARD.ceiling_burst
 
 
+@pytest.mark.parametrize("spent_by_successor", [1, 20])
+def test_old_process_lacks_what_a_lost_successor_may_have_spent(spent_by_successor: int) -> None:
+    """The old process had no request of the customer before, so it has no record of its ceiling."""
+    pair = ProcessPair(counted=False)
+    pair.pass_time(10_000)
+    pair.start_handover()
+    pair.flood(pair.new, spent_by_successor)
+    pair.old.give(api.GatewayShareChanged(1.0))  # the link failed
+    pair.flood(pair.old, 60)
+    pair.check_ceiling()
+    assert len(pair.sent) == spent_by_successor + HARD.ceiling_burst / 2
+    pair.pass_time(10_000)
+    pair.flood(pair.old, 60)
+    assert len(pair.sent) == spent_by_successor + HARD.ceiling_burst * 3 / 2
+
+
+def test_second_successor_lacks_what_the_lost_first_one_may_have_spent() -> None:
+    pair = ProcessPair(counted=False)
+    pair.pass_time(10_000)
+    pair.start_handover()
+    pair.flood(pair.new, 20)
+    pair.old.give(api.GatewayShareChanged(1.0))  # the link failed
+    pair.new = World(seed=3, **pair.settings)
+    pair.new.now = pair.old.now
+    pair.start_handover()
+    pair.finish_handover(delivered=True)
+    pair.flood(pair.new, 60)
+    pair.check_ceiling()
+
+
 def test_ceiling_is_empty_until_a_silent_predecessor_must_have_exited() -> None:
     world = World(gateways=1, plans=(HARD,), has_counter=False)
     world.give(api.HandoverReceived(api.HandoverState(world.now + 9_700, (), (), 0.0, 0.0)))
