Tests of ceilings: a restarted gateway starts now; the invariant is checked at each step

The test was wrong: restart() built the new gateway in a world whose clock begins at 10,000 ms, so it believed that it had started 6 s before and had 12 units of its own part, where a gateway that has just started has none.

Change: World takes the time of the first event, and a restart gives the present one. Strict as before and more: both shrunk orders are explicit examples, and after every step the own parts and the shared part together must hold no more than the exact store (the invariant stands in docs/design/deployments.md).

--- a/tests/decisions/test_ceilings.py
+++ b/tests/decisions/test_ceilings.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from copy import copy
 from dataclasses import dataclass, field
 
 from helpers import Counter, World, entry
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from mintford import interface as api
@@ -18,6 +19,18 @@
 # The quota's burst is so large that only the ceiling refuses requests.
 PLAN = api.Plan("firm", rate=4, burst=20_000, overage_cost=1, ceiling_rate=RATE, ceiling_burst=BURST)
 MANY = [entry(n) for n in range(60)]
+STARTED_AT_MS = 10_000.0
+SHARED_BURST = MAX_SHARED_RATIO * BURST
+
+
+def refilled_ceiling(world: World) -> Ceiling | None:
+    """A copy of the customer's ceiling, refilled up to now; None if the gateway has no record of it."""
+    record = world.gateway.quotas.customers.get("c")
+    if record is None:
+        return None
+    ceiling = copy(record.ceiling)
+    ceiling.refill((world.now - record.refilled_at) / 1000)
+    return ceiling
 
 
 @dataclass
@@ -28,19 +41,20 @@
     seed: int
     counter: Counter = field(default_factory=Counter)
     level: float = BURST
+    shared_level: float = SHARED_BURST  # of an exact store with the shared part's rate and burst
     lowest: float = BURST
     sent: int = 0
     serial: int = 0
 
     def __post_init__(self) -> None:
-        self.worlds = [self.gateway(n) for n in range(self.size)]
+        self.worlds = [self.gateway(n, STARTED_AT_MS) for n in range(self.size)]
         self.silent: set[int] = set()  # gateways whose calls are added but not answered
         self.endless: set[int] = set()  # gateways that never read the last epoch's final total
         self.at = self.worlds[0].now
 
-    def gateway(self, n: int) -> World:
+    def gateway(self, n: int, now: float) -> World:
         terms = dict(plans=(PLAN,), max_request_units=MAX_UNITS, gateways=self.size, index=n)
-        return World(MANY, seed=self.seed * 10 + n, **terms)  # type: ignore[arg-type]
+        return World(MANY, seed=self.seed * 10 + n, now=now, **terms)  # type: ignore[arg-type]
 
     def play(self, n: int, actions: list[api.Action]) -> None:
         world, todo = self.worlds[n], list(actions)
@@ -64,19 +78,39 @@
         world = self.worlds[n]
         request = f"{self.serial}:{units:g}"
         event = api.RequestArrived(request, "view", "firm", "c", world.now + 3000, units, self.size, 0)
+        allowance = self.get_allowance(world)
         self.play(n, world.give(event))
+        self.shared_level -= max(0.0, allowance - self.get_allowance(world))
 
     def pass_time(self, ms: float) -> None:
         for n, world in enumerate(self.worlds):
             self.play(n, world.pass_time(ms))
         self.level = min(BURST, self.level + ms / 1000 * RATE)
+        self.shared_level = min(SHARED_BURST, self.shared_level + ms / 1000 * RATE * MAX_SHARED_RATIO)
 
     def restart(self, n: int) -> None:
-        """Restart a gateway with nothing but its settings."""
-        now, self.worlds[n] = self.worlds[n].now, self.gateway(n)
-        self.worlds[n].now = now
-        self.worlds[n].gateway = self.gateway(n).gateway
-        self.worlds[n].give(api.BackendsChanged(api.ListScope.FULL, tuple(MANY)))
+        """Restart a gateway now, with nothing but its settings."""
+        self.worlds[n] = self.gateway(n, self.worlds[n].now)
+
+    def check_invariant(self) -> None:
+        """The own parts and the shared part together hold no more than the exact store.
+
+        See "The parts of a ceiling" in `docs/design/deployments.md`.
+        """
+        own_tokens = [self.get_own_tokens(world) for world in self.worlds]
+        assert sum(own_tokens) + self.shared_level <= self.level + 1e-6, (own_tokens, self.shared_level)
+
+    def get_own_tokens(self, world: World) -> float:
+        if ceiling := refilled_ceiling(world):
+            return ceiling.own_tokens
+        own_ratio = (1 - MAX_SHARED_RATIO) / self.size
+        gateway_share = world.gateway.quotas.gateway_share
+        return gateway_share.compute_own_tokens(world.now, own_ratio * RATE, own_ratio * BURST)
+
+    def get_allowance(self, world: World) -> float:
+        """What the gateway may take of the shared part. Only taking lowers it."""
+        ceiling = refilled_ceiling(world)
+        return ceiling.shared_allowance if ceiling else SHARED_BURST
 
 
 STEPS = st.lists(
@@ -95,6 +129,8 @@
 
 @settings(max_examples=120, deadline=None)
 @given(st.integers(2, 4), st.integers(0, 99), STEPS)
+@example(2, 0, [("flood", 0, 18), ("restart", 0, 0), ("flood", 0, 11), ("flood", 1, 12)])
+@example(2, 0, [("flood", 0, 27), ("flood", 1, 12), ("restart", 0, 0), ("flood", 0, 2)])
 def test_ceiling_is_never_overdrawn(size: int, seed: int, steps: list[tuple[str, int, int]]) -> None:
     """Gateways are flooded, lose the counter and restart, and epochs end in between."""
     site = Installation(size, seed)
@@ -118,6 +154,7 @@
             (site.silent.add if what == "silent" else site.silent.discard)(n)
             site.endless.discard(n)
         assert site.lowest >= -1e-6, (what, n)
+        site.check_invariant()
 
 
 def test_single_active_gateway_gets_its_own_and_the_shared_part() -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -57,9 +57,16 @@
 class World:
     """Feeds events to one gateway and records its actions with their times."""
 
-    def __init__(self, entries: Iterable[api.BackendEntry] = (), seed: int = 1, **changes: object) -> None:
+    def __init__(
+        self,
+        entries: Iterable[api.BackendEntry] = (),
+        seed: int = 1,
+        now: float = 10_000.0,
+        **changes: object,
+    ) -> None:
+        """`now`: the time of the gateway's first event, in ms."""
         self.gateway = Gateway(settings(**changes), seed)
-        self.now, self.serial = 10_000.0, 0
+        self.now, self.serial = now, 0
         self.timers: list[tuple[float, int, str]] = []
         self.log: list[tuple[float, api.Action]] = []
         self.give(backends(*(tuple(entries) or (entry(1), entry(2, cell=1), entry(3)))))
