Ceilings: a debt in one part is paid before the other part pays

Callers: after a ceiling was lowered in service, a customer whose store stood at -9 was still served 2 units, at a gateway that owed 19.65 in its own part.

Cause: a change of plan carries the debt over into each part of the ceiling, and each part then paid for itself alone; the shared part, less used before, had 2.

Change: a part pays only what is left after the debt of the other part at this gateway. One step a line in the functions touched.

Evidence: the shrunk order is an explicit example of the property test; it failed before (-11 where -9 was the least) and passes, as does the new test of both directions.

--- a/mintford/ceilings.py
+++ b/mintford/ceilings.py
@@ -49,34 +49,27 @@
             if has_counter and even_share < 1 and not rights_ratio
             else 0.0
         )
-        self.uses_rights, own_ratio = (
-            rights_ratio > 0,
-            (1 - self.shared_ratio) * even_share * (1 - rights_ratio),
-        )
+        self.uses_rights = rights_ratio > 0
+        own_ratio = (1 - self.shared_ratio) * even_share * (1 - rights_ratio)
         # Rate and burst of this gateway's own part.
         self.gateway_limits = own_ratio * plan.ceiling_rate, own_ratio * plan.ceiling_burst
         self.own_rate, self.own_burst = self.gateway_limits  # of this process, one of at most two
-        self.shared_rate, self.shared_burst = (
-            self.shared_ratio * plan.ceiling_rate,
-            self.shared_ratio * plan.ceiling_burst,
-        )
+        self.shared_rate = self.shared_ratio * plan.ceiling_rate
+        self.shared_burst = self.shared_ratio * plan.ceiling_burst
         # A restarted gateway does not know what it spent before. Its own part starts empty, so that it can't
         # be spent twice, and the shared part holds nothing until a total has shown it.
-        self.own_tokens, self.shared_tokens = seconds * self.own_rate, 0.0
+        self.own_tokens = seconds * self.own_rate
+        self.shared_tokens = 0.0
         # A counter that lost its numbers makes the whole shared part look unspent. The allowance keeps this
         # gateway from spending again what it has itself taken of the shared part.
         self.shared_allowance = self.shared_burst
 
     def set_gateway_share(self, gateway_share: float, kept_ratio: float) -> None:
         """Serve a share of this gateway, and keep this ratio of the tokens and the allowance."""
-        self.own_rate, self.own_burst = (
-            gateway_share * self.gateway_limits[0],
-            gateway_share * self.gateway_limits[1],
-        )
-        self.own_tokens, self.shared_allowance = (
-            self.own_tokens * kept_ratio,
-            self.shared_allowance * kept_ratio,
-        )
+        self.own_rate = gateway_share * self.gateway_limits[0]
+        self.own_burst = gateway_share * self.gateway_limits[1]
+        self.own_tokens *= kept_ratio
+        self.shared_allowance *= kept_ratio
         self.shared_tokens = min(self.shared_tokens, self.shared_allowance)
 
     def carry_over_debt(self, old: Ceiling) -> None:
@@ -98,21 +91,33 @@
 
         `counted`: a total that was read contains its units, or a right has been spent for it.
         """
-        return self.own_tokens >= units or (counted and (self.uses_rights or self.shared_tokens >= units))
+        if counted and self.uses_rights:
+            return True
+        return self.get_own_available() >= units or (counted and self.get_shared_available() >= units)
 
     def needs_shared_part(self, units: float) -> bool:
         """Whether only the shared part can pay. The request's units must be added to the counter first."""
-        return self.own_tokens < units <= self.shared_tokens
+        return self.get_own_available() < units <= self.get_shared_available()
+
+    def get_own_available(self) -> float:
+        """Units that the own part can pay. A debt of this gateway to the shared part is paid first."""
+        return self.own_tokens + min(0.0, self.shared_allowance)
+
+    def get_shared_available(self) -> float:
+        """Units that the shared part can pay. A debt of the own part is paid first.
+
+        A lowered ceiling leaves a debt in the part that paid. If the other part paid on, the customer would
+        spend more than the ceiling has.
+        """
+        return self.shared_tokens + min(0.0, self.own_tokens)
 
     def take(self, units: float, counted: bool) -> None:
         """Spend the units of a request, from the shared part only if they are `counted`."""
-        if (self.own_tokens >= units and not self.uses_rights) or not counted:
+        if not counted or (self.get_own_available() >= units and not self.uses_rights):
             self.own_tokens -= units
         elif not self.uses_rights:
-            self.shared_tokens, self.shared_allowance = (
-                self.shared_tokens - units,
-                self.shared_allowance - units,
-            )
+            self.shared_tokens -= units
+            self.shared_allowance -= units
 
     def subtract_peer_spending(self, units: float) -> None:
         """Subtract units that other gateways spent since the last reading.
--- a/tests/decisions/test_plan_changes.py
+++ b/tests/decisions/test_plan_changes.py
@@ -139,6 +139,7 @@
 
 @given(changes=TIMES, size=st.integers(1, 3), seed=st.integers(0, 5))
 @settings(max_examples=60, deadline=None)
+@example(changes=[("wide", 0, 100), ("narrow", 0, 0), ("narrow", 0, 0)], size=2, seed=0)
 def test_ceiling_that_changes_at_different_times_is_never_overdrawn(
     changes: list[tuple[str, int, int]], size: int, seed: int
 ) -> None:
@@ -172,6 +173,16 @@
         flood(then)
 
 
+def test_debt_in_either_part_of_a_ceiling_is_paid_before_the_other_part_pays() -> None:
+    ceiling = Ceiling(CAPPED["narrow"], 0.5, True, 0.0, 1.0)
+    ceiling.estimate_shared_tokens(0.0, 0.0, 0.0)
+    ceiling.own_tokens = -15.0
+    assert ceiling.can_pay(1.0, True) and not ceiling.can_pay(2.0, True)
+    assert ceiling.needs_shared_part(1.0) and not ceiling.needs_shared_part(2.0)
+    ceiling.own_tokens, ceiling.shared_allowance, ceiling.shared_tokens = 12.0, -10.0, -10.0
+    assert ceiling.can_pay(2.0, False) and not ceiling.can_pay(3.0, False)
+
+
 def test_ceiling_added_to_a_plan_starts_empty() -> None:
     free = api.Plan("firm", rate=4, burst=20_000, overage_cost=1)
     world = World(MANY, plans=(free,), gateways=1, classes=(SAFE,))
