Quotas: a customer is remembered until its ceiling owes nothing

Callers: a customer in debt to a lowered ceiling that paused for a minute began anew with a full part: 20 of 20 units served where 200 were owed.

Cause: records of idle customers are removed after the time in which a full burst refills, and a debt to a lowered ceiling can take longer. A new record has none.

Change: the record also stays until both parts of the ceiling are full.

Evidence: the new test failed before (20 for 0) and passes.

--- a/mintford/ceilings.py
+++ b/mintford/ceilings.py
@@ -86,6 +86,12 @@
         self.shared_allowance = min(self.shared_burst, self.shared_allowance + seconds * self.shared_rate)
         self.shared_tokens = min(self.shared_allowance, self.shared_tokens + seconds * self.shared_rate)
 
+    def compute_full_after(self) -> float:
+        """The seconds of refill until nothing is owed and the record holds no more than a new one."""
+        own = (self.own_burst - self.own_tokens) / self.own_rate if self.own_rate else 0.0
+        owed_to_shared = self.shared_burst - self.shared_allowance
+        return max(own, owed_to_shared / self.shared_rate if self.shared_rate else 0.0)
+
     def can_pay(self, units: float, counted: bool) -> bool:
         """Whether a request may be sent.
 
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -168,9 +168,11 @@
         for key, customer in self.customers.items():
             # Until the store is full, the record holds more than a new one would.
             full_in = (customer.plan.burst - customer.store) / max(customer.plan.rate, 1e-9) * 1000
-            if customer.open_attempts or now - customer.refilled_at <= max(
-                customer.idle_timeout_ms, min(full_in, MAX_IDLE_MS)
-            ):
+            # A lowered ceiling may leave a debt that takes longer to refill than a full burst. A new record
+            # would not have it.
+            ceiling_full_in = customer.ceiling.compute_full_after() * 1000
+            idle_timeout_ms = max(customer.idle_timeout_ms, min(full_in, MAX_IDLE_MS), ceiling_full_in)
+            if customer.open_attempts or now - customer.refilled_at <= idle_timeout_ms:
                 remaining[key] = customer
             elif abs(customer.unreported_units) > ROUNDING_ERROR_UNITS and self.settings.has_counter:
                 units = round(customer.unreported_units, 3)
--- a/tests/decisions/test_plan_changes.py
+++ b/tests/decisions/test_plan_changes.py
@@ -173,6 +173,20 @@
         flood(then)
 
 
+def test_debt_to_a_lowered_ceiling_outlasts_a_pause_of_the_customer() -> None:
+    """The gateway forgets idle customers; the customer must not begin with a full part before it has paid."""
+    huge = api.Plan("firm", rate=4, burst=20_000, overage_cost=1, ceiling_rate=100, ceiling_burst=1_200)
+    world, counter = World(MANY, plans=(huge,), gateways=1, classes=(SAFE,)), Counter()
+    world.pass_time(12_000.0)  # a restarted gateway's part begins empty
+    assert served(world, counter, 1_000, plan="firm", spread=1) == 1_000
+    world.give(api.PlanChanged(CAPPED["narrow"]))
+    world.pass_time(80_000.0)  # 200 units of debt are left
+    assert served(world, counter, 1, spread=1, plan="firm", customer="other") == 1  # removes idle customers
+    assert served(world, counter, 20, plan="firm", spread=1) == 0
+    world.pass_time(20_000.0)
+    assert served(world, counter, 60, plan="firm", spread=1) == 40
+
+
 def test_debt_in_either_part_of_a_ceiling_is_paid_before_the_other_part_pays() -> None:
     ceiling = Ceiling(CAPPED["narrow"], 0.5, True, 0.0, 1.0)
     ceiling.estimate_shared_tokens(0.0, 0.0, 0.0)
