Fleet: a starting gateway takes clients once it follows the operators' orders

Callers: a gateway that was killed and restarted served a blocked customer, a shed class and a backend that was ordered off in the first 0.05 to 0.35 s.

Cause: a worker listened as soon as it had the list of backends and began to poll for orders only then; a restarted instance has an empty book at first.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -11,9 +11,9 @@
 import signal
 import socket
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from functools import partial
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import uvloop
 
@@ -179,13 +179,15 @@
     listener: socket.socket | None = None,
     closing: Callable[[], None] | None = None,
     link: bool = False,
+    wait_for_state: Callable[[], Coroutine[Any, Any, None]] | None = None,
 ) -> None:
     """Serve until `stop` is set, then drain.
 
     `ready` is called with the port once clients can connect. `reload_trigger` reloads the configuration with
     `load`, which gets the current one. `attach` gets the driver before clients can connect. `listener` is a
     socket that is already bound. `closing` is called once no more connections are accepted. `link`: another
-    process may accept from the same listener, and the two hand their state over.
+    process may accept from the same listener, and the two hand their state over. `wait_for_state` is started
+    after `attach`; clients can connect once it has ended, and it bounds its own time.
     """
     loop, started_at = asyncio.get_running_loop(), now_ms()
     timers = Timers(loop)
@@ -226,6 +228,9 @@
         memory_bytes,
         stats,
     )
+    if attach is not None:
+        attach(driver)
+    state_received = loop.create_task(wait_for_state()) if wait_for_state is not None else None
     controller = LifecycleController(Lifecycle(lifecycle_times(config.settings)), timers, driver, server)
     link_to_peer = await open_link(config, driver, controller) if link else None
     stopped = loop.create_task(stop.wait())
@@ -242,6 +247,9 @@
     )
     list_received.cancel()
     log.info("list %s after %.0f ms", "heard" if list_received.done() else "not heard", now_ms() - started_at)
+    if state_received is not None:
+        await asyncio.wait({state_received, stopped}, return_when=asyncio.FIRST_COMPLETED)
+        state_received.cancel()
     port = await listen_with_retries(
         "listen", config.listen, partial(server.listen, *config.listen, listener), stopped
     )
@@ -249,8 +257,6 @@
         controller.dispatch_event(Event.STOP_REQUESTED)  # before any client could connect
     else:
         driver.start_lag_monitor()
-        if attach is not None:
-            attach(driver)
         gc.collect()
         gc.freeze()  # exempts the loaded modules from garbage collection pauses
         gc.set_threshold(*GC_THRESHOLDS)
--- a/roadpulley/fleet/orders/client.py
+++ b/roadpulley/fleet/orders/client.py
@@ -54,6 +54,7 @@
         self.follower = Follower(settings, line.worker_id)
         self.active_orders: tuple[Order, ...] = ()
         self.was_fresh = False
+        self.book_received = asyncio.Event()  # there is a book to follow, perhaps without orders
         line.listeners.append(self._handle_message)
         self.task = asyncio.get_running_loop().create_task(self._run())
 
@@ -61,6 +62,18 @@
         """Stops polling."""
         self.task.cancel()
 
+    async def wait_for_book(self) -> None:
+        """Waits until the orders are known, at most the start wait of the settings.
+
+        A process that serves before would send requests that an order forbids.
+        """
+        wait_s = self.follower.settings.start_wait_s
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.book_received.wait()
+        except TimeoutError:
+            log.warning("no orders were received within %g s: serving without orders until they are", wait_s)
+
     async def _run(self) -> None:
         while True:
             if poll := self.follower.tick(self.clock.now()):
@@ -94,6 +107,8 @@
         if current_orders != self.active_orders:
             self.active_orders = current_orders
             self.on_change(current_orders)
+        if self.follower.has_current_book(now):
+            self.book_received.set()
 
 
 class LimitSpender:
--- a/roadpulley/fleet/orders/follower.py
+++ b/roadpulley/fleet/orders/follower.py
@@ -10,6 +10,7 @@
 from .messages import NO_VERSION, BookPage, OrderBook, PageAssembler, Poll, PollReply, Version
 
 REPLY_TIMEOUT_POLLS = 2.0  # poll intervals after which a reply is ignored
+MAX_START_WAIT_S = 8.0  # a restarted process must serve within 10 s
 
 
 @dataclass(frozen=True)
@@ -32,6 +33,14 @@
         """
         return self.holds * (1 - self.drift)
 
+    @property
+    def start_wait_s(self) -> float:
+        """The longest time in seconds that a starting process waits for the orders before it serves.
+
+        Without `keep`, running processes let the orders go after `holds` too.
+        """
+        return MAX_START_WAIT_S if self.keep else min(MAX_START_WAIT_S, self.holds)
+
 
 class Follower:
     """`holder` is the ID of a local process, 0 for an instance."""
@@ -122,6 +131,10 @@
         """The book to follow now; empty if the lease has expired and `keep` is off."""
         return self.book if self.is_fresh(now) or self.settings.keep else OrderBook(NO_VERSION)
 
+    def has_current_book(self, now: MonotonicTime) -> bool:
+        """Whether there is a book to follow: a fresh one, or with `keep` any that was received."""
+        return self.is_fresh(now) or (self.settings.keep and self.book.version != NO_VERSION)
+
     def remaining_lease(self, now: MonotonicTime) -> float:
         """Lease in seconds that a reply to a local process may state."""
         return max(0.0, self.fresh_until - now)
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from roadpulley.fleet.agent_link import AgentLink
+    from roadpulley.fleet.orders.client import OrderClient
     from roadpulley.usage.meter import Meter, PlanVersionLookup
 
 
@@ -143,8 +144,11 @@
     return agent_link
 
 
-def use_fleet(agent_link: AgentLink, driver: Driver) -> None:
-    """Use the services of the fleet that the environment variables of the supervisor enable."""
+def use_fleet(agent_link: AgentLink, driver: Driver) -> OrderClient | None:
+    """Use the services of the fleet that the environment variables of the supervisor enable.
+
+    Return the follower of operators' orders, if there is one.
+    """
     if fleet_rights := os.environ.get(RIGHTS_ENV):
         from roadpulley.fleet.orders.client import LimitSpender
         from roadpulley.fleet.orders.even_shares import EvenShares
@@ -156,15 +160,16 @@
         from roadpulley.fleet.verdicts.client import VerdictClient
 
         driver.attempt_observer = VerdictClient(agent_link, driver, float(interval_s))
-    if follower_settings := os.environ.get(ORDERS_ENV):
-        follow_orders(agent_link, driver, json.loads(follower_settings))
     if os.environ.get(COUNTER_ENV):
         from roadpulley.fleet.counts.client import ReplicatedCounter
 
         driver.counter = ReplicatedCounter(agent_link, driver.timers, driver.settings.counter_timeout)
+    if follower_settings := os.environ.get(ORDERS_ENV):
+        return follow_orders(agent_link, driver, json.loads(follower_settings))
+    return None
 
 
-def follow_orders(agent_link: AgentLink, driver: Driver, follower_settings: dict[str, Any]) -> None:
+def follow_orders(agent_link: AgentLink, driver: Driver, follower_settings: dict[str, Any]) -> OrderClient:
     """Apply operators' orders to the driver and its rights from now on."""
     from roadpulley.fleet.orders.client import LimitSpender, OrderClient, to_orders_changed
     from roadpulley.fleet.orders.follower import FollowerSettings
@@ -175,7 +180,7 @@
             driver.rights.set_orders(orders)
         driver.handle_event(to_orders_changed(orders))
 
-    OrderClient(agent_link, FollowerSettings(**follower_settings), handle_orders_changed)
+    return OrderClient(agent_link, FollowerSettings(**follower_settings), handle_orders_changed)
 
 
 async def run() -> None:
@@ -186,14 +191,16 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: None)  # only the supervisor handles SIGHUP
     config = load_gateway_config()
     meters: list[Meter] = []
+    order_client: OrderClient | None = None
     agent_link = await connect_agent(path) if (path := os.environ.get(AGENT_SOCKET_ENV)) else None
     heartbeat = Heartbeat(int(os.environ["ROADPULLEY_BEAT_FD"]), float(os.environ["ROADPULLEY_BEAT_S"]))
     heartbeat_task = loop.create_task(heartbeat.send_heartbeats())
 
     def attach(driver: Driver) -> None:
+        nonlocal order_client
         heartbeat.driver = driver
         if agent_link is not None:
-            use_fleet(agent_link, driver)
+            order_client = use_fleet(agent_link, driver)
         plans, usage = os.environ.get("ROADPULLEY_PLANS"), os.environ.get("ROADPULLEY_USAGE")
         versions = follow_plans(plans, driver) if plans else None
         if usage:
@@ -201,6 +208,10 @@
                 start_metering(usage, f"{config.name}.{os.environ['ROADPULLEY_WORKER']}", driver, versions)
             )
 
+    async def wait_for_state() -> None:
+        if order_client is not None:
+            await order_client.wait_for_book()
+
     listener = socket.socket(fileno=int(os.environ["ROADPULLEY_LISTEN_FD"]))
     await serve(
         config,
@@ -209,6 +220,7 @@
         attach=attach,
         listener=listener,
         closing=lambda: heartbeat.write_message("closes"),
+        wait_for_state=wait_for_state,
     )
     for meter in meters:
         await meter.close()
