Plan changes: a plan without a quota keeps a reading whose lease still runs

Callers: after 15 units on the large plan, a moment on a plan without a quota and the small plan, a unit that was free was refused.

Cause: the plan without a quota dropped the gateway's reading. The next totals do not say when units were spent, so the estimate from them was nothing left.

Change: the reading stays. Nobody charges under such a plan, and the lease ends the reading after 15 s without a call, as it does elsewhere.

--- a/mintford/changes.py
+++ b/mintford/changes.py
@@ -61,9 +61,8 @@
     customer.tokens += added_burst * customer.even_share
     customer.fresh_until = now  # the lease was sized for the old plan, so the next call sizes it again
     if not old.rate:
-        # No gateway charges anything under a plan without a quota, so its wants and totals mean nothing. This
-        # gateway follows the store from its next reading on, and keeps to the even share until then.
-        customer.has_reading = False
+        # No gateway calls the counter under a plan without a quota, so what the others have spent since the
+        # last reading is unknown. This gateway keeps to the even share until its next reading.
         customer.tokens = min(customer.tokens, plan.burst * customer.even_share)
     # Units spent without a ceiling were not counted. So a new ceiling starts empty, as after a restart,
     # otherwise it could be exceeded.
--- a/tests/decisions/test_plan_changes.py
+++ b/tests/decisions/test_plan_changes.py
@@ -108,6 +108,18 @@
 @given(steps=STEPS)
 @settings(max_examples=150, deadline=None)
 @example(steps=[("plan", "large"), ("ask", 1), ("plan", "none"), ("plan", "small"), ("ask", 1)])
+@example(
+    steps=[
+        ("plan", "large"),
+        ("ask", 1),
+        ("ask", 14),
+        ("plan", "none"),
+        ("plan", "large"),
+        ("wait", 800),
+        ("plan", "small"),
+        ("ask", 1),
+    ]
+)
 def test_single_gateway_matches_an_exact_store_of_debts(steps: list[tuple[str, object]]) -> None:
     """In any order it sends all units that the rule allows and no more, apart from use under a free plan."""
     world, counter, plan, owed = alone(), Counter(), SMALL, 0.0
