Refusals carry their reason, and the log counts them by reason once a second

Change: Refuse and Fail carry a RefusalReason. The driver logs a line at most once a second: counts by reason, the loop's lag, the shed level and what is open. The checks of admit_request stand in find_refusal_reason, one step a line, in the same order. No decision changes.

--- a/mintford/attempts.py
+++ b/mintford/attempts.py
@@ -119,13 +119,15 @@
             if self.requests.get(request.id) is request and now >= request.check_at - 1:
                 yield request
 
-    def finish(self, request: Request, out: api.Actions, wait: float = 0.0) -> None:
+    def finish(
+        self, request: Request, reason: api.RefusalReason, out: api.Actions, wait: float = 0.0
+    ) -> None:
         """Give the final answer: a refusal where a new try is known to do no harm, otherwise a failure."""
         del self.requests[request.id]
-        refusal = api.Refuse(request.id, min(wait, self.settings.max_retry_after))
-        out.append(
-            refusal if is_refusal_safe(request.kind, bool(request.possibly_run)) else api.Fail(request.id)
-        )
+        if is_refusal_safe(request.kind, bool(request.possibly_run)):
+            out.append(api.Refuse(request.id, min(wait, self.settings.max_retry_after), reason))
+        else:
+            out.append(api.Fail(request.id, reason))
         self.cancel_all(request, out)
 
     def cancel_all(self, request: Request, out: api.Actions, except_number: int = -1) -> None:
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -402,12 +402,29 @@
     attempt: int
 
 
+class RefusalReason(Enum):
+    """Why a request got a final answer without a value. The texts are for logs."""
+
+    NOT_ADMITTING = "this process takes no new requests"
+    ORDERED = "an order of operators forbids it"
+    CEILING = "the customer's ceiling is reached"
+    QUOTA = "beyond the quota, and not worth its cost"
+    RIGHTS = "no rights to a limit were granted in time"
+    LATE = "already late, without spare capacity"
+    RESERVED = "units are kept for classes worth more"
+    OVERLOAD = "the backends would answer too late"
+    NO_BACKEND = "no backend may be used"
+    ATTEMPTS_FAILED = "its attempts failed, and no other one is possible"
+    EXPIRED = "its time is over"
+
+
 @dataclass(slots=True)
 class Refuse:
     """A final answer that guarantees that a new try does no harm."""
 
     request: str
     retry_after: float = 0.0
+    reason: RefusalReason = RefusalReason.NO_BACKEND
 
 
 @dataclass(slots=True)
@@ -415,6 +432,7 @@
     """A final answer without any guarantee. The request may have run."""
 
     request: str
+    reason: RefusalReason = RefusalReason.ATTEMPTS_FAILED
 
 
 @dataclass(slots=True)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -22,6 +22,7 @@
     Request,
 )
 from .guards import EXPIRY_MARGIN_MS, NOT_RUN_OUTCOMES
+from .interface import RefusalReason
 from .load import DEFAULT_TIMEOUT_RATIO, Backend, Fleet
 from .orders import Orders
 from .quotas import LOW_STORE_RATIO, Quotas
@@ -105,8 +106,10 @@
         )
         request.attempt_limit = self.settings.max_attempts
         # A gateway that accepts no new requests refuses them, so that clients can try another one at once.
-        if not self.admits_requests or self.orders.is_refused(event):
-            return self.attempts.finish(request, out)
+        if not self.admits_requests:
+            return self.attempts.finish(request, RefusalReason.NOT_ADMITTING, out)
+        if self.orders.is_refused(event):
+            return self.attempts.finish(request, RefusalReason.ORDERED, out)
         worth = kind.importance / max(self.loop_lag.top_importance, 1e-9)
         if self.quotas.refresh(now, customer, request.units, request.id, out, worth):
             self.attempts.schedule_check(now, request, now + 2 * self.settings.counter_timeout, out)
@@ -198,7 +201,7 @@
         elif not request.live_attempts and not self.send_another(
             now, request, out, price=0.0 if has_not_run else 1.0
         ):
-            self.attempts.finish(request, out)
+            self.attempts.finish(request, RefusalReason.ATTEMPTS_FAILED, out)
 
     # ---- admission and attempts ----
 
@@ -210,10 +213,9 @@
         exceeds_open_limit = bool(plan.open_limit) and record.open_attempts + 1 > max(
             1.0, plan.open_limit * record.rate_share
         )
-        load_ratio = (expected := self.shedding.estimate_latency(now)) / max(kind.latency_target, 1.0)
-        added_tokens = (
-            SPARE_RETRY_TOKENS_PER_REQUEST if load_ratio < SPARE_CAPACITY_RATIO else RETRY_TOKENS_PER_REQUEST
-        )
+        expected = self.shedding.estimate_latency(now)
+        has_spare_capacity = expected / max(kind.latency_target, 1.0) < SPARE_CAPACITY_RATIO
+        added_tokens = SPARE_RETRY_TOKENS_PER_REQUEST if has_spare_capacity else RETRY_TOKENS_PER_REQUEST
         self.attempts.retry_tokens = min(MAX_RETRY_TOKENS, self.attempts.retry_tokens + added_tokens)
         earned_ratio = (
             plan.overage_earnings - plan.overage_cost if shortage > 0 or exceeds_open_limit else 1.0
@@ -227,28 +229,10 @@
             and not request.rights_requested
             and plan in self.settings.plans
         )
-        # Refuse early the requests that would be answered too late, and those that earn less than they cost.
-        refused = (over_ceiling and not needs_rights) or earned_ratio <= 0 or bool(request.pending_limits)
-        # A request that is already late earns almost nothing. It may use only spare capacity and quota.
-        is_late = now + self.fleet.typical_latency > request.first_target_at
-        has_spare_capacity = (
-            load_ratio < SPARE_CAPACITY_RATIO
-            and earned_ratio == 1.0
-            and record.store > LOW_STORE_RATIO * plan.burst
-        )
-        reserved_units = (
-            self.shedding.compute_reserved_ratio(kind) * plan.burst
-            if record.is_store_known() and earned_ratio == 1.0
-            else 0.0
-        )
-        refused = (
-            refused
-            or (is_late and not has_spare_capacity)
-            or (reserved_units > 0 and record.store - units < reserved_units)
-        )
-        refused = refused or self.shedding.is_too_late(now, kind, earned_ratio, request.target_at, expected)
+        lacks_ceiling = over_ceiling and not needs_rights
+        reason = self.find_refusal_reason(now, request, expected, earned_ratio, lacks_ceiling)
         filter_backend = request.can_send_to if request.excluded_pools else None
-        backend = None if refused else self.fleet.choose_backend(now, request.marks, filter_backend)
+        backend = None if reason else self.fleet.choose_backend(now, request.marks, filter_backend)
         if backend is None:
             wait = (
                 shortage * 1000 / max(plan.rate * record.rate_share, 1e-9)
@@ -257,7 +241,7 @@
             )
             if record.unreported_units < 0:
                 self.quotas.report_spending(now, record, out)
-            return self.attempts.finish(request, out, wait)
+            return self.attempts.finish(request, reason or RefusalReason.NO_BACKEND, out, wait)
         if (required_limits := self.orders.list_required_limits(request, backend)) or needs_rights:
             request.rights_requested, request.pending_limits = (
                 request.rights_requested or needs_rights,
@@ -273,6 +257,41 @@
         self.quotas.report_spending(now, record, out)
         self.send_attempt(now, request, backend, out)
 
+    def find_refusal_reason(
+        self, now: float, request: Request, expected: float, earned_ratio: float, lacks_ceiling: bool
+    ) -> RefusalReason | None:
+        """Why a request is refused before its first attempt, or None if it may be sent.
+
+        `expected`: the expected latency in ms; `earned_ratio`: the net part of its worth that it earns.
+        Refused early are requests that would be answered too late, or would earn less than they cost.
+        """
+        if lacks_ceiling:
+            return RefusalReason.CEILING
+        if earned_ratio <= 0:
+            return RefusalReason.QUOTA
+        if request.pending_limits:
+            return RefusalReason.RIGHTS
+        record, kind, burst = request.customer, request.kind, request.customer.plan.burst
+        # A request that is already late earns almost nothing. It may use only spare capacity and quota.
+        is_late = now + self.fleet.typical_latency > request.first_target_at
+        has_spare_capacity = (
+            expected / max(kind.latency_target, 1.0) < SPARE_CAPACITY_RATIO
+            and earned_ratio == 1.0
+            and record.store > LOW_STORE_RATIO * burst
+        )
+        if is_late and not has_spare_capacity:
+            return RefusalReason.LATE
+        reserved_units = (
+            self.shedding.compute_reserved_ratio(kind) * burst
+            if record.is_store_known() and earned_ratio == 1.0
+            else 0.0
+        )
+        if reserved_units > 0 and record.store - request.units < reserved_units:
+            return RefusalReason.RESERVED
+        if self.shedding.is_too_late(now, kind, earned_ratio, request.target_at, expected):
+            return RefusalReason.OVERLOAD
+        return None
+
     def send_attempt(self, now: float, request: Request, backend: Backend, out: api.Actions) -> None:
         """Start an attempt and schedule the check for the case that it takes too long."""
         attempt = self.attempts.send(now, request, backend, out)
@@ -292,7 +311,8 @@
     def check_request(self, now: float, request: Request, out: api.Actions) -> None:
         """Handle a request that is about to expire, or that has waited longer than usual."""
         if now >= request.expires - EXPIRY_MARGIN_MS - 1:
-            return self.attempts.finish(request, out)  # no request stays open beyond this
+            # No request stays open beyond this.
+            return self.attempts.finish(request, RefusalReason.EXPIRED, out)
         if not request.attempts:
             return self.admit_request(now, request, out)  # the counter has not answered in time
         self.attempts.schedule_check(now, request, math.inf, out)
--- a/mintford/wirehost.py
+++ b/mintford/wirehost.py
@@ -121,9 +121,9 @@
             return ["callOut", request, timeout, backend]
         case api.Cancel(request, attempt):
             return ["cancel", request, attempt]
-        case api.Refuse(request, retry_after):
+        case api.Refuse(request, retry_after, _):
             return ["bounce", request, retry_after]
-        case api.Fail(request):
+        case api.Fail(request, _):
             return ["dropRequest", request]
         case api.SetTimer(delay, token):
             return ["sleep", delay, token]
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections import Counter as Tally
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -26,6 +27,7 @@
 
 FAILED = b"-ERR failed\r\n"
 LAG_CHECK_INTERVAL_MS = 20.0  # between two looks at the lag of the loop
+REFUSAL_LOG_INTERVAL_MS = 1_000.0
 MIN_REMAINING_MS = 60.0  # of a request's time; with less the decision module could not even refuse it
 CLIENT_PROBE_LAG_MS = 20.0  # with more lag, clients are probed: a disconnect must be noticed within 100 ms
 MIN_REPORTED_LAG_MS = 5.0  # timers are late by up to a tick and the rounding of the loop anyway
@@ -135,13 +137,15 @@
         self.next_lag_check_at, self.last_lag_ms = math.inf, 0.0
         # Whether the decision module refuses some requests early, and whether a lag was reported to it.
         self.is_shedding = self.was_lagging = False
+        self.refusals: Tally[str] = Tally()  # requests without a value, by reason, since the last log line
+        self.refusals_logged_at = -math.inf
         # Passes state to the gateway's other process.
         self.hand_over: Callable[[api.HandoverState], object] = lambda _: None
         self.action_handlers: dict[type, Callable[[Any], object]] = {
             api.Send: self.send,
             api.Cancel: self.cancel,
             api.Refuse: self.refuse,
-            api.Fail: lambda action: self.finish(action.request, FAILED),
+            api.Fail: self.fail,
             api.SetTimer: self.set_timer,
             api.AddToCounter: self.count,
             api.SpendRights: self.spend,
@@ -193,8 +197,24 @@
             self.was_lagging, self.is_shedding = lag > 0, self.gateway.shed_level > 0
             if self.counter is not None:
                 self.counter.loop_lag_ms = lag
+        if self.refusals:
+            self.log_refusals(now_ms())
         self.start_lag_monitor()
 
+    def log_refusals(self, now: float) -> None:
+        """Logs why requests got no value, in one line at most once per interval, with what led to it."""
+        if now - self.refusals_logged_at < REFUSAL_LOG_INTERVAL_MS:
+            return
+        log.info(
+            "requests without a value: %s; lag %.0f ms, shed level %.2f, %d requests open",
+            dict(self.refusals),
+            self.last_lag_ms,
+            self.gateway.shed_level,
+            len(self.requests),
+        )
+        self.refusals.clear()
+        self.refusals_logged_at = now
+
     def estimate_lag_ms(self, now: float) -> float:
         """For how long received data may have been waiting to be read."""
         return max(self.last_lag_ms, now - self.next_lag_check_at, 0.0)
@@ -207,7 +227,10 @@
     def encode_early_refusal(self, request_class: str) -> bytes | None:
         """The refusal of a request that is shed before it is parsed, or None if it is admitted."""
         wait = self.gateway.get_early_refusal(request_class)
-        return None if wait is None else encode_busy(wait)
+        if wait is None:
+            return None
+        self.refusals["this process lags behind"] += 1
+        return encode_busy(wait)
 
     def apply_settings(self, settings: api.Settings, max_open: int) -> None:
         """Applies changed settings from the next event on. Open requests keep their previous limits."""
@@ -233,6 +256,7 @@
             slot.request = None  # the id belongs to the other request
             return slot.answer(b"-ERR id in use\r\n")
         if len(self.requests) >= self.max_open_requests:
+            self.refusals["too many requests are open"] += 1
             return slot.answer(b"-BUSY\r\n")
         # The client's timeout starts when it sends the request, which may have waited unread while the loop
         # lagged. Without this, an answer could come after the client has stopped waiting and count as none.
@@ -337,8 +361,14 @@
 
     def refuse(self, action: api.Refuse) -> None:
         """Answers a request with `-BUSY`."""
+        self.refusals[action.reason.value] += 1
         self.finish(action.request, encode_busy(action.retry_after))
 
+    def fail(self, action: api.Fail) -> None:
+        """Answers a request with an error, as it may have run."""
+        self.refusals[action.reason.value] += 1
+        self.finish(action.request, FAILED)
+
     def set_timer(self, action: api.SetTimer) -> None:
         """Schedules a timer of the decision module."""
         self.timers.call_at(now_ms() + action.delay, partial(self.handle_event, api.TimerFired(action.token)))
--- a/tests/core/test_driver.py
+++ b/tests/core/test_driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import time
 
@@ -78,6 +79,28 @@
     assert "RequestArrived could not be handled" in caplog.text
 
 
+def test_reasons_of_refusals_are_logged_in_one_line(caplog: pytest.LogCaptureFixture) -> None:
+    async def scenario() -> None:
+        scene = Scene()
+        for number, reason in enumerate((api.RefusalReason.CEILING,) * 2 + (api.RefusalReason.LATE,)):
+            name = f"r{number}"
+            scene.module.answers[api.RequestArrived] = [api.Refuse(name, 0.0, reason)]
+            assert scene.ask(name.encode()).reply == b"-BUSY\r\n"
+        scene.driver.start_lag_monitor()
+        await until(lambda: not scene.driver.refusals)
+        scene.driver.refusals_logged_at = now_ms() + 60_000  # however late the loop is, the interval runs
+        scene.module.answers[api.RequestArrived] = [api.Fail("r4")]
+        scene.ask(b"r4")
+        looked_at = scene.driver.next_lag_check_at
+        await until(lambda: scene.driver.next_lag_check_at > looked_at)
+        assert scene.driver.refusals, "the next line comes after an interval"
+
+    with caplog.at_level(logging.INFO):
+        in_loop(scenario)
+    (line,) = (r.getMessage() for r in caplog.records if "requests without a value" in r.getMessage())
+    assert "\"the customer's ceiling is reached\": 2, 'already late, without spare capacity': 1" in line
+
+
 def test_loop_lag_is_subtracted_from_the_request_timeout() -> None:
     """The client's timeout starts when it sends the request, and it ignores answers half a second late."""
 
