Retries: an overdue attempt goes on if no other backend can take its request

Callers: BUSY from a gateway with one client and an idle backend, when the machine ran the backend 30 ms late; for a keyed request with no second backend in its dedup scope, an error in place of the answer.

Cause: an attempt that takes nine times the usual latency was cancelled so that its outcome starts the next one, without asking whether there can be a next one.

Change: it is cancelled only if an attempt is left and a warm backend may take the request; else it goes on and is looked at again after as long as it took so far.

Evidence: the log's reason of the refusal ('its attempts failed, and no other one is possible', lag 0 ms). Two loopback tests (30 and 300 ms) and four of the module failed before and pass.

--- a/mintford/load.py
+++ b/mintford/load.py
@@ -305,6 +305,12 @@
             now, marks, warm if len(warm) <= MAX_CANDIDATES else self.draw_candidates(warm)
         )
 
+    def has_warm_backend(self, now: float, can_send_to: Callable[[float, Backend], bool]) -> bool:
+        """Whether a further attempt could be sent to a warm backend."""
+        if any(can_send_to(now, b) and b.compute_warmth(now) >= 1 for b in self.subset):
+            return True
+        return any(can_send_to(now, b) and b.compute_warmth(now) >= 1 for b in self.list_usable())
+
     def draw_candidates(self, backends: list[Backend]) -> list[Backend]:
         """Draw a few backends, each equally likely: every n-th from a random start, with a random n."""
         size = len(backends)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -315,21 +315,40 @@
             return self.attempts.finish(request, RefusalReason.EXPIRED, out)
         if not request.attempts:
             return self.admit_request(now, request, out)  # the counter has not answered in time
+        is_repeatable = len(request.live_attempts) == 1 and request.kind.effect is not api.Effect.UNSAFE
+        if is_repeatable and not self.settings.may_duplicate:
+            return self.move_overdue_attempt(now, request, out)
         self.attempts.schedule_check(now, request, math.inf, out)
-        # An attempt that takes far longer than usual gets a duplicate. Where that is not allowed it is
-        # cancelled, and its outcome starts the next attempt.
-        if len(request.live_attempts) == 1 and request.kind.effect is not api.Effect.UNSAFE:
-            if self.settings.may_duplicate:
-                self.send_another(now, request, out, price=1.0)
-            elif self.attempts.retry_tokens >= 1 and now + self.fleet.typical_latency < request.target_at:
-                self.attempts.cancel_all(request, out)
+        if is_repeatable:  # an attempt that takes far longer than usual gets a duplicate
+            self.send_another(now, request, out, price=1.0)
+
+    def move_overdue_attempt(self, now: float, request: Request, out: api.Actions) -> None:
+        """Cancel an attempt that takes far longer than usual. Its outcome starts the next attempt.
+
+        It goes on if no other backend can take the request. Otherwise the client would get a refusal in place
+        of an answer that is merely late.
+        """
+        request.excluded_pools = self.orders.current.limited_pools
+        if not self.can_attempt_again(now, request, price=1.0):
+            self.attempts.schedule_check(now, request, math.inf, out)
+        elif self.fleet.has_warm_backend(now, request.can_send_to):
+            self.attempts.schedule_check(now, request, math.inf, out)
+            self.attempts.cancel_all(request, out)
+        else:
+            (number,) = request.live_attempts
+            elapsed = now - self.attempts.in_flight[request.id, number].sent_at
+            self.attempts.schedule_check(now, request, now + max(1.0, elapsed), out)
+
+    def can_attempt_again(self, now: float, request: Request, price: float) -> bool:
+        """Whether a further attempt can be in time, and within the limit of attempts and the retry budget."""
+        max_count = min(request.attempt_limit, self.settings.max_attempts)
+        in_time = now + self.fleet.typical_latency < request.target_at
+        return in_time and request.attempts < max_count and self.attempts.retry_tokens >= price
 
     def send_another(self, now: float, request: Request, out: api.Actions, price: float) -> bool:
         """Send a further attempt if it can be in time and within the retry budget. Return if it was sent."""
-        max_count = min(request.attempt_limit, self.settings.max_attempts)
-        in_time = now + self.fleet.typical_latency < request.target_at and request.attempts < max_count
         backend = None
-        if in_time and self.attempts.retry_tokens >= price:
+        if self.can_attempt_again(now, request, price):
             request.excluded_pools = self.orders.current.limited_pools
             backend = self.fleet.choose_backend(now, request.marks, request.can_send_to)
         if backend:
--- a/tests/core/test_lag.py
+++ b/tests/core/test_lag.py
@@ -76,6 +76,27 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize("delay_s", [0.03, 0.3])
+def test_a_late_answer_of_the_only_backend_is_waited_for(delay_s: float) -> None:
+    """Guards against a refusal by a gateway with nothing to do: an overdue attempt was cancelled.
+
+    A machine that runs a backend late by 30 ms makes its attempts overdue, as an answer usually takes 1 ms.
+    """
+    delays_s = [0.0] * 20 + [delay_s]
+
+    async def scenario() -> None:
+        async def answer(command: list[bytes]) -> Reply:
+            await asyncio.sleep(delays_s.pop(0))
+            return b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
+
+        async with running(World(Backend(answer))) as world:
+            peer = await world.client()
+            while delays_s:
+                assert await world.ask(peer, id=b"r%d" % len(delays_s)) == b"value"
+
+    in_loop(scenario)
+
+
 def test_a_counter_answer_that_waits_during_a_stall_is_not_a_timeout(monkeypatch: pytest.MonkeyPatch) -> None:
     """After a stall the timeout fires before the sockets are read, although the counter has answered."""
     monkeypatch.setattr(counter_module, "SILENCE_TIMEOUT_MS", 50.0)
--- a/tests/decisions/test_decisions.py
+++ b/tests/decisions/test_decisions.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import pytest
 from helpers import BASIC, World, backends, entry, refusals, sends
 
 from mintford import interface as api
@@ -228,6 +229,39 @@
     assert again.backend != first.backend
 
 
+@pytest.mark.parametrize(
+    ("name", "entries", "changes"),
+    [
+        ("view", (entry(1),), {}),
+        ("view", (entry(1), entry(2)), {"max_attempts": 1}),
+        ("order", (entry(1, cell=1), entry(2, cell=2)), {}),
+    ],
+    ids=["only backend", "last attempt", "only backend that drops repeats of a keyed request"],
+)
+def test_overdue_attempt_goes_on_if_no_other_one_is_possible(
+    name: str, entries: tuple[api.BackendEntry, ...], changes: dict[str, object]
+) -> None:
+    """Otherwise its client gets a refusal, or a failure, in place of an answer that is merely late."""
+    w = world(*entries, **changes)
+    warm_up(w, lag=2)
+    late = one(w.ask(name, life=2_500))
+    assert not [a for a in w.pass_time(800) if not isinstance(a, api.SetTimer)]
+    assert w.end(late) == [], "the answer is the final one"
+    unanswered = one(w.ask(name, life=2_500))
+    ends = [a for a in w.pass_time(2_500) if isinstance(a, api.Refuse | api.Fail)]
+    assert [(a.request, a.reason) for a in ends] == [(unanswered.request, api.RefusalReason.EXPIRED)]
+
+
+def test_overdue_attempt_is_moved_once_another_backend_is_listed() -> None:
+    w = world(entry(1))
+    warm_up(w, lag=2)
+    first = one(w.ask(life=2_500))
+    w.pass_time(100)
+    w.give(backends(entry(2), scope=api.ListScope.CHANGES))
+    assert api.Cancel(first.request, 0) in w.pass_time(200)
+    assert one(w.end(first, api.Outcome.CANCELLED)).backend == 2
+
+
 def test_failures_of_one_class_at_a_backend_are_distinguished() -> None:
     """Guards against a backend that fails a single class, looks half healthy and keeps getting that class."""
     w = world(max_attempts=1)
