Checks: errors quote a key that is not bare, so each is one line

Operators: an unknown key with a line break gave an error of two lines, and a key with a colon one that was cut at the wrong place.

Cause: the path held the key as it was; read_toml parsed the message again.

Change: format_key quotes with escapes what is no bare key of TOML, where paths are formed, and in the comparison at a reload. The error carries problem and correction.

--- a/roadpulley/checks.py
+++ b/roadpulley/checks.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import json
 import math
+import re
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any, TypeVar
@@ -13,11 +15,13 @@
 
     def __init__(self, path: str, problem: str, correction: str) -> None:
         super().__init__(f"{path or 'the file'}: {problem}; {correction}")
-        self.path = path
+        self.path, self.problem, self.correction = path, problem, correction
 
 
 T = TypeVar("T")
 
+BARE_KEY_PATTERN = re.compile(r"[A-Za-z0-9_-]+")  # TOML 1.0, "Keys"
+
 
 def read_toml(path: Path, parse: Callable[[dict[str, Any]], T]) -> T:
     """Parses a TOML file and passes its content to `parse`.
@@ -37,9 +41,7 @@
     try:
         return parse(raw)
     except ValidationError as error:
-        raise ValidationError(
-            f"{path}: {error.path}", *str(error).partition(": ")[2].split("; ", 1)
-        ) from error
+        raise ValidationError(f"{path}: {error.path}", error.problem, error.correction) from error
 
 
 def format_value(value: object) -> str:
@@ -48,6 +50,14 @@
     return text if len(text) <= 60 else text[:57] + "..."
 
 
+def format_key(key: str) -> str:
+    """A key for the path in an error message: as it is, or quoted with escapes as in TOML if it has to be.
+
+    A key from outside may hold line breaks, dots and quotes, and an error is one line.
+    """
+    return key if BARE_KEY_PATTERN.fullmatch(key) else json.dumps(key)
+
+
 class Table:
     """One table of a configuration, with a reader for each type of value.
 
@@ -63,7 +73,8 @@
 
     def path_of(self, key: str) -> str:
         """The dotted path of a key from the root of the file."""
-        return f"{self.path}.{key}" if self.path else key
+        shown = format_key(key)
+        return f"{self.path}.{shown}" if self.path else shown
 
     def has(self, key: str) -> bool:
         """Whether the table contains a key."""
--- a/roadpulley/core/validation.py
+++ b/roadpulley/core/validation.py
@@ -10,7 +10,7 @@
 
 from mintford import interface as api
 from mintford.reading import REPORT_FIELDS
-from roadpulley.checks import Table, ValidationError, format_value
+from roadpulley.checks import Table, ValidationError, format_key, format_value
 
 from .discovery import BACKEND_STATES
 from .settings import parse_address
@@ -157,7 +157,7 @@
     if not isinstance(new, dict):
         raise ValidationError(path, f"is {format_value(new)}", "give a table")
     for key, current_value in current.items():
-        at = f"{path}.{key}"
+        at = f"{path}.{format_key(key)}"
         if key not in new:
             raise ValidationError(
                 at,
--- a/tests/testbed/test_scenario.py
+++ b/tests/testbed/test_scenario.py
@@ -1,15 +1,16 @@
 from __future__ import annotations
 
 import itertools
+import json
 from collections import Counter
 from pathlib import Path
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
-from roadpulley.checks import Table, ValidationError
+from roadpulley.checks import Table, ValidationError, read_toml
 from roadpulley.testbed import scenario as module
 from roadpulley.testbed.arrivals import arrivals, customers
 from roadpulley.testbed.scenario import Fault, Scenario, find, load, read, shipped
@@ -131,6 +132,7 @@
 
 
 @given(st.dictionaries(st.text(max_size=8), st.one_of(st.none(), st.booleans(), st.integers(), st.text())))
+@example({"\n": None})
 def test_whatever_a_table_holds_is_taken_or_named(raw: dict[str, Any]) -> None:
     table = Table(raw, "top")
     try:
@@ -141,3 +143,19 @@
         assert error.path.startswith("top.") and "\n" not in str(error)
     else:
         assert set(raw) <= {"a", "b"}
+
+
+@pytest.mark.parametrize(
+    ("key", "shown"),
+    [("a\nb", r'"a\nb"'), ('a.b: "c"; d', r'"a.b: \"c\"; d"'), ("", '""'), ("a-b_1", "a-b_1")],
+)
+def test_error_quotes_a_key_that_is_not_bare(key: str, shown: str, tmp_path: Path) -> None:
+    file = tmp_path / "file.toml"
+    file.write_text(f"[top]\n{json.dumps(key)} = 1\n")
+
+    def parse(raw: dict[str, Any]) -> None:
+        Table(raw).read_table("top").read_text(key)
+
+    with pytest.raises(ValidationError) as caught:
+        read_toml(file, parse)
+    assert str(caught.value) == f"{file}: top.{shown}: is 1; give a text that is not empty"
