Connections: data that lies on a new connection ends it before the first byte

Callers: a backend that sends bytes before the request had them served as the answer. Found by drawn orders (send, read, early value, turn).

Cause: an idle connection is checked for unread data before it is used again, one that has just come up was not.

Change: the same check before the first byte; the connection then ends like a connect that failed, and the request goes elsewhere.

--- a/roadpulley/core/connection.py
+++ b/roadpulley/core/connection.py
@@ -98,7 +98,8 @@
         self.pool.loop.remove_writer(self.fd)
         if self.timer is not None:
             self.timer.cancel()
-        if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+        # Data that arrived before the request is no answer to it, and would be served as one.
+        if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or not self.is_alive():
             return self.end(EndReason.CONNECTION_ERROR)
         self.is_connected = True
         self.pool.loop.add_reader(self.fd, self._on_readable)
@@ -302,7 +303,7 @@
         self.pool.remove_connection(self)
 
     def is_alive(self) -> bool:
-        """Whether an idle connection is open and has no unread data, as far as this machine knows."""
+        """Whether a connection without a request is open and has no unread data, as far as is known here."""
         try:
             self.socket.recv(1, socket.MSG_PEEK)
         except (BlockingIOError, InterruptedError):
