Verdicts: they stand while the local gateway process is late

Cause: with no observations for a second, no backend counted as ready, so any verdict was one on more than half of them, and all were dropped.

Change: the last known number of ready backends counts then.

Evidence: the new test failed before ([] where [3] was held) and passes.

--- a/roadpulley/fleet/verdicts/service.py
+++ b/roadpulley/fleet/verdicts/service.py
@@ -138,7 +138,10 @@
                     merged[row.backend] = row
                 elif existing.started == row.started:
                     merged[row.backend] = merge_observations(existing, row)
-        return max((batch.ready for _, batch in self.observations.values()), default=0), merged.values()
+        # A local process that is late by a second has lost no backends. If none counted as ready, each
+        # verdict would seem to be one on most of them, and be dropped.
+        ready = max((batch.ready for _, batch in self.observations.values()), default=self.table.ready)
+        return ready, merged.values()
 
     def _log_changes(self, previous: list[Verdict]) -> None:
         previous_backends, current = {v.backend for v in previous}, {v.backend: v for v in self.verdicts}
--- a/tests/fleet/test_verdicts.py
+++ b/tests/fleet/test_verdicts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from pathlib import Path
 
 import pytest
 from hypothesis import given
@@ -10,11 +11,24 @@
 
 from mintford.interface import Outcome
 from roadpulley.checks import Table, ValidationError
+from roadpulley.fleet.clock import Clock, wall_ms
 from roadpulley.fleet.duties.terms import ProcessId
 from roadpulley.fleet.verdicts.evidence import BackendObservations
-from roadpulley.fleet.verdicts.messages import MAX_ROWS, HealthReport, HealthReportBatch, ObservationRow
-from roadpulley.fleet.verdicts.service import merge_observations, read_verdict_settings
+from roadpulley.fleet.verdicts.messages import (
+    MAX_ROWS,
+    HealthReport,
+    HealthReportBatch,
+    ObservationBatch,
+    ObservationRow,
+)
+from roadpulley.fleet.verdicts.service import (
+    OBSERVATION_LIFETIME_S,
+    VerdictService,
+    merge_observations,
+    read_verdict_settings,
+)
 from roadpulley.fleet.verdicts.state_machine import HealthReportTable, VerdictSettings
+from roadpulley.fleet.worker_socket import WorkerSocket
 
 ME, A, B, C = (ProcessId(name, n) for n, name in enumerate(("me", "a", "b", "c"), 1))
 SETTINGS = VerdictSettings(report_lifetime_s=3.0, max_share=0.3)
@@ -281,3 +295,33 @@
 def test_invalid_settings_name_the_key(raw: dict[str, object]) -> None:
     with pytest.raises(ValidationError, match=rf"verdicts\.{next(iter(raw))}"):
         read_verdict_settings(Table(raw, "verdicts"))
+
+
+class ManualClock(Clock):
+    """A clock that a test sets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.time = 100.0
+
+    def now(self) -> float:
+        return self.time
+
+
+def test_verdict_stands_while_the_local_process_is_late() -> None:
+    """Without recent observations no backend counted as ready, so any verdict was one on most of them."""
+    clock = ManualClock()
+    workers = WorkerSocket(Path("unused"), lambda _: None)
+    routes = [("a", 1), ("b", 1), ("c", 1)]
+    service = VerdictService(
+        VerdictSettings(), ProcessId("me", 1), workers, clock, lambda *_: None, lambda: routes
+    )
+    service.observations[7] = clock.now(), ObservationBatch(7, 10, ())
+    for name in ("a", "b"):
+        report = HealthReport(3, 1.0, 1, 1.0, 1.0, wall_ms(), 1.0)
+        service.table.merge_remote(clock.now(), wall_ms(), HealthReportBatch(ProcessId(name, 1), (report,)))
+    service._tick()
+    assert [verdict.backend for verdict in service.verdicts] == [3]
+    clock.time += OBSERVATION_LIFETIME_S + 0.1
+    service._tick()
+    assert [verdict.backend for verdict in service.verdicts] == [3]
