make explore: other draws of all property tests, by Hypothesis' own profiles

Change: a profile 'explore' without derandomize, and a target that plays FACTOR rounds of the tests marked 'hypothesis' with seeds that follow from SEED.

--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,14 @@
 # The request path compiled, from the same source; in an environment of its own. It needs a C compiler.
 COMPILED = $(VENV)-compiled
 
+# `make explore`: other draws of all property tests, FACTOR times as many as CI draws.
+SEED ?= 1
+FACTOR ?= 10
+EXPLORE_JOBS ?= 2
+
 SHARED = test_workers_share_an_address_without_violations
 
-.PHONY: demo test lint bench compiled test-compiled bench-compiled
+.PHONY: demo test lint explore bench compiled test-compiled bench-compiled
 
 demo: $(VENV)/.ready-dev
 	$(BIN)/roadpulley dev --for 20
@@ -24,6 +29,11 @@
 	$(BIN)/ruff format --check -q .
 	$(BIN)/mypy
 
+explore: $(VENV)/.ready-test
+	status=0; for round in $$(seq 1 $(FACTOR)); do seed=$$(( $(SEED) * 1000 + round )); echo "seed $$seed"; \
+		$(BIN)/pytest -q -n $(EXPLORE_JOBS) -p no:cacheprovider --runxfail -m hypothesis \
+		--hypothesis-profile=explore --hypothesis-seed=$$seed || status=1; done; exit $$status
+
 bench: $(VENV)/.ready-dev
 	$(BIN)/python benchmarks/request_cost.py
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from known_red import COLLECTED, ENTRIES, LIST_PATH, apply_entries, parse_list, summary_lines
 
 settings.register_profile("repeatable", derandomize=True, deadline=None, database=None)
+settings.register_profile("explore", derandomize=False, deadline=None, database=None, print_blob=True)
 settings.load_profile("repeatable")
 
 
