Soak: three plays in ten press customers against their hard ceilings

Change: draws of the deployment 'beyond' with heavy customers at six times their quota, from a generator of their own: the other plans of a seed are unchanged.

--- a/roadpulley/soak/plan.py
+++ b/roadpulley/soak/plan.py
@@ -27,6 +27,8 @@
 LAST_PART = 0.7  # of the play: later no fault begins, so that recovery is seen
 RECOVERY_S = 1.5  # after a fault, for which another one counts as overlapping
 MAX_FAILED_NODES_RATIO = 0.4
+CEILING_PLAYS_RATIO = 0.3  # of the plays: customers are refused by their ceilings, not by their quotas
+CEILING_LOAD_FACTOR = 6.0  # times its quota, asked by a heavy customer of such a play
 MIN_FAULTS = 3
 MAX_FAULTS = 6
 
@@ -53,7 +55,10 @@
     """The installation, the load and the timeline of one seed."""
     rng = random.Random(f"soak:{seed}")
     gateways, nodes = rng.randint(2, 4), rng.randint(5, 10)
-    deployment = rng.choice(("tiles", "tiles", "transfers"))
+    usual_deployment = rng.choice(("tiles", "tiles", "transfers"))
+    # Drawn apart, so that the other plans of a seed stay as they are.
+    presses_ceilings = random.Random(f"soak:{seed}:ceilings").random() < CEILING_PLAYS_RATIO
+    deployment = "beyond" if presses_ceilings else usual_deployment
     scenario = Scenario(
         name=f"soak-{seed}",
         seconds=seconds,
@@ -71,6 +76,7 @@
             pipeline=rng.choice((1, 1, 4)),
             heavy=rng.choice((0.1, 0.3)),
             filings=rng.choice((0.05, 0.2)),
+            heavy_x=CEILING_LOAD_FACTOR if presses_ceilings else Load.heavy_x,
         ),
     )
     faults = sorted(draw_faults(rng, scenario), key=lambda fault: fault.at)
@@ -148,7 +154,11 @@
     return [draw_link_fault(rng, at, kind, max(seconds, 0.15), scenario)]
 
 
-RUSHED = {"tiles": ("basic", "business", "enterprise"), "transfers": ("branch", "counter", "network")}
+RUSHED = {
+    "tiles": ("basic", "business", "enterprise"),
+    "transfers": ("branch", "counter", "network"),
+    "beyond": ("firm",),
+}
 
 
 def draw_link_fault(rng: random.Random, at: float, kind: str, seconds: float, scenario: Scenario) -> Fault:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -56,6 +56,7 @@
     assert kinds >= {"delay", "cut", "half-open", "drip", "reset", "blackhole", "stall", "rush"}
     assert kinds >= {"counter-lost", "counter-slow", "counter-full", "discovery-silent"}
     assert {plan.workers for plan in plans} == {"", "1", "2"}
+    assert {plan.deployment for plan in plans} == {"tiles", "transfers", "beyond"}
 
 
 def test_a_seed_prints_the_same_plan_in_another_process() -> None:
