--- a/roadpulley/checks.py
+++ b/roadpulley/checks.py
@@ -20,7 +20,8 @@
 
 T = TypeVar("T")
 
-BARE_KEY_PATTERN = re.compile(r"[A-Za-z0-9_-]+")  # TOML 1.0, "Keys"
+# Bare keys of TOML 1.0, and names with a slash.
+UNQUOTED_KEY_PATTERN = re.compile(r"[A-Za-z0-9_/-]+")
 
 
 def read_toml(path: Path, parse: Callable[[dict[str, Any]], T]) -> T:
@@ -55,7 +56,7 @@
 
     A key from outside may hold line breaks, dots and quotes, and an error is one line.
     """
-    return key if BARE_KEY_PATTERN.fullmatch(key) else json.dumps(key)
+    return key if UNQUOTED_KEY_PATTERN.fullmatch(key) else json.dumps(key)
 
 
 class Table:
