--- a/mintford/handover.py
+++ b/mintford/handover.py
@@ -32,10 +32,8 @@
                 customer.key, customer.plan_name, round(1 / customer.even_share), lease, *amounts
             )
         )
-        customer.tokens, customer.unreported_units = (
-            customer.tokens - amounts[0],
-            customer.unreported_units - amounts[3],
-        )
+        customer.tokens -= amounts[0]
+        customer.unreported_units -= amounts[3]
         customer.ceiling.set_gateway_share(new_share, kept_ratio)
     health = (api.BackendSnapshot(b.id, b.started, b.marks) for b in fleet.backends.values() if b.marks)
     return api.HandoverState(
@@ -59,17 +57,13 @@
             record.tokens = 0.0
         record.tokens += snapshot.tokens
         quotas.charge(record, snapshot.unsaid)
-        record.ceiling.own_tokens, record.ceiling.shared_allowance = (
-            record.ceiling.own_tokens + snapshot.own,
-            record.ceiling.shared_allowance + snapshot.unused,
-        )
+        record.ceiling.own_tokens += snapshot.own
+        record.ceiling.shared_allowance += snapshot.unused
     for saved in state.backends:
         if (backend_record := fleet.backends.get(saved.backend)) and backend_record.started == saved.started:
             backend_record.marks.update(saved.marks)
     if state.typical and not fleet.latency_samples:
-        fleet.typical_latency, fleet.latency_samples, fleet.recent_latency, fleet.recent_latency_at = (
-            state.typical,
-            1.0,
-            state.recent,
-            now,
-        )
+        fleet.typical_latency = state.typical
+        fleet.latency_samples = 1.0
+        fleet.recent_latency = state.recent
+        fleet.recent_latency_at = now
--- a/mintford/load.py
+++ b/mintford/load.py
@@ -66,16 +66,12 @@
 
     def apply_settings(self, now: float, settings: api.Settings) -> None:
         """Use other settings from now on."""
-        self.settings, self.crossing_factor = (
-            settings,
-            1 + ZONE_CROSSING_COST_RATIO * settings.capabilities.price_crossing,
-        )
+        self.settings = settings
+        self.crossing_factor = 1 + ZONE_CROSSING_COST_RATIO * settings.capabilities.price_crossing
         for backend in self.backends.values():
-            backend.rules, backend.own_zone, backend.in_other_zone = (
-                settings.rules,
-                settings.zone,
-                backend.entry.zone != settings.zone,
-            )
+            backend.rules = settings.rules
+            backend.own_zone = settings.zone
+            backend.in_other_zone = backend.entry.zone != settings.zone
         self.update_list(now, api.BackendsChanged(api.ListScope.CHANGES, ()))
 
     # ---- backend list ----
@@ -205,10 +201,10 @@
             weight = max(
                 RECENT_LATENCY_WEIGHT_RATIO, 1 - math.exp((self.recent_latency_at - now) / MARK_DECAY_MS)
             )
-            self.recent_latency, self.recent_latency_at = (
-                (self.recent_latency or elapsed) * (elapsed / (self.recent_latency or elapsed)) ** weight,
-                now,
-            )
+            self.recent_latency = (self.recent_latency or elapsed) * (
+                elapsed / (self.recent_latency or elapsed)
+            ) ** weight
+            self.recent_latency_at = now
         if ok:
             self.latency_samples = min(MAX_LATENCY_SAMPLES, self.latency_samples + 1)
             self.typical_latency += (capped - self.typical_latency) / self.latency_samples
@@ -226,11 +222,9 @@
                     backend.marks[name] = (level + (is_failure - level) * FAILURE_MARK_WEIGHT_RATIO, now)
         if ok:  # this gateway's own answer overrides earlier findings of other gateways
             backend.peer_failure_level, backend.last_success_at = 0.0, now
-        backend.excess_latency, backend.failure_level, backend.decayed_at = (
-            slow,
-            max(backend.peer_failure_level, self.get_mark(now, backend, "all")),
-            now,
-        )
+        backend.excess_latency = slow
+        backend.failure_level = max(backend.peer_failure_level, self.get_mark(now, backend, "all"))
+        backend.decayed_at = now
 
     def apply_peer_verdicts(self, event: api.PeerVerdictsChanged) -> None:
         """Use the failing backends found by other gateways as a lower bound of the failure marks here."""
@@ -253,11 +247,9 @@
 
     def choose_cheapest(self, now: float, marks: Sequence[str], candidates: list[Backend]) -> Backend | None:
         """Choose the lowest cost: the expected latency, raised by failures and zone crossing, and chance."""
-        best, least, chance = (
-            None,
-            math.inf,
-            self.random.getrandbits(10 * len(candidates)) if candidates else 0,
-        )
+        best = None
+        least = math.inf
+        chance = self.random.getrandbits(10 * len(candidates)) if candidates else 0
         typical, fresh, crossing = self.typical_latency, now - DECAY_INTERVAL_MS, self.crossing_factor
         for backend in candidates:
             if backend.decayed_at < fresh:
@@ -314,9 +306,7 @@
     def draw_candidates(self, backends: list[Backend]) -> list[Backend]:
         """Draw a few backends, each equally likely: every n-th from a random start, with a random n."""
         size = len(backends)
-        first, step = (
-            int(self.random.random() * size),
-            1 + int(self.random.random() * (size // MAX_CANDIDATES)),
-        )
+        first = int(self.random.random() * size)
+        step = 1 + int(self.random.random() * (size // MAX_CANDIDATES))
         ring = self.warm_ring if backends is self.warm else backends * 2
         return ring[first : first + MAX_CANDIDATES * step : step]
--- a/mintford/orders.py
+++ b/mintford/orders.py
@@ -47,9 +47,7 @@
         if granted:
             request.granted_limits += request.pending_limits
         elif request.pending_pool:
-            request.excluded_pools, request.rights_requested = (
-                (*request.excluded_pools, request.pending_pool),
-                request.has_rights,
-            )
+            request.excluded_pools = (*request.excluded_pools, request.pending_pool)
+            request.rights_requested = request.has_rights
         if granted or request.pending_pool:
             request.pending_limits = ()
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -189,12 +189,10 @@
         """Refill all buckets of a customer up to now. An expired lease falls back to the even share."""
         plan = customer.plan
         if now > customer.lease_end and customer.has_reading:
-            customer.rate_share, customer.has_reading, customer.total_wants, customer.late_peer_units = (
-                customer.even_share,
-                False,
-                0.0,
-                0.0,
-            )
+            customer.rate_share = customer.even_share
+            customer.has_reading = False
+            customer.total_wants = 0.0
+            customer.late_peer_units = 0.0
             customer.totals.clear()
             customer.unconfirmed_units.clear()
             customer.ceiling.reset_shared_tokens()
@@ -219,11 +217,9 @@
 
     def charge(self, customer: Customer, units: float) -> None:
         """Charge units, or return them if negative, to the lease and the store."""
-        customer.tokens, customer.store, customer.unreported_units = (
-            customer.tokens - units,
-            customer.store - units,
-            customer.unreported_units + units,
-        )
+        customer.tokens -= units
+        customer.store -= units
+        customer.unreported_units += units
 
     def settle(
         self, now: float, customer: Customer, charged: float, true_units: float, out: api.Actions
@@ -352,11 +348,9 @@
                 Call(customer.key, CallKind.READ_LAST_EPOCH, epoch - 1, 0.0, "", customer.read_at, now),
                 out,
             )
-        customer.is_calling, amount, customer.unreported_units = (
-            True,
-            round(customer.unreported_units + reserved, 3),
-            0.0,
-        )
+        customer.is_calling = True
+        amount = round(customer.unreported_units + reserved, 3)
+        customer.unreported_units = 0.0
         self.send_call(
             customer,
             Call(customer.key, CallKind.ADD_SPENT, epoch, amount, request, customer.read_at, now, reserved),
@@ -376,11 +370,9 @@
         period = int(now // WANTS_PERIOD_MS)
         if customer.wants_period < period:
             customer.previous_wants = customer.reported_wants if customer.wants_period == period - 1 else 0.0
-            customer.wants_period, customer.reported_wants, customer.total_wants = (
-                period,
-                round(customer.recent_demand, 3),
-                0.0,
-            )
+            customer.wants_period = period
+            customer.reported_wants = round(customer.recent_demand, 3)
+            customer.total_wants = 0.0
             self.send_call(
                 customer,
                 Call(customer.key, CallKind.WANTS, period, customer.reported_wants, "", now, now),
@@ -455,20 +447,16 @@
             return
         self.unanswered_calls += outcome is not api.Outcome.FULL
         if outcome is api.Outcome.FULL or waited_ratio > TIMEOUT_RATIO:
-            self.call_budget, self.slow_start_ratio = (
-                max(MIN_CALL_BUDGET_RATIO, self.call_budget * CALL_BUDGET_DECREASE_RATIO),
-                1.0,
-            )
+            self.call_budget = max(MIN_CALL_BUDGET_RATIO, self.call_budget * CALL_BUDGET_DECREASE_RATIO)
+            self.slow_start_ratio = 1.0
 
     # ---- readings ----
 
     def apply_total(self, now: float, customer: Customer, call: Call, total: float) -> None:
         """Apply a total: subtract from the store what others have added since the last reading."""
         customer.has_read_last_epoch = customer.has_read_last_epoch or call.kind is CallKind.READ_LAST_EPOCH
-        known, unconfirmed = (
-            customer.totals.get(call.period),
-            customer.unconfirmed_units.pop(call.period, 0.0),
-        )
+        known = customer.totals.get(call.period)
+        unconfirmed = customer.unconfirmed_units.pop(call.period, 0.0)
         customer.totals[call.period] = total
         # An epoch that ended before this gateway followed the store belongs to its first estimate.
         if customer.has_reading and (known is not None or call.kind is CallKind.ADD_SPENT):
@@ -529,11 +517,9 @@
         spent = max(
             0.0, customer.totals.get(epoch, 0.0) - (call.amount if call.kind is CallKind.ADD_SPENT else 0.0)
         )
-        last_epoch_spent, rate, burst = (
-            customer.totals.get(epoch - 1, math.inf),
-            customer.plan.rate,
-            customer.plan.burst,
-        )
+        last_epoch_spent = customer.totals.get(epoch - 1, math.inf)
+        rate = customer.plan.rate
+        burst = customer.plan.burst
         seconds = age / 1000
         lower_bound = burst - spent - max(0.0, min(last_epoch_spent, burst) - rate * seconds)
         likely = burst - max(0.0, spent - UNOBSERVED_REFILL_RATIO * rate * seconds)
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -164,10 +164,8 @@
         if attempt is None or attempt.response_started:
             return
         attempt.response_started, request = True, attempt.request
-        elapsed, timeout = (
-            max(1.0, now - attempt.sent_at - self.loop_lag.lag),
-            self.compute_timeout(now, attempt),
-        )
+        elapsed = max(1.0, now - attempt.sent_at - self.loop_lag.lag)
+        timeout = self.compute_timeout(now, attempt)
         self.fleet.record_outcome(now, attempt.backend, request.marks, api.Outcome.OK, elapsed, timeout)
         if self.attempts.requests.pop(event.request, None):
             self.attempts.cancel_all(request, out, except_number=event.attempt)
@@ -243,10 +241,8 @@
                 self.quotas.report_spending(now, record, out)
             return self.attempts.finish(request, reason or RefusalReason.NO_BACKEND, out, wait)
         if (required_limits := self.orders.list_required_limits(request, backend)) or needs_rights:
-            request.rights_requested, request.pending_limits = (
-                request.rights_requested or needs_rights,
-                required_limits,
-            )
+            request.rights_requested = request.rights_requested or needs_rights
+            request.pending_limits = required_limits
             self.attempts.schedule_check(now, request, now + 2 * self.settings.counter_timeout, out)
             return out.append(
                 api.SpendRights(
--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -192,10 +192,8 @@
     loop, started_at = asyncio.get_running_loop(), now_ms()
     timers = Timers(loop)
     stats = RequestStats()
-    memory_bytes, descriptor_limit = (
-        int(config.memory_mb * BUFFER_MEMORY_RATIO * 2**20),
-        reserve_descriptors(config.max_descriptors),
-    )
+    memory_bytes = int(config.memory_mb * BUFFER_MEMORY_RATIO * 2**20)
+    descriptor_limit = reserve_descriptors(config.max_descriptors)
     backends = BackendPools(
         loop,
         timers,
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -121,12 +121,10 @@
         max_open_requests: int,
     ) -> None:
         self.gateway, self.settings = Gateway(settings, seed), settings
-        self.timers, self.backends, self.counter, self.max_open_requests = (
-            timers,
-            backends,
-            counter,
-            max_open_requests,
-        )
+        self.timers = timers
+        self.backends = backends
+        self.counter = counter
+        self.max_open_requests = max_open_requests
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # open, also those of ended requests
         self.events: deque[api.Event] = deque()
--- a/roadpulley/fleet/orders/publisher.py
+++ b/roadpulley/fleet/orders/publisher.py
@@ -58,12 +58,10 @@
     def __init__(
         self, fence: int, voter_config: VoterConfig, highest_known: OrderBook, retry_interval_s: float
     ) -> None:
-        self.fence, self.voter_config, self.book, self.retry_interval_s = (
-            fence,
-            voter_config,
-            highest_known,
-            retry_interval_s,
-        )
+        self.fence = fence
+        self.voter_config = voter_config
+        self.book = highest_known
+        self.retry_interval_s = retry_interval_s
         self.state = PublisherState.READING
         # Voters whose book has been read, and whether they have their memory.
         self.read_voters: dict[str, bool] = {}
@@ -97,10 +95,8 @@
         `book`: once all its pages arrived.
         """
         if reply.promised > self.fence or reply.version.fence > self.fence:
-            self.state, self.higher_fence = (
-                PublisherState.SUPERSEDED,
-                max(reply.promised, reply.version.fence),
-            )
+            self.state = PublisherState.SUPERSEDED
+            self.higher_fence = max(reply.promised, reply.version.fence)
             return
         if self.state is PublisherState.READING:
             if reply.version > self.book.version:
@@ -250,10 +246,8 @@
         """Describes to operators which voters the read waits for; empty after the read."""
         if self.state is not PublisherState.READING:
             return ""
-        missing, lost = (
-            sorted(self.all_voters() - set(self.read_voters)),
-            self._count_lost_memory(),
-        )
+        missing = sorted(self.all_voters() - set(self.read_voters))
+        lost = self._count_lost_memory()
         if not lost:
             return f"a majority of {', '.join(sorted(self.all_voters()))}"
         return f"{', '.join(missing)}: {lost} voters have lost their memory, and these may know a newer book"
--- a/roadpulley/fleet/orders/service.py
+++ b/roadpulley/fleet/orders/service.py
@@ -81,18 +81,14 @@
         on_change: Callable[[], None],
     ) -> None:
         self.settings, self.voter, self.name, self.local_processes = settings, voter, name, local_processes
-        self.clock, self.retry_interval_s, self.send, self.route_to_voter = (
-            clock,
-            retry_interval_s,
-            send,
-            route_to_voter,
-        )
-        self.peer_routes, self.get_voter_config, self.call_in_loop, self.on_change = (
-            peer_routes,
-            get_voter_config,
-            call_in_loop,
-            on_change,
-        )
+        self.clock = clock
+        self.retry_interval_s = retry_interval_s
+        self.send = send
+        self.route_to_voter = route_to_voter
+        self.peer_routes = peer_routes
+        self.get_voter_config = get_voter_config
+        self.call_in_loop = call_in_loop
+        self.on_change = on_change
         self.follower = Follower(settings.follower_settings)
         self.duty: HeldDuty | None = None
         self.publisher: Publisher | None = None
@@ -173,10 +169,8 @@
 
     def _start_publisher(self, duty: HeldDuty) -> None:
         newest_book = max(self.follower.book, self.voter.state.book, key=lambda b: b.version)
-        self.duty, self.publisher = (
-            duty,
-            Publisher(duty.fence, self.get_voter_config(), newest_book, self.retry_interval_s),
-        )
+        self.duty = duty
+        self.publisher = Publisher(duty.fence, self.get_voter_config(), newest_book, self.retry_interval_s)
         self.voter_pages, self.voter_replies, self.outcome_routes = {}, {}, {}
         log.info("publishes orders", fence=duty.fence, knows=list(newest_book.version))
 
--- a/roadpulley/fleet/verdicts/service.py
+++ b/roadpulley/fleet/verdicts/service.py
@@ -27,10 +27,8 @@
 
 def read_verdict_settings(table: Table) -> VerdictSettings:
     """Raises ValidationError."""
-    interval_s, lifetime_s = (
-        table.read_number("say_s", 0.25, 0.05, 5),
-        table.read_number("life_s", 3.0, 0.5, 60),
-    )
+    interval_s = table.read_number("say_s", 0.25, 0.05, 5)
+    lifetime_s = table.read_number("life_s", 3.0, 0.5, 60)
     max_ratio = table.read_number("most_share", 0.3, 0.0, 1.0)
     table.reject_unknown_keys()
     return VerdictSettings(interval_s, lifetime_s, max_ratio)
@@ -61,12 +59,10 @@
         send: Callable[[Route, Body], None],
         peer_routes: Callable[[], list[Route]],
     ) -> None:
-        self.settings, self.identity, self.local_processes, self.clock = (
-            settings,
-            identity,
-            local_processes,
-            clock,
-        )
+        self.settings = settings
+        self.identity = identity
+        self.local_processes = local_processes
+        self.clock = clock
         self.send, self.peer_routes = send, peer_routes
         self.table = HealthReportTable(identity, settings)
         # By local process: time of receipt and observations.
--- a/roadpulley/workers/supervisor.py
+++ b/roadpulley/workers/supervisor.py
@@ -149,12 +149,10 @@
         """Handle the report of a worker that it serves."""
         slot = self.slots.get(number)
         if slot is not None and slot.state is State.STARTING:
-            slot.state, slot.serving_since, slot.heartbeat_at, slot.oldest_age_s = (
-                State.SERVING,
-                now,
-                now,
-                0.0,
-            )
+            slot.state = State.SERVING
+            slot.serving_since = now
+            slot.heartbeat_at = now
+            slot.oldest_age_s = 0.0
             slot.first_overdue_at, slot.is_stuck = None, False
             if self.replacing_slot == number:
                 self.replacing_slot = None
@@ -317,11 +315,9 @@
             self._drain_worker(now, slot, actions)
 
     def _drain_worker(self, now: float, slot: Slot, actions: list[Action]) -> None:
-        slot.state, slot.deadline, slot.first_overdue_at = (
-            State.DRAINING,
-            now + self.settings.drain_timeout_s,
-            None,
-        )
+        slot.state = State.DRAINING
+        slot.deadline = now + self.settings.drain_timeout_s
+        slot.first_overdue_at = None
         actions.append(DrainWorker(slot.number))
 
     def _replace_next_worker(self, now: float, actions: list[Action]) -> None:
