--- a/tests/decisions/test_ceilings.py
+++ b/tests/decisions/test_ceilings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from copy import copy
 from dataclasses import dataclass, field
 
 from helpers import Counter, World, entry
@@ -23,14 +22,10 @@
 SHARED_BURST = MAX_SHARED_RATIO * BURST
 
 
-def refilled_ceiling(world: World) -> Ceiling | None:
-    """A copy of the customer's ceiling, refilled up to now; None if the gateway has no record of it."""
+def find_ceiling(world: World) -> tuple[Ceiling, float] | None:
+    """The customer's ceiling and the seconds since its last refill; None if the gateway has no record."""
     record = world.gateway.quotas.customers.get("c")
-    if record is None:
-        return None
-    ceiling = copy(record.ceiling)
-    ceiling.refill((world.now - record.refilled_at) / 1000)
-    return ceiling
+    return (record.ceiling, (world.now - record.refilled_at) / 1000) if record else None
 
 
 @dataclass
@@ -101,16 +96,19 @@
         assert sum(own_tokens) + self.shared_level <= self.level + 1e-6, (own_tokens, self.shared_level)
 
     def get_own_tokens(self, world: World) -> float:
-        if ceiling := refilled_ceiling(world):
-            return ceiling.own_tokens
+        if found := find_ceiling(world):
+            ceiling, seconds = found
+            return min(ceiling.own_burst, ceiling.own_tokens + seconds * ceiling.own_rate)
         own_ratio = (1 - MAX_SHARED_RATIO) / self.size
         gateway_share = world.gateway.quotas.gateway_share
         return gateway_share.compute_own_tokens(world.now, own_ratio * RATE, own_ratio * BURST)
 
     def get_allowance(self, world: World) -> float:
         """What the gateway may take of the shared part. Only taking lowers it."""
-        ceiling = refilled_ceiling(world)
-        return ceiling.shared_allowance if ceiling else SHARED_BURST
+        if (found := find_ceiling(world)) is None:
+            return SHARED_BURST
+        ceiling, seconds = found
+        return min(ceiling.shared_burst, ceiling.shared_allowance + seconds * ceiling.shared_rate)
 
 
 STEPS = st.lists(
