--- a/review/1/case.py
+++ b/review/1/case.py
@@ -34,10 +34,10 @@
 READ_S = 1.2
 WORK_S = 0.08
 RESET_SHARE = 0.25  # of the requests with a long value: "some are reset under requests"
-RESET_AFTER_S = 0.15  # from the last byte of the request
+RESET_AFTER_S = 0.05  # from the last byte of the request
 CLIENTS = 4
 SHORT_CLIENTS = 4
-LENGTH_S = 80.0
+LENGTH_S = 50.0
 
 
 @dataclass
