Long values: one with commands behind it is held until whole, so that a break costs no answers

Seen: a client writes several commands on one connection, the first gets a value over 64 KiB, and its backend resets in the middle.

Cause: a value that is passed on as it comes can only be ended by the end of the connection. The connection is not read behind such a value, but up to 32 commands are read while the first one waits for its backend, before anybody knows that its value is long.

Change: ClientConnection.has_commands_behind decides when a value begins. Where anything was read behind its command, the value is held (edges/held_value.py) under a budget of memory until it is whole, and is an answer like a short one: a break starts another attempt or gives the final answer. The module is told by ResponseStarted.is_held, so that it does not call the attempt off as overdue and goes on with the request. A value that ends before any of it was sent is answered as failed; it closed the connection as well.

Why it works: a value whose break could cost other answers never reaches the client in parts, and behind one that is streamed nothing has been read.

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -187,11 +187,15 @@
 
 @dataclass(slots=True)
 class ResponseStarted:
-    """The first bytes of an attempt's response are being sent to the client."""
+    """The first bytes of a long response have come, and are being sent to the client.
+
+    `is_held`: they are kept until the response is whole. It may then still fail, and the request goes on.
+    """
 
     request: str
     attempt: int
     backend: int
+    is_held: bool = False
 
 
 @dataclass(slots=True)
--- a/mintford/records.py
+++ b/mintford/records.py
@@ -114,7 +114,7 @@
 
     def __init__(self, request: Request, backend: Backend, sent_at: float) -> None:
         self.request, self.backend, self.sent_at = request, backend, sent_at
-        self.response_started = False  # its response is being sent to the client
+        self.response_started = False  # its response is being sent to the client, or held
         # A lost attempt has been in flight for so long that it can't be in a queue any more.
         self.has_ended = self.is_lost = False
 
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -158,7 +158,8 @@
         """Commit to this attempt, as the first bytes of its response are being sent to the client.
 
         The request gets no other attempt and no other final answer. The latency is measured here, because the
-        time for the rest depends on the client too and says nothing about the backend.
+        time for the rest depends on the client too and says nothing about the backend. A response that is
+        held is not final: the attempt is no longer overdue, but may fail like any other.
         """
         attempt = self.attempts.in_flight.get((event.request, event.attempt))
         if attempt is None or attempt.response_started:
@@ -167,7 +168,8 @@
         elapsed = max(1.0, now - attempt.sent_at - self.loop_lag.lag)
         timeout = self.compute_timeout(now, attempt)
         self.fleet.record_outcome(now, attempt.backend, request.marks, api.Outcome.OK, elapsed, timeout)
-        if self.attempts.requests.pop(event.request, None):
+        if not event.is_held and event.request in self.attempts.requests:
+            del self.attempts.requests[event.request]
             self.attempts.cancel_all(request, out, except_number=event.attempt)
 
     def on_attempt_ended(self, now: float, event: api.AttemptEnded, out: api.Actions) -> None:
@@ -313,6 +315,8 @@
             return self.attempts.finish(request, RefusalReason.EXPIRED, out)
         if not request.attempts:
             return self.admit_request(now, request, out)  # the counter has not answered in time
+        if self.attempts.is_response_started(request):
+            return self.attempts.schedule_check(now, request, math.inf, out)
         is_repeatable = len(request.live_attempts) == 1 and request.kind.effect is not api.Effect.UNSAFE
         if is_repeatable and not self.settings.may_duplicate:
             return self.move_overdue_attempt(now, request, out)
--- a/roadpulley/core/command.py
+++ b/roadpulley/core/command.py
@@ -34,6 +34,13 @@
         """The value was cut off, and the client must be able to notice that."""
 
 
+class HeldSink(Sink, Protocol):
+    """The receiver of a value that is not sent to the client before it is whole."""
+
+    def release(self) -> None:
+        """Returns the memory of a value that nobody waits for any more. Later calls have no effect."""
+
+
 class ReplySlot(Protocol):
     """Receives the final answer of one command. An edge creates one for each command."""
 
@@ -48,9 +55,18 @@
         `probe`: also ask the kernel, because an end of the connection may not have been read yet.
         """
 
+    def must_hold_values(self) -> bool:
+        """Whether a streamed value that breaks would take the answers of other commands with it."""
+
     def begin_streaming(self, length: int, source: Source) -> Sink:
         """Starts a streamed answer of `length` bytes in place of a call of `answer`."""
 
+    def hold_value(self, length: int, source: Source) -> HeldSink:
+        """Starts to receive a value of `length` bytes that is to be sent once it is whole."""
+
+    def answer_held(self, value: HeldSink) -> None:
+        """Sends a whole value from `hold_value` as the answer. Only the first answer has an effect."""
+
 
 @dataclass(slots=True)
 class Command:
--- a/roadpulley/core/connection.py
+++ b/roadpulley/core/connection.py
@@ -16,7 +16,7 @@
 from mintford.interface import Outcome
 
 from .clock import Timer, now_ms
-from .command import Sink, Source
+from .command import HeldSink, Sink, Source
 from .outcomes import EndReason, Stage, resolve_outcome
 from .resp import Answer, LongValue, MalformedError, parse_answer, parse_long_value_header
 
@@ -46,6 +46,7 @@
     timer: Timer | None = None  # for the attempt's timeout
     has_ended: bool = False
     streams_value: bool = False  # its value is or was streamed to the client
+    held_value: HeldSink | None = None  # its long value, if that is sent only once it is whole
     usage: bytes = b""  # the usage figures of its answer
 
     def end(self, outcome: Outcome, value: bytes = b"") -> None:
@@ -199,7 +200,7 @@
         return parse_answer(self.answer)
 
     def _start_streaming(self, length: int, start: int) -> memoryview | None:
-        """Starts streaming a long value, if its client waits for it. Returns the part that is received."""
+        """Starts to pass a long value on, if its client waits for it. Returns the part that is received."""
         attempt = self.attempt
         if attempt is None or attempt.on_long_value is None or self.unsent:
             return None
@@ -210,7 +211,7 @@
             attempt.timer.cancel()
         received = memoryview(bytes(self.answer))[start:]
         self.discard_answer()
-        attempt.streams_value = True
+        attempt.streams_value = attempt.held_value is None
         self.long_value, self.sink = LongValue(length), sink
         self.last_read_at = now_ms()
         if not self.pool.is_stall_check_scheduled:
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -15,7 +15,7 @@
 
 from .backends import BackendPools
 from .clock import Timer, Timers, now_ms
-from .command import Command, ReplySlot, Sink, Source
+from .command import Command, HeldSink, ReplySlot, Sink, Source
 from .connection import Attempt
 from .counter import CounterClient
 from .discovery import Member
@@ -300,11 +300,19 @@
         self.run_end_callbacks(owner)
 
     def on_long_value(self, attempt: Attempt, length: int, source: Source) -> Sink | None:
-        """A long value begins. It is the final answer, complete or cut off, however long it takes."""
+        """A long value begins. Streamed, it is the final answer, complete or cut off, however long it takes.
+
+        Where a cut would cost other answers, it is held until it is whole. It then is an answer like a short
+        one: in time or not at all, and replaced by another attempt if it is cut off.
+        """
         request, number = attempt.key
         owner = self.requests.get(request)
         if owner is None or owner.open_attempts.get(number) is not attempt or owner.is_streaming:
             return None
+        if owner.slot.must_hold_values():
+            attempt.held_value = owner.slot.hold_value(length, source)
+            self.handle_event(api.ResponseStarted(request, number, attempt.backend, is_held=True))
+            return attempt.held_value
         owner.is_streaming = True
         if owner.timer is not None:
             owner.timer.cancel()
@@ -326,6 +334,8 @@
         del self.attempts[request, number], owner.open_attempts[number]
         if owner.is_streaming and not attempt.streams_value:
             pass  # another attempt's value is being streamed
+        elif outcome is api.Outcome.OK and attempt.held_value is not None:
+            self.finish_held(request, attempt.held_value)
         elif outcome is api.Outcome.OK or owner.is_streaming:
             self.finish(request, encode_bulk(value))  # has no effect if the value was streamed
         finished = self.requests.get(request) is not owner
@@ -449,6 +459,14 @@
             owner.slot.answer(reply)
             self.run_end_callbacks(owner)
 
+    def finish_held(self, request: str, value: HeldSink) -> None:
+        """Sends a whole value as the final answer of a request, unless that was already sent."""
+        owner = self.requests.pop(request, None)
+        if owner is None:
+            return value.release()
+        owner.slot.answer_held(value)
+        self.run_end_callbacks(owner)
+
     def run_end_callbacks(self, owner: Request) -> None:
         """Calls the end callbacks of an answered request once all its attempts have ended."""
         if owner.open_attempts:
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -16,6 +16,7 @@
 | QUIT, malformed bytes, late command   | FLUSHING                          | -            | -         |
 | timeout of the first command          | read once more; LINGERING if idle | -            | -         |
 | the last reply is written             | LINGERING if draining and idle    | LINGERING    | -         |
+| a streamed value breaks               | CLOSED                            | CLOSED       | -         |
 | idle timeout                          | read once more; LINGERING if idle | -            | -         |
 | drain, after the time for a request   | read once more; LINGERING if idle | -            | -         |
 | room is needed                        | CLOSED if unused                  | -            | CLOSED    |
@@ -158,8 +159,9 @@
         self._update_reading()
 
     def _is_blocked(self) -> bool:
-        # No commands are read behind a streamed reply: if its backend fails, the connection is closed.
-        # Commands read by then would be lost, while the client sends unread ones again elsewhere.
+        # No commands are read behind a streamed reply: if its backend fails, the connection ends within the
+        # value, while the client sends unread commands again elsewhere. A value is not streamed while
+        # commands that were read stand behind it: see `has_commands_behind`.
         return (
             self.state != OPEN
             or self.streaming_replies > 0
@@ -216,8 +218,25 @@
         self.has_unparsed_bytes = True
         self.advance()
 
+    def has_commands_behind(self, slot: Slot) -> bool:
+        """Whether anything that the client sent behind the command of this slot has been read."""
+        return self.slots[-1] is not slot or self.reader.buffered_bytes > 0
+
     def _write_replies(self) -> None:
-        """Write the replies that are complete, in the order of the commands."""
+        """Write the replies that are complete and begin those that are streamed, in the commands' order."""
+        self._write_whole_replies()
+        while stream := self._next_unstarted_stream():
+            stream.start()  # may also finish, if the value is held in memory
+            self._write_whole_replies()
+
+    def _next_unstarted_stream(self) -> StreamingReply | None:
+        """The streamed reply that is next in order, if it is not begun."""
+        if not self.slots or self.state >= LINGERING:
+            return None
+        stream = self.slots[0].stream
+        return stream if stream is not None and not stream.is_started else None
+
+    def _write_whole_replies(self) -> None:
         replies: list[bytes] = []
         while self.slots and self.slots[0].reply is not None:
             slot = self.slots.popleft()
@@ -233,13 +252,6 @@
             self.server.note_use(self)
             if self.server.unsent_bytes > self.server.max_unsent_bytes:
                 self.server.close_slowest_reader()
-        if (
-            self.slots
-            and self.state < LINGERING
-            and (streaming_reply := self.slots[0].stream)
-            and not streaming_reply.is_started
-        ):
-            streaming_reply.start()
 
     def write_chunk(self, streaming_reply: StreamingReply, data: bytes | bytearray | memoryview) -> None:
         """Write a piece of the streamed reply that is next in order."""
@@ -478,13 +490,16 @@
         self.socket.close()
         self.server.remove_connection(self)
         self.server.unsent_bytes -= len(self.unsent)
-        slots, self.slots, self.unsent = self.slots, deque(), bytearray()
+        self.unsent = bytearray()
         self.server.streaming_replies -= self.streaming_replies
         self.streaming_replies = 0
         self._release_body_grant()
+        self._abandon_commands()
+
+    def _abandon_commands(self) -> None:
+        """Give up all commands without a reply, and report open requests to the handler."""
+        slots, self.slots = self.slots, deque()
         for slot in slots:
-            slot.answered, slot.stream = True, None
-            if slot.body_grant_bytes:
-                slot.release_body_grant()
+            slot.discard()
             if slot.request is not None:
                 self.server.handler.on_client_gone(slot.request)
--- a/roadpulley/edges/resp_server.py
+++ b/roadpulley/edges/resp_server.py
@@ -17,7 +17,7 @@
 from roadpulley.core.clock import Timer, Timers, now_ms
 from roadpulley.core.command import Command, ReplySlot
 from roadpulley.core.request_stats import RequestStats
-from roadpulley.core.resp import MAX_BODY_BYTES
+from roadpulley.core.resp import MAX_ANSWER_BYTES, MAX_BODY_BYTES
 
 from .connection import ClientConnection
 from .request_parser import ATTRIBUTES_PATTERN, CLASS_PATTERN, RequestParser
@@ -53,7 +53,7 @@
 class RespServer:
     """Accepts clients, and bounds their connections and memory.
 
-    `memory_bytes`: for unsent replies; half as much again for request bodies.
+    `memory_bytes`: for unsent replies; half as much again for request bodies, and for values that are held.
     """
 
     def __init__(
@@ -71,6 +71,7 @@
         self.set_parser(parser)
         self.streaming_replies = 0  # replies being streamed on all connections
         self.body_budget = MemoryBudget(max(MAX_BODY_BYTES, memory_bytes // 2))
+        self.held_value_budget = MemoryBudget(max(MAX_ANSWER_BYTES, memory_bytes // 2))
         # Replies that clients have not read yet, on all connections.
         self.max_unsent_bytes, self.unsent_bytes = memory_bytes, 0
         # Shared by all connections: each consumes at once what it has read.
--- a/roadpulley/edges/slots.py
+++ b/roadpulley/edges/slots.py
@@ -4,7 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from roadpulley.core.command import Sink, Source
+from roadpulley.core.command import HeldSink, Sink, Source
+
+from .held_value import HeldValue
 
 if TYPE_CHECKING:
     from .connection import ClientConnection
@@ -25,6 +27,7 @@
         "connection",
         "body_grant_bytes",
         "class_name",
+        "held_value",
         "stream",
         "reply",
         "request",
@@ -39,12 +42,35 @@
         self.answered = False
         self.body_grant_bytes = 0  # bytes that its body holds of the memory budget
         self.stream: StreamingReply | None = None  # the reply, if it is streamed
+        self.held_value: HeldValue | None = None  # the source of the stream, if it is held in memory
+
+    def must_hold_values(self) -> bool:
+        """Whether a long value has to be whole before it is sent, because commands stand behind it."""
+        return self.connection.has_commands_behind(self)
 
     def begin_streaming(self, length: int, source: Source) -> Sink:
         """Start a streamed reply of `length` bytes.
 
         `request` stays set until the stream ends, so that a disconnect is still reported to the handler.
         """
+        return self._start_stream(length, source)
+
+    def hold_value(self, length: int, source: Source) -> HeldValue:
+        """Start to receive a value that is sent once it is whole. Any other answer may still be given."""
+        return HeldValue(self.connection.server.held_value_budget, length, source)
+
+    def answer_held(self, value: HeldSink) -> None:
+        """Give a whole value that was held. Later replies are ignored."""
+        assert isinstance(value, HeldValue)
+        if self.answered:
+            return value.release()
+        self.request, self.held_value = None, value
+        stream = self._start_stream(value.length, value)
+        stream.pause_source()  # until the earlier replies are written
+        value.send_to(stream)
+        self.connection.advance()
+
+    def _start_stream(self, length: int, source: Source) -> StreamingReply:
         self.answered = True
         self.stream = StreamingReply(self, length, source)
         self.connection.streaming_replies += 1
@@ -71,6 +97,14 @@
             (ask or not connection.is_reading) and connection.close_if_disconnected()
         )
 
+    def discard(self) -> None:
+        """Return all memory, as the connection has been closed. No answer is possible afterwards."""
+        self.answered, self.stream = True, None
+        if self.body_grant_bytes:
+            self.release_body_grant()
+        if self.held_value is not None:
+            self.held_value.release()
+
     def release_body_grant(self) -> None:
         """Return the memory of the request body to the budget."""
         size, self.body_grant_bytes = self.body_grant_bytes, 0
@@ -151,9 +185,16 @@
     def abort(self) -> None:
         """The backend failed within the value.
 
-        The client can only learn it from the end of the connection.
+        If a part of the value was sent, the client can only learn it from the end of the connection, and no
+        later command of the connection can be answered. So no command is handled behind a streamed value.
         """
-        if self.slot.stream is not None:
-            self.release(b"-ERR")
-            self.slot.connection.server.refusals["a long value that broke"] += 1
-            self.slot.connection.close()
+        slot, connection = self.slot, self.slot.connection
+        if slot.stream is None:
+            return
+        self.release(b"-ERR")
+        connection.server.refusals["a long value that broke"] += 1
+        if self.is_started:
+            connection.close()
+        else:
+            slot.reply = b"-ERR failed\r\n"
+            connection.advance()
--- /dev/null
+++ b/tests/edges/test_held_values.py
@@ -0,0 +1,243 @@
+"""A long value with commands behind it: held until whole, so that no break takes their answers along."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from loopback import (
+    Backend,
+    Peer,
+    World,
+    in_loop,
+    request,
+    running,
+    server_seen,
+    until,
+)
+from test_long_values import MIB, encode_reply, make_value
+
+from roadpulley.core.budget import MemoryBudget
+from roadpulley.edges.held_value import HeldValue, State
+from roadpulley.testbed.server import Server
+
+LENGTH = 300_000
+SHORT = encode_reply(b"value")
+
+
+class LongValueBackend(Backend):
+    """Serves each request whose id begins with `long` by `write_value`, and all others with a short value."""
+
+    def __init__(self, write_value: Callable[[asyncio.StreamWriter], bytes | None]) -> None:
+        super().__init__()
+        self.write_value = write_value
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        peer = Peer(reader, writer)
+        while (command := await peer.receive()) is not None:
+            self.got.append(command)
+            if not command[2].startswith(b"long"):
+                writer.write(SHORT)
+                continue
+            await asyncio.sleep(0.05)  # so that the commands behind it have been read
+            rest = self.write_value(writer)
+            if rest is None:
+                await writer.drain()
+                return
+            writer.write(rest)
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    writer.write(encode_reply(make_value(LENGTH))[: LENGTH // 2])
+
+
+def wrong_end(writer: asyncio.StreamWriter) -> bytes:
+    return encode_reply(make_value(LENGTH))[:LENGTH] + b"X" * 1000
+
+
+def silence(writer: asyncio.StreamWriter) -> bytes:
+    return encode_reply(make_value(LENGTH))[: LENGTH // 2]
+
+
+@pytest.mark.parametrize("fault", [reset, wrong_end, silence])
+@pytest.mark.parametrize("name", [b"view", b"wipe"])
+def test_requests_behind_a_value_that_breaks_are_all_answered(
+    fault: Callable[[asyncio.StreamWriter], bytes | None], name: bytes
+) -> None:
+    """Guards against requests that have run and are never answered, as the connection ended before them."""
+
+    async def scenario() -> None:
+        async with running(World(LongValueBackend(fault), LongValueBackend(fault))) as w:
+            peer = await w.client()
+            peer.send(*request(b"long", name=name, wait=600))
+            for number in range(3):
+                peer.send(*request(b"%d" % number, name=b"wipe"))
+            assert str(await peer.receive()).startswith(("ERR failed", "BUSY"))
+            assert [await peer.receive() for _ in range(3)] == [b"value"] * 3
+            assert await w.ask(peer, id=b"after") == b"value"  # the connection stays in use
+
+    in_loop(scenario)
+
+
+def test_a_held_value_that_breaks_is_replaced_by_another_attempt() -> None:
+    async def scenario() -> None:
+        broken: list[int] = []
+
+        def once(writer: asyncio.StreamWriter) -> bytes | None:
+            if not broken:
+                broken.append(1)
+                return reset(writer)
+            return encode_reply(make_value(LENGTH))
+
+        async with running(World(LongValueBackend(once), LongValueBackend(once))) as w:
+            peer = await w.client()
+            peer.send(*request(b"long"))
+            peer.send(*request(b"behind"))
+            assert await peer.receive() == make_value(LENGTH)
+            assert await peer.receive() == b"value" and broken
+
+    in_loop(scenario)
+
+
+def test_values_behind_each_other_arrive_whole_in_order_within_the_memory_limit() -> None:
+    """Eight connections with three values of 4 MiB each, under a limit that admits one at a time."""
+
+    async def scenario() -> None:
+        body = make_value(4 * MIB)
+        most_held = 0
+
+        async def ask(w: World) -> None:
+            nonlocal most_held
+            peer = await w.client()
+            for number in range(3):
+                peer.send(*request(b"long%d-%d" % (number, id(peer)), wait=4000))
+            for _ in range(3):
+                reply = await peer.receive()
+                assert reply == body or str(reply).startswith(("ERR failed", "BUSY"))
+                whole.append(reply == body)
+                most_held = max(most_held, budget.reserved)
+
+        with server_seen() as servers:
+            backends = [LongValueBackend(lambda _: encode_reply(body)) for _ in range(2)]
+            async with running(World(*backends, memory_mb=32)) as w:
+                budget = servers[0].held_value_budget
+                whole: list[bool] = []
+                await asyncio.gather(*(ask(w) for _ in range(8)))
+                assert 0 < most_held <= budget.capacity == 4 * MIB
+                assert not budget.reserved and not budget.waiters
+                assert any(whole)
+
+    in_loop(scenario)
+
+
+def test_a_client_that_leaves_returns_the_memory_of_its_held_value() -> None:
+    async def scenario() -> None:
+        with server_seen() as servers:
+            async with running(World(LongValueBackend(silence))) as w:
+                budget = servers[0].held_value_budget
+                peer = await w.client()
+                peer.send(*request(b"long"))
+                peer.send(*request(b"behind"))
+                await until(lambda: budget.reserved)
+                peer.close()
+                await until(lambda: not budget.reserved)
+
+    in_loop(scenario)
+
+
+def test_a_value_that_breaks_before_its_turn_is_answered_as_failed() -> None:
+    """It waits for the answer before it, so nothing of it was sent: the connection can go on."""
+
+    async def scenario() -> None:
+        go_on = asyncio.Event()
+
+        class SlowFirst(Server):
+            async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                peer = Peer(reader, writer)
+                while (command := await peer.receive()) is not None:
+                    if command[2] == b"first":
+                        await go_on.wait()
+                    writer.write(encode_reply(make_value(LENGTH)) if command[2] == b"long" else SHORT)
+
+        with server_seen() as servers:
+            async with running(World(SlowFirst(), SlowFirst())) as w:  # type: ignore[arg-type]
+                peer = await w.client()
+                peer.send(*request(b"first"))
+                peer.send(*request(b"long"))
+                await until(lambda: servers[0].streaming_replies)
+                (accepted,) = servers[0].connections
+                stream = accepted.slots[1].stream
+                assert stream is not None and not stream.is_started
+                stream.abort()
+                go_on.set()
+                assert await peer.receive() == b"value"
+                assert str(await peer.receive()) == "ERR failed"
+                assert await w.ask(peer, id=b"after") == b"value"
+
+    in_loop(scenario)
+
+
+# ---- without sockets ----
+
+
+class RecordingPeer:
+    """Source and sink of a held value; records the flow control and the bytes."""
+
+    def __init__(self) -> None:
+        self.is_paused = self.is_finished = False
+        self.received = bytearray()
+
+    def pause(self) -> None:
+        self.is_paused = True
+
+    def resume(self) -> None:
+        self.is_paused = False
+
+    def feed(self, data: bytes | memoryview) -> None:
+        self.received += data
+
+    def free_bytes(self) -> int:
+        return 1000
+
+    def finish(self) -> None:
+        self.is_finished = True
+
+    def abort(self) -> None:
+        raise AssertionError("a whole value was cut off")
+
+
+ENDS = st.sampled_from(["send", "abort", "release"])
+
+
+@given(st.lists(st.tuples(st.integers(1, 6_000), ENDS), max_size=12), st.randoms(use_true_random=False))
+def test_memory_is_bounded_and_returned_whatever_happens_to_the_values(
+    plans: list[tuple[int, str]], random: object
+) -> None:
+    budget = MemoryBudget(6_000)
+    values = []
+    for length, end in plans:
+        source = RecordingPeer()
+        value = HeldValue(budget, length, source)
+        assert source.is_paused is (value.state is State.WAITING)
+        values.append((value, source, length, end))
+        assert sum(v.reserved_bytes for v, *_ in values if v.state is not State.RELEASED) <= budget.capacity
+    random.shuffle(values)  # type: ignore[attr-defined]
+    while values:
+        index = next((i for i, (v, *_) in enumerate(values) if v.state is not State.WAITING), 0)
+        value, source, length, end = values.pop(index)
+        body = make_value(length)
+        if end == "send" and value.state is State.RECEIVING:
+            value.feed(body)
+            value.finish()
+            value.send_to(source)
+            assert source.received == body and source.is_finished
+        elif end == "abort":
+            value.abort()
+        else:
+            value.release()
+        assert value.state is State.RELEASED
+        value.release()  # has no effect
+    assert not budget.reserved and not budget.waiters
