Long values: an answer before a value that breaks is no longer discarded by the close

Where a streamed value broke, the tail of an earlier answer on the connection was dropped, or the client's read failed with a reset.

Cause: StreamingReply.abort closed the socket at once. What the connection had not handed to the kernel was dropped, and a close over unread bytes of the client makes the kernel send a reset, which destroys what is in flight.

Change: end_within_value flushes what is written and then ends the connection by a lingering close, like every other end of a connection.

Evidence: test_an_answer_before_a_streamed_value_that_breaks_arrives_whole, with and without a later command, fails before and passes now.

--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -16,7 +16,7 @@
 | QUIT, malformed bytes, late command   | FLUSHING                          | -            | -         |
 | timeout of the first command          | read once more; LINGERING if idle | -            | -         |
 | the last reply is written             | LINGERING if draining and idle    | LINGERING    | -         |
-| a streamed value breaks               | CLOSED                            | CLOSED       | -         |
+| a streamed value breaks               | FLUSHING                          | LINGERING    | -         |
 | idle timeout                          | read once more; LINGERING if idle | -            | -         |
 | drain, after the time for a request   | read once more; LINGERING if idle | -            | -         |
 | room is needed                        | CLOSED if unused                  | -            | CLOSED    |
@@ -338,6 +338,15 @@
 
     # ---- end of the connection ----
 
+    def end_within_value(self) -> None:
+        """End the connection after what is written of a streamed value that broke.
+
+        Earlier replies may still be unsent, or in flight: an immediate close would destroy them.
+        """
+        self._abandon_commands()
+        self.state = max(self.state, FLUSHING)
+        self.advance()
+
     @property
     def is_closed(self) -> bool:
         return self.state == CLOSED
--- a/roadpulley/edges/slots.py
+++ b/roadpulley/edges/slots.py
@@ -194,7 +194,7 @@
         self.release(b"-ERR")
         connection.server.refusals["a long value that broke"] += 1
         if self.is_started:
-            connection.close()
+            connection.end_within_value()
         else:
             slot.reply = b"-ERR failed\r\n"
             connection.advance()
--- a/tests/edges/test_held_values.py
+++ b/tests/edges/test_held_values.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from loopback import (
+    LOCAL,
     Backend,
     Peer,
     World,
+    encode,
     in_loop,
     request,
     running,
@@ -180,6 +183,55 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize("late_command", [False, True])
+def test_an_answer_before_a_streamed_value_that_breaks_arrives_whole(late_command: bool) -> None:
+    """Guards against a close that discards earlier answers which the client has not read yet.
+
+    `late_command`: the client sends another command behind the value, so that a close resets the connection.
+    """
+
+    async def scenario() -> None:
+        go_on, first = asyncio.Event(), make_value(30_000)
+
+        class Script(Server):
+            async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                peer = Peer(reader, writer)
+                while (command := await peer.receive()) is not None:
+                    if command[2] == b"first":
+                        writer.write(encode_reply(first))
+                        continue
+                    writer.write(encode_reply(make_value(LENGTH))[:20_000])  # below the high-water mark
+                    await go_on.wait()
+                    return
+
+        with server_seen() as servers:
+            async with running(World(Script(), Script())) as w:  # type: ignore[arg-type]
+                loop = asyncio.get_running_loop()
+                client = socket.socket()
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                client.setblocking(False)
+                await loop.sock_connect(client, (LOCAL, w.port))
+                await until(lambda: servers[0].connections)
+                (accepted,) = servers[0].connections
+                accepted.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+                await loop.sock_sendall(
+                    client, encode(*request(b"first")) + encode(*request(b"long", name=b"wipe"))
+                )
+                await until(lambda: servers[0].streaming_replies and accepted.unsent)
+                if late_command:
+                    await loop.sock_sendall(client, encode(b"PING"))
+                go_on.set()
+                await until(lambda: not servers[0].streaming_replies)
+                received = b""
+                while piece := await loop.sock_recv(client, 65536):
+                    received += piece
+                client.close()
+                assert received.startswith(b"$%d\r\n%b\r\n$%d\r\n" % (len(first), first, LENGTH))
+                assert len(received) < len(first) + LENGTH
+
+    in_loop(scenario)
+
+
 # ---- without sockets ----
 
 
