Attempts: the last byte of a repeat leaves before its window ends, or never

Nothing looked at the limit while the rest was written. With the same cause, the kernel went on sending what it held of an attempt that had been given up, and a first attempt still being sent beside a second one had no limit.

Change: latest_start limits the last byte of all open attempts of a request. A timer at the limit ends an attempt of which the process or the kernel (SIOCOUTQNSD) still holds bytes, and the time is compared before each piece. While there is a limit, the kernel may hold 16 KiB unsent. An attempt that ends while the kernel holds bytes of it is reset, which discards them. Unsent in the process counts as never run, in the kernel as possibly run.

Why it works: a backend begins a command with its last byte, and that byte is written only before the limit and with almost nothing queued before it.

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -395,7 +395,8 @@
     backend: int
     timeout: float = 0.0
     attempt: int = 0  # its number, which `AttemptEnded` carries even if the request has already ended
-    latest_start: float = float("inf")  # its first byte must be sent before this time
+    # The last byte of this attempt, and of the request's other open attempts, must be sent before this time.
+    latest_start: float = float("inf")
 
 
 @dataclass(slots=True)
--- a/roadpulley/core/connection.py
+++ b/roadpulley/core/connection.py
@@ -7,10 +7,14 @@
 
 import asyncio
 import errno
+import fcntl
 import re
 import socket
+import struct
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING
 
 from mintford.interface import Outcome
@@ -26,6 +30,11 @@
 USABLE_ERROR = re.compile(rb"(?:BUSY|ERR failed)(?: [!-~]{1,512})?")  # a load report may follow
 STALL_CHECK_INTERVAL_MS = 100.0  # for long values that are being streamed
 EMPTY_VIEW = memoryview(b"")
+SIOCOUTQNSD = 0x894B  # Linux: the bytes of a socket's send queue that the kernel has not sent yet
+# Bytes that the kernel may hold unsent of a request whose last byte has a time limit. By default it takes
+# megabytes, and sends the last of them when the peer has read the others.
+MAX_UNSENT_KERNEL_BYTES = 16 * 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: the kernel discards what it has not sent
 
 
 @dataclass(eq=False, slots=True)
@@ -34,16 +43,18 @@
 
     backend: int
     encode: Callable[[int], bytes]
-    expires_at: float  # the first byte is sent before this time or not at all
+    expires_at: float  # the first byte is sent before this time or not at all, and its request ends then
     on_end: Callable[[Attempt, Outcome, bytes], None]
     key: tuple[str, int] = ("", 0)  # the id of the request, and the number of the attempt
     # Called when a long value begins. Returns its receiver, or None if nobody waits for it.
     on_long_value: Callable[[Attempt, int, Source], Sink | None] | None = None
-    latest_send_at: float = float("inf")  # the same limit, by the rule on repeats
+    # The last byte is sent before this time or not at all, by the rule on repeats.
+    latest_send_at: float = float("inf")
     is_client_waiting: Callable[[Attempt], bool] | None = None
     body: memoryview | None = None  # sent after the encoded command
     connection: Connection | None = None
     timer: Timer | None = None  # for the attempt's timeout
+    send_timer: Timer | None = None  # for `latest_send_at`
     has_ended: bool = False
     streams_value: bool = False  # its value is or was streamed to the client
     held_value: HeldSink | None = None  # its long value, if that is sent only once it is whole
@@ -53,10 +64,18 @@
         """Ends the attempt. Only the first call has an effect."""
         if not self.has_ended:
             self.has_ended, self.connection = True, None
-            if self.timer is not None:
-                self.timer.cancel()
+            for timer in (self.timer, self.send_timer):
+                if timer is not None:
+                    timer.cancel()
             self.on_end(self, outcome, value)
 
+    def limit_sending(self, latest_send_at: float) -> None:
+        """Lowers the time before which the last byte is sent, as another attempt of the request begins."""
+        if latest_send_at < self.latest_send_at:
+            self.latest_send_at = latest_send_at
+            if self.connection is not None:
+                self.connection.schedule_send_deadline(self)
+
 
 class Connection:
     """One connection, with one attempt on it at a time.
@@ -120,7 +139,8 @@
     def write(self) -> None:
         """Sends the attempt on the connection, unless it has become too late for that."""
         # While the connection was being established, the request may have expired, or the backend's grace for
-        # new requests may have ended. Both are checked again before the first byte.
+        # new requests may have ended. Both are checked again before the first byte. A drain counts that byte;
+        # the rule on repeats counts the last one, which `schedule_send_deadline` takes care of.
         attempt = self.attempt
         assert attempt is not None
         now = now_ms()
@@ -133,6 +153,38 @@
             )
         self.unsent = memoryview(attempt.encode(max(1, int(attempt.expires_at - now))))
         self.body = attempt.body
+        if attempt.latest_send_at < float("inf"):
+            self.schedule_send_deadline(attempt)
+        self._flush()
+
+    def schedule_send_deadline(self, attempt: Attempt) -> None:
+        """Ends the attempt at its `latest_send_at`, unless its last byte has left this machine by then."""
+        if attempt.send_timer is not None:
+            attempt.send_timer.cancel()
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, MAX_UNSENT_KERNEL_BYTES)
+        attempt.send_timer = self.pool.timers.call_at(
+            attempt.latest_send_at, partial(self._on_send_deadline, attempt)
+        )
+
+    def _on_send_deadline(self, attempt: Attempt) -> None:
+        if self.attempt is attempt and (self.get_stage() is not Stage.SENT or self.has_unsent_in_kernel()):
+            self.end(EndReason.EXPIRED)
+
+    def has_unsent_in_kernel(self) -> bool:
+        """Whether the kernel still holds bytes of the request, because the peer doesn't take them."""
+        try:
+            count = fcntl.ioctl(self.fd, SIOCOUTQNSD, bytes(4))
+        except OSError:
+            return False  # not a TCP socket
+        return int.from_bytes(count, sys.byteorder) > 0
+
+    def _continue_sending(self) -> None:
+        """Sends more of the request once the peer has room, unless it has become too late for its last byte.
+
+        This process may have been suspended since the last piece, so the timer for that may not have fired.
+        """
+        if self.attempt is not None and now_ms() >= self.attempt.latest_send_at:
+            return self.end(EndReason.EXPIRED)
         self._flush()
 
     def _flush(self) -> None:
@@ -152,7 +204,7 @@
         if bool(self.unsent) != self.writing:
             self.writing = not self.writing
             if self.writing:
-                self.pool.loop.add_writer(self.fd, self._flush)
+                self.pool.loop.add_writer(self.fd, self._continue_sending)
             else:
                 self.pool.loop.remove_writer(self.fd)
 
@@ -282,6 +334,9 @@
         """Closes the connection before it ends the attempt, so that two attempts never run at once."""
         outcome = resolve_outcome(self.get_stage(), reason)
         attempt, self.attempt = self.attempt, None
+        if attempt is not None and self.has_unsent_in_kernel():
+            # Otherwise the kernel would go on sending, and the backend could begin a request given up here.
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         sink, self.sink = self.sink, None
         is_value_complete = self.long_value is not None and sink is None  # only the trailer is missing
         self.close()
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -437,6 +437,9 @@
             self.is_client_waiting,
             command.long_body,
         )
+        for other in owner.open_attempts.values():
+            # Whichever comes whole first runs first, and the others repeat it.
+            other.limit_sending(action.latest_start)
         self.attempts[key] = owner.open_attempts[number] = attempt
         if 0 < timeout < owner.expires_at - now:
             on_timeout = partial(self.backends.cancel_attempt, attempt, EndReason.ATTEMPT_TIMEOUT)
--- a/roadpulley/core/outcomes.py
+++ b/roadpulley/core/outcomes.py
@@ -4,7 +4,8 @@
 | ---------- | --------------------------------------------- |
 | CONNECTING | the connection is not established             |
 | SENDING    | it is, and part of the request is unsent      |
-| SENT       | the last byte has left this process           |
+| SENT       | the last byte has left this process, though   |
+|            | the kernel may still hold it                  |
 
 | reason for the end                      | CONNECTING | SENDING   | SENT             |
 | --------------------------------------- | ---------- | --------- | ---------------- |
@@ -12,7 +13,7 @@
 | ATTEMPT_TIMEOUT: the attempt's timeout  | CONNECT    | CONNECT   | TIMED_OUT        |
 | CONNECT_TIMEOUT                         | CONNECT    | -         | -                |
 | ABANDONED: nobody waits for the answer  | CANCELLED  | CANCELLED | CANCELLED        |
-| EXPIRED: too late to be sent            | IGNORED    | -         | -                |
+| EXPIRED: too late for its last byte     | IGNORED    | IGNORED   | CANCELLED        |
 | UNAVAILABLE: backend draining or moved  | CONNECT    | -         | -                |
 | FULL: `-BUSY`                           | -          | FULL      | FULL             |
 | ANSWERED: any other answer              | -          | CONNECT   | by the answer    |
@@ -68,11 +69,17 @@
         EndReason.EXPIRED: Outcome.IGNORED,
         EndReason.UNAVAILABLE: Outcome.CONNECT,
     },
-    Stage.SENDING: {**_BEFORE_SENT, EndReason.FULL: Outcome.FULL, EndReason.ANSWERED: Outcome.CONNECT},
+    Stage.SENDING: {
+        **_BEFORE_SENT,
+        EndReason.EXPIRED: Outcome.IGNORED,
+        EndReason.FULL: Outcome.FULL,
+        EndReason.ANSWERED: Outcome.CONNECT,
+    },
     Stage.SENT: {
         EndReason.CONNECTION_ERROR: Outcome.RESET,
         EndReason.ATTEMPT_TIMEOUT: Outcome.TIMED_OUT,
         EndReason.ABANDONED: Outcome.CANCELLED,
+        EndReason.EXPIRED: Outcome.CANCELLED,
         EndReason.FULL: Outcome.FULL,
     },
 }
--- a/tests/core/test_driver.py
+++ b/tests/core/test_driver.py
@@ -190,3 +190,22 @@
         ]
 
     in_loop(scenario)
+
+
+def test_a_repeat_limits_the_sending_of_the_attempts_that_are_open() -> None:
+    """Otherwise the first attempt could come whole after the backends have forgotten the repeat."""
+
+    async def scenario() -> None:
+        scene = Scene()
+        with socket.create_server((LOCAL, 0)) as listener:
+            for backend in (0, 1):
+                scene.backends.update(backend, listener.getsockname(), api.BackendState.READY)
+            scene.module.answers[api.RequestArrived] = [api.Send("r1", 0)]
+            scene.ask()
+            deadline = now_ms() + 500
+            scene.module.answers[api.RequestAbandoned] = [api.Send("r1", 1, attempt=1, latest_start=deadline)]
+            scene.driver.handle_event(api.RequestAbandoned("another"))
+            assert [a.latest_send_at for a in scene.driver.attempts.values()] == [deadline, deadline]
+            scene.backends.close()
+
+    in_loop(scenario)
