Stops: a reload after SIGTERM neither keeps the process nor puts its end off

Seen: a process got SIGTERM and 0.8 s later SIGHUP with a configuration without the class of the highest aim.

Cause: the lifecycle computes its deadline from the settings of the moment, and its timer was set at changes of state only. The reload moved the deadline; the timer fired early, changed nothing, and no other followed. The same held in LEAVING.

Change: after every event and every change of the drain times the controller keeps one timer pending for the lifecycle's next deadline. After SIGTERM the times can only come earlier: the platform counts until SIGKILL from SIGTERM and may know the old settings or the new.

The test over a real process in test_stops.py fails before.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -107,7 +107,7 @@
                 config.connect_timeout_ms, config.keepalive_ms, settings.rules.drain_grace
             )
             driver.apply_settings(settings, config.max_open_requests)
-            self.controller.lifecycle.drain_times = lifecycle_times(settings)
+            self.controller.change_drain_times(lifecycle_times(settings))
         if config.discovery != self.discovery.address:
             self.discovery.move(config.discovery)
         if self.counter is not None and config.counter is not None:
--- a/roadpulley/operations/controller.py
+++ b/roadpulley/operations/controller.py
@@ -6,15 +6,14 @@
 import logging
 import math
 from collections.abc import Iterator
-from functools import partial
 
 from mintford import interface as api
-from roadpulley.core.clock import Timers, now_ms
+from roadpulley.core.clock import Timer, Timers, now_ms
 from roadpulley.core.driver import Driver
 from roadpulley.edges.resp_server import RespServer
 
 from .calls import Call, format_error, format_metrics, format_ok
-from .lifecycle import Event, Lifecycle, ServingPolicy, State
+from .lifecycle import DrainTimes, Event, Lifecycle, ServingPolicy, State
 
 log = logging.getLogger(__name__)
 
@@ -33,6 +32,7 @@
         self.accepting_ended = asyncio.Event()  # set once no more connections will ever be accepted
         self.ended = asyncio.Event()
         self.policy: ServingPolicy | None = None
+        self.timer: Timer | None = None  # pending, and due at the lifecycle's next deadline
         self.reload_counts = [0, 0]  # configurations accepted and rejected
 
     def dispatch_event(self, event: Event) -> None:
@@ -48,9 +48,14 @@
                 connection_count,
                 request_count,
             )
-            self.schedule_timer()
         if policy != self.policy:
             self.apply_policy(policy)
+        self.schedule_timer()
+
+    def change_drain_times(self, drain_times: DrainTimes) -> None:
+        """Apply the drain times that follow from changed settings, also while a drain is under way."""
+        self.lifecycle.change_drain_times(drain_times)
+        self.schedule_timer()
 
     def apply_policy(self, policy: ServingPolicy) -> None:
         """Apply a policy to the decision module and to the server for clients."""
@@ -66,10 +71,22 @@
             self.server.set_admission(policy.answers_ping, policy.accepts, policy.keeps_idle)
 
     def schedule_timer(self) -> None:
-        """Start a timer for the deadline of the current state, if it has one."""
+        """Keep one timer pending for the lifecycle's next deadline, if there is one.
+
+        Called after everything that may change the deadline. Without it the process would stay in its state.
+        """
         deadline = self.lifecycle.next_deadline()
+        if self.timer is not None:
+            if self.timer.due_at == deadline:
+                return
+            self.timer.cancel()
+            self.timer = None
         if deadline < math.inf:
-            self.timers.call_at(deadline, partial(self.dispatch_event, Event.TIMER_FIRED))
+            self.timer = self.timers.call_at(deadline, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self.timer = None
+        self.dispatch_event(Event.TIMER_FIRED)
 
     # ---- operators ----
 
--- a/roadpulley/operations/lifecycle.py
+++ b/roadpulley/operations/lifecycle.py
@@ -94,6 +94,7 @@
     def __init__(self, drain_times: DrainTimes) -> None:
         self.drain_times, self.has_successor = drain_times, False  # whether another process serves
         self.state, self.entered_at = State.STARTING, 0.0
+        self.is_notice_over = False  # the paused process has stopped to take requests
         self.is_paused = False  # also set by a PAUSE while starting; kept while leaving
         self.stopped_at = math.inf
 
@@ -102,9 +103,25 @@
         """Whether clients may be routed to this process."""
         return self.state in (State.SERVING, State.STOPPING)
 
+    def change_drain_times(self, drain_times: DrainTimes) -> None:
+        """Apply the times that follow from other settings, which may change `next_deadline`.
+
+        After SIGTERM the end can only come earlier. The platform counts the time until SIGKILL from SIGTERM,
+        by the settings of then or by those of now: what is open after the earlier of the two may be lost.
+        """
+        if self.stopped_at < math.inf:
+            previous = self.drain_times
+            drain_times = DrainTimes(
+                min(previous.close_ms, drain_times.close_ms), min(previous.fail_ms, drain_times.fail_ms)
+            )
+        self.drain_times = drain_times
+
     def next_deadline(self) -> float:
-        """When TIMER_FIRED will change something; infinite if the state has no deadline."""
-        if self.state is State.PAUSED:
+        """When TIMER_FIRED will change something; infinite if the state has no deadline.
+
+        A change of state or of the drain times changes it: the caller then needs another timer.
+        """
+        if self.state is State.PAUSED and not self.is_notice_over:
             return self.entered_at + PAUSE_NOTICE_MS
         if self.state is State.STOPPING:
             return self.stopped_at + self.drain_times.close_ms
@@ -135,7 +152,9 @@
             (State.LEAVING, Event.TIMER_FIRED): State.ENDED if is_due else state,
         }.get((state, event), state)
         if next_state is not state:
-            self.state, self.entered_at = next_state, now
+            self.state, self.entered_at, self.is_notice_over = next_state, now, False
+        elif state is State.PAUSED and event is Event.TIMER_FIRED and is_due:
+            self.is_notice_over = True
         return self.policy_at(now)
 
     def policy_at(self, now: float) -> ServingPolicy:
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -231,3 +231,34 @@
             stuck.close()
 
     in_loop(scenario)
+
+
+@pytest.mark.parametrize("reloads", [1, 2])
+def test_a_reload_between_sigterm_and_the_end_does_not_keep_the_process(tmp_path: Path, reloads: int) -> None:
+    """Guards against a process that never ends, as the reload moved the time for which its timer was set."""
+    slow = {"name": "slow", "aim": 300.0, "deadline": 900.0, "effect": "pure", "importance": 1.0}
+    fast = {**slow, "name": "view", "aim": 100.0}
+
+    class TwoClassWorld(World):
+        def config(self) -> dict[str, Any]:
+            return {**super().config(), "settings": {**SETTINGS, "classes": [slow, fast]}}
+
+    async def scenario() -> None:
+        world = TwoClassWorld(Backend())
+        async with launched(world, tmp_path) as (process, config, port):
+            await said(process, b"serves at")
+            peer = await connect(port)
+            peer.send(*request(wait=800))
+            assert await peer.receive() == b"value"
+            process.send_signal(signal.SIGTERM)
+            await said(process, b"stopping, was serving")
+            raw = json.loads(config.read_text())
+            for number in range(reloads):
+                raw["settings"]["classes"] = [fast] if number % 2 == 0 else [slow, fast]
+                config.write_text(json.dumps(raw))
+                process.send_signal(signal.SIGHUP)
+                await said(process, b"reloaded")
+            assert await process.wait() == 0
+            assert await peer.receive() is None
+
+    in_loop(scenario)
