Workers: one is killed for a request past its own final time, not for one open for 5 s

Cause: max_request_age_s is a constant "older than any request deadline". Deadlines are settings, and a streamed value takes as long as bytes come.

Change: the worker, which knows its settings and its streams, reports for how long the most overdue request is past the time by which it must end: its deadline, or for a streamed answer the time at which the edge closes the connection unless a byte moves. The supervisor kills above 2 s in two heartbeats in a row; with a deadline of 3 s that is 5 s after the request, as before.

Why it works: a sound worker ends each request at that time by its own timers, so only one that does not can be found past it.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -29,6 +29,7 @@
 from .edges.request_parser import RequestParser
 from .edges.resp_server import RespServer
 from .operations.controller import LifecycleController
+from .operations.drain_times import CLOSE_TIMEOUT_S, compute_drain_times, to_drain_times
 from .operations.lifecycle import DrainTimes, Event, Lifecycle
 from .operations.listen_retry import listen_with_retries
 from .operations.operator_server import OperatorServer
@@ -41,11 +42,7 @@
 CLIENT_DESCRIPTORS_RATIO = 0.5  # of the file descriptors
 BACKEND_DESCRIPTORS_RATIO = 0.25  # of the file descriptors; the rest is headroom
 BUFFER_MEMORY_RATIO = 0.2  # of the memory, for incomplete answers, and again for answers not yet sent
-MIN_DRAIN_S = 0.45  # new connections keep arriving for this long after SIGTERM
-MAX_DEADLINE_S = 3.0  # SIGKILL follows SIGTERM after the longest deadline, but at most this, plus 0.7 s
-FINAL_ANSWER_MARGIN_S = 0.4  # of the 0.7 s: then open requests are failed, before SIGKILL would lose them
 FIRST_LIST_TIMEOUT_S = 0.5  # at the start; the local agent answers at once or is silent
-CLOSE_TIMEOUT_S = 0.2  # of the 0.7 s: for clients to read the last answers and see the end of connection
 GC_THRESHOLDS = (10_000, 20, 20)  # high, because requests leave no reference cycles
 
 
@@ -117,21 +114,7 @@
 
 def lifecycle_times(settings: Settings) -> DrainTimes:
     """The times of a drain, in milliseconds."""
-    keep_open_s, exit_s = compute_drain_times(settings)
-    return DrainTimes(keep_open_s * 1000, exit_s * 1000)
-
-
-def compute_drain_times(settings: Settings) -> tuple[float, float]:
-    """Seconds after SIGTERM until client connections are closed, and until open requests are failed.
-
-    This gateway has no replacement until it has restarted. It therefore keeps serving its connections for as
-    long as an answer within the latency target can still arrive before SIGKILL.
-    """
-    max_deadline_s = min(MAX_DEADLINE_S, max((c.deadline for c in settings.classes), default=3_000.0) / 1000)
-    max_aim_s = max((c.latency_target for c in settings.classes), default=3_000.0) / 1000
-    return max(
-        MIN_DRAIN_S, max_deadline_s + FINAL_ANSWER_MARGIN_S - max_aim_s
-    ), max_deadline_s + FINAL_ANSWER_MARGIN_S
+    return to_drain_times(*compute_drain_times(settings))
 
 
 def reserve_descriptors(requested: int) -> int:
--- a/roadpulley/core/command.py
+++ b/roadpulley/core/command.py
@@ -61,6 +61,9 @@
     def begin_streaming(self, length: int, source: Source) -> Sink:
         """Starts a streamed answer of `length` bytes in place of a call of `answer`."""
 
+    def get_stream_deadline(self) -> float:
+        """When a streamed answer ends unless its client takes a byte before, in Unix milliseconds."""
+
     def hold_value(self, length: int, source: Source) -> HeldSink:
         """Starts to receive a value of `length` bytes that is to be sent once it is whole."""
 
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -220,10 +220,17 @@
         """For how long received data may have been waiting to be read."""
         return max(self.last_lag_ms, now - self.next_lag_check_at, 0.0)
 
-    def get_oldest_request_age_ms(self) -> float:
-        """The age of the oldest open request; 0 if there is none."""
-        oldest = next(iter(self.requests.values()), None)
-        return now_ms() - oldest.received_at if oldest is not None else 0.0
+    def get_overdue_ms(self) -> float:
+        """For how long the most overdue open request is past the time at which it must have ended.
+
+        0 if there is none. That time is its deadline; for a streamed answer it is the time at which the edge
+        ends it, unless a byte moves. The age of a request says nothing: deadlines and values may be long.
+        """
+        latest_ends = (
+            owner.slot.get_stream_deadline() if owner.is_streaming else owner.expires_at
+            for owner in self.requests.values()
+        )
+        return max(0.0, now_ms() - min(latest_ends, default=math.inf))
 
     def encode_early_refusal(self, request_class: str) -> bytes | None:
         """The refusal of a request that is shed before it is parsed, or None if it is admitted."""
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -437,9 +437,7 @@
                 self.close()
         elif not self.is_reading and self.close_if_disconnected():
             return
-        elif self.unsent and now - self.last_progress_at > (
-            STREAM_STALL_TIMEOUT_MS if self.streaming_replies else WRITE_STALL_TIMEOUT_MS
-        ):
+        elif self.unsent and now > self.stall_deadline():
             self.server.refusals["client does not read its replies"] += 1
             self.close()
         elif self.is_overdue(now) and self.is_awaiting_input:
@@ -455,6 +453,11 @@
         elif self.is_idle and now - self.last_used_at > IDLE_TIMEOUT_MS:
             self.close_if_idle()
 
+    def stall_deadline(self) -> float:
+        """When the connection is closed unless the client reads something of its replies before."""
+        timeout_ms = STREAM_STALL_TIMEOUT_MS if self.streaming_replies else WRITE_STALL_TIMEOUT_MS
+        return self.last_progress_at + timeout_ms
+
     def start_lingering(self) -> None:
         """Shut down the sending side, then discard what arrives until the client closes."""
         self.state, self.command_deadline, self.last_progress_at = LINGERING, None, now_ms()
--- a/roadpulley/edges/slots.py
+++ b/roadpulley/edges/slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from roadpulley.core.command import HeldSink, Sink, Source
@@ -55,6 +56,15 @@
         """
         return self._start_stream(length, source)
 
+    def get_stream_deadline(self) -> float:
+        """When the connection is closed unless the client takes a byte before.
+
+        Infinite while the stream waits for earlier replies: these have deadlines of their own.
+        """
+        if self.stream is None or not self.stream.is_started:
+            return math.inf
+        return self.connection.stall_deadline()
+
     def hold_value(self, length: int, source: Source) -> HeldValue:
         """Start to receive a value that is sent once it is whole. Any other answer may still be given."""
         return HeldValue(self.connection.server.held_value_budget, length, source)
--- a/roadpulley/workers/service.py
+++ b/roadpulley/workers/service.py
@@ -13,6 +13,7 @@
 
 from roadpulley.core.settings import Address, ConfigError, load_config
 
+from .messages import parse_overdue_s
 from .supervisor import (
     Action,
     DrainWorker,
@@ -241,9 +242,8 @@
                 elif fields[0] == b"closes":
                     self.perform(self.supervisor.handle_closed(self.loop.time(), slot))
                 elif fields[0] == b"beat":
-                    self.perform(
-                        self.supervisor.handle_heartbeat(self.loop.time(), slot, float(fields[1]) / 1000)
-                    )
+                    overdue_s = parse_overdue_s(fields)
+                    self.perform(self.supervisor.handle_heartbeat(self.loop.time(), slot, overdue_s))
         finally:
             transport.close()
 
--- a/roadpulley/workers/supervisor.py
+++ b/roadpulley/workers/supervisor.py
@@ -6,7 +6,7 @@
 
     idle      no process runs; `deadline` is the time to start one
     starting  a process runs and has not reported that it serves
-    serving   the process sends heartbeats, each with the age of its oldest open request
+    serving   the process sends heartbeats, each with the time for which a request is overdue
     draining  the process received SIGTERM and may take `drain_timeout_s` to exit
     ending    the process was killed and its exit has not been reported yet
 
@@ -30,6 +30,10 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from roadpulley.operations.drain_times import MAX_STOP_S
+
+STOP_MARGIN_S = 0.4  # beyond the time in which a worker ends by itself, for a busy machine
+
 
 class State(Enum):
     """State of a slot."""
@@ -48,9 +52,10 @@
     start_timeout_s: float = 15.0  # from the start of a process until it must serve
     heartbeat_interval_s: float = 0.25
     heartbeat_timeout_s: float = 3.0  # without a heartbeat for this long, a worker is considered hung
-    # Older than any request deadline: the event loop still runs but requests are not answered.
-    max_request_age_s: float = 5.0
-    drain_timeout_s: float = 4.0  # from SIGTERM to SIGKILL: the longest request deadline and one second
+    # Past the time by which a request must end, by the worker's own settings: its event loop still runs, but
+    # it does not end requests. With a deadline of 3 s that is 5 s after the request.
+    max_request_overdue_s: float = 2.0
+    drain_timeout_s: float = MAX_STOP_S + STOP_MARGIN_S  # from SIGTERM to SIGKILL
     # Between the check that first finds a worker overdue and the one that kills it.
     confirmation_delay_s: float = 0.25
     initial_backoff_s: float = 0.1
@@ -112,10 +117,9 @@
     version: int = 0  # of the running process
     deadline: float = 0.0  # idle: when to start a process; starting or draining: when it is overdue
     first_overdue_at: float | None = None  # first check that found the worker overdue or nearly so
-    is_stuck: bool = False  # the last heartbeat reported a request older than `max_request_age_s`
+    is_stuck: bool = False  # the last heartbeat reported a request overdue by `max_request_overdue_s`
     serving_since: float | None = None
     heartbeat_at: float = 0.0  # time of the last heartbeat
-    oldest_age_s: float = 0.0  # age of the oldest open request
     failures: int = 0  # consecutive exits without having served for `stable_after_s`
     is_accepting: bool = False  # connections from the shared socket
     remove_on_exit: bool = False
@@ -152,7 +156,6 @@
             slot.state = State.SERVING
             slot.serving_since = now
             slot.heartbeat_at = now
-            slot.oldest_age_s = 0.0
             slot.first_overdue_at, slot.is_stuck = None, False
             if self.replacing_slot == number:
                 self.replacing_slot = None
@@ -160,17 +163,17 @@
             slot.is_accepting = True  # even if it was drained before it served
         return self.tick(now)
 
-    def handle_heartbeat(self, now: float, number: int, oldest_age_s: float) -> list[Action]:
-        """Handle a heartbeat, which carries the age of the oldest open request in seconds."""
+    def handle_heartbeat(self, now: float, number: int, overdue_s: float) -> list[Action]:
+        """Handle a heartbeat, which says for how many seconds the most overdue request should have ended."""
         slot = self.slots.get(number)
         actions: list[Action] = []
         if slot is not None and slot.state is State.SERVING:
-            slot.heartbeat_at, slot.oldest_age_s, slot.first_overdue_at = now, oldest_age_s, None
+            slot.heartbeat_at, slot.first_overdue_at = now, None
             # A kill takes two heartbeats in a row with a stuck request. A worker that was suspended for some
             # seconds may send its first heartbeat before it has ended the requests that are overdue.
-            was_stuck, slot.is_stuck = slot.is_stuck, oldest_age_s > self.settings.max_request_age_s
+            was_stuck, slot.is_stuck = slot.is_stuck, overdue_s > self.settings.max_request_overdue_s
             if was_stuck and slot.is_stuck:
-                self._kill_worker(slot, f"a request is open for {oldest_age_s:.1f} s", actions)
+                self._kill_worker(slot, f"a request is overdue by {overdue_s:.1f} s", actions)
         return actions + self.tick(now)
 
     def handle_closed(self, now: float, number: int) -> list[Action]:
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -1,10 +1,10 @@
 """Entry point of a worker process: a gateway that sends heartbeats. Only the supervisor starts it.
 
-The worker writes one message per line into a pipe to the supervisor: `serves PORT` once, then
-`beat MILLISECONDS` with the age of the oldest open request, and `closes` once it no longer accepts
-connections. The event loop that answers requests also writes the messages. If the loop is blocked, the
-heartbeats stop; if it runs without answering, the reported age grows. The supervisor binds the socket that
-the worker accepts from, and shares it among all workers.
+The worker writes one message per line into a pipe to the supervisor: `serves PORT` once, then heartbeats, and
+`closes` once it no longer accepts connections. The event loop that answers requests also writes the messages.
+If the loop is blocked, the heartbeats stop; if it runs without ending its requests, they report for how long
+one of them is overdue. The supervisor binds the socket that the worker accepts from, and shares it among all
+workers.
 """
 
 from __future__ import annotations
@@ -26,6 +26,8 @@
 from roadpulley.core.driver import Driver
 from roadpulley.core.settings import ConfigError, GatewayConfig, parse_config
 
+from .messages import encode_heartbeat
+
 if TYPE_CHECKING:
     from roadpulley.fleet.agent_link import AgentLink
     from roadpulley.fleet.orders.client import OrderClient
@@ -98,7 +100,7 @@
         while True:
             await asyncio.sleep(self.interval_s)
             if self.driver is not None:
-                self.write_message(f"beat {self.driver.get_oldest_request_age_ms():.0f}")
+                self.write_message(encode_heartbeat(self.driver.get_overdue_ms()))
 
 
 def follow_plans(settings: str, driver: Driver) -> PlanVersionLookup:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -30,9 +30,9 @@
 )
 
 from mintford import interface as api
-from roadpulley.__main__ import compute_drain_times
 from roadpulley.core import clock
 from roadpulley.core.settings import ConfigError, parse_config
+from roadpulley.operations.drain_times import compute_drain_times
 
 ROOT = Path(__file__).parents[1]
 Start = Callable[[Path], Awaitable[asyncio.subprocess.Process]]
