Drains: a shorter grace from a reload counts for backends that drain already

Seen: found by going through what is derived from the configuration. A backend that was draining while SIGHUP brought a shorter drainGrace went on getting requests until the end of the grace before.

Cause: Host.new_requests_until was computed once, when the drain was learned.

Change: the pools keep since when a backend drains and bring the limit forward when the grace changes; a longer grace does not put it off.

Evidence: test_a_shorter_grace_counts_for_a_backend_that_drains_already... fails before. 660 tests of core, edges and operations pass.

--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -47,6 +47,7 @@
         self.address, self.started = address, started
         self.idle: list[Connection] = []  # the most recently used last
         self.new_requests_until = float("inf")
+        self.draining_since = float("inf")
 
     def accepts_new_requests(self, now: float) -> bool:
         """Whether the backend isn't draining, or is still within its grace."""
@@ -90,9 +91,11 @@
         self.timers.call_at(now_ms() + SWEEP_INTERVAL_MS, self.sweep)
 
     def set_timeouts(self, connect_timeout_ms: float, keepalive_ms: float, drain_grace_ms: float) -> None:
-        """Applies changed settings to the pools."""
+        """Applies changed settings to the pools. A shorter grace counts for drains under way as well."""
         self.connect_timeout_ms, self.max_idle_ms = connect_timeout_ms, keepalive_ms * MAX_IDLE_RATIO
         self.drain_grace_ms = drain_grace_ms
+        for host in self.hosts.values():
+            self._limit_new_requests(host)
 
     # ---- the list ----
 
@@ -113,7 +116,7 @@
         if host.address != address or host.started != started:
             self.close_idle(host)
             host.address, host.started = address, started
-        host.new_requests_until = float("inf")
+        host.new_requests_until = host.draining_since = float("inf")
 
     def retire(self, backend: int, since: float | None = None) -> None:
         """Drains a backend that is draining or no longer listed."""
@@ -121,11 +124,16 @@
             # A drain takes effect even while no watch is open. Its grace may already be over when this
             # gateway learns of it, so the grace is measured from `since`.
             since = now_ms() if since is None else since
-            host.new_requests_until = min(
-                host.new_requests_until, since + self.drain_grace_ms - CUTOFF_MARGIN_MS
-            )
+            host.draining_since = min(host.draining_since, since)
+            self._limit_new_requests(host)
             self.close_idle(host)
 
+    def _limit_new_requests(self, host: Host) -> None:
+        """Sets until when a draining backend accepts new requests. Later calls only bring that forward."""
+        host.new_requests_until = min(
+            host.new_requests_until, host.draining_since + self.drain_grace_ms - CUTOFF_MARGIN_MS
+        )
+
     # ---- attempts ----
 
     def send(self, attempt: Attempt) -> None:
--- a/tests/core/test_backends.py
+++ b/tests/core/test_backends.py
@@ -513,3 +513,22 @@
             assert sum(len(b.got) for b in world.backends) == 1
 
     in_loop(scenario)
+
+
+def test_a_shorter_grace_counts_for_a_backend_that_drains_already_and_a_longer_one_does_not() -> None:
+    """Guards against a request to a backend whose grace, by the settings in force, is over."""
+
+    async def scenario() -> None:
+        async with pool(Backend(), Backend(), drain_grace_ms=1_000) as pools:
+            began = now_ms()
+            pools.retire(0, began)
+            draining, ready = pools.hosts[0], pools.hosts[1]
+            assert draining.new_requests_until == began + 1_000 - module.CUTOFF_MARGIN_MS
+            for grace_ms, expected_ms in ((500, 500), (2_000, 500)):
+                pools.set_timeouts(250, 15_000, grace_ms)
+                assert draining.new_requests_until == began + expected_ms - module.CUTOFF_MARGIN_MS
+            assert ready.accepts_new_requests(began + 60_000)
+            pools.update(0, draining.address, BackendState.READY)
+            assert draining.accepts_new_requests(began + 60_000)
+
+    in_loop(scenario)
