--- a/roadpulley/core/request_stats.py
+++ b/roadpulley/core/request_stats.py
@@ -1,4 +1,4 @@
-"""Counters of answers and attempts since the start of this process."""
+"""Counters of answers, attempts and closed connections since the start of this process."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
     def __init__(self) -> None:
         self.answers: dict[str, list[int]] = {}  # by class: served, refused, failed
         self.attempts_sent = 0
+        self.unanswered_at_close: dict[str, int] = {}  # commands and unread replies, by reason of the close
 
     def add_class(self, request_class: str) -> None:
         """Starts the counters of a class, if it has none yet."""
@@ -25,3 +26,7 @@
         """Counts a final answer; its outcome is taken from the RESP reply."""
         outcome = SERVED if reply[:1] != b"-" else REFUSED if reply[:5] == b"-BUSY" else FAILED
         self.answers[request_class][outcome] += 1
+
+    def record_unanswered(self, reason: str, count: int) -> None:
+        """Counts what was unanswered on a client's connection that is closed for a reason."""
+        self.unanswered_at_close[reason] = self.unanswered_at_close.get(reason, 0) + count
--- /dev/null
+++ b/roadpulley/edges/close_reasons.py
@@ -0,0 +1,32 @@
+"""Why a client's connection is closed, and what may be unanswered on it then.
+
+Commands without a written reply, and replies that are not written whole, are unanswered at a close.
+
+| reason         | unanswered at the close          | allowed by                                      |
+| -------------- | -------------------------------- | ----------------------------------------------- |
+| CLIENT_LEFT    | anything                         | "A client that closes its connection has gone"  |
+| REPLIES_UNREAD | anything                         | the client itself: it takes nothing for 5 s (in |
+|                |                                  | a stream 30 s), or for longest while memory is  |
+|                |                                  | short                                           |
+| VALUE_BROKEN   | that value, and nothing behind   | "may begin to pass on a value and then fail"    |
+| ROOM_NEEDED    | nothing: the connection is idle  | -                                               |
+| LINGER_ENDED   | nothing: all replies are written | -                                               |
+
+A connection that drains, is idle, sent QUIT or malformed input, or lives to the end of the process writes
+all its replies before a lingering close. The counts of the last two reasons, and of commands behind a broken
+value, are therefore always 0.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+
+class CloseReason(Enum):
+    """Why a connection is closed. Operators read the values, in the names of metrics."""
+
+    CLIENT_LEFT = "client_left"
+    REPLIES_UNREAD = "replies_unread"
+    VALUE_BROKEN = "value_broken"
+    ROOM_NEEDED = "room_needed"
+    LINGER_ENDED = "linger_ended"
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -39,6 +39,7 @@
 from roadpulley.core.clock import now_ms
 from roadpulley.core.resp import CommandReader, MalformedError, encode_bulk
 
+from .close_reasons import CloseReason
 from .request_parser import REQUEST_VERBS
 from .slots import Slot, StreamingReply
 
@@ -108,7 +109,7 @@
         except OSError:
             count = 0
         if not count:
-            return self.close()  # a half-closed connection counts as closed
+            return self.close(CloseReason.CLIENT_LEFT)  # a half-closed connection counts as closed
         self.receive(self.server.read_view[:count])
 
     def receive(self, data: bytes | memoryview) -> None:
@@ -270,7 +271,7 @@
         except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError:
-            return self.close()
+            return self.close(CloseReason.CLIENT_LEFT)
         if sent:
             self.last_progress_at = now_ms()
         del self.unsent[:sent]
@@ -343,6 +344,7 @@
 
         Earlier replies may still be unsent, or in flight: an immediate close would destroy them.
         """
+        self._record_unanswered(CloseReason.VALUE_BROKEN, len(self.slots) - 1)
         self._abandon_commands()
         self.state = max(self.state, FLUSHING)
         self.advance()
@@ -382,7 +384,7 @@
             except OSError:
                 return False  # not a TCP socket: only reading shows the end
             if tcp_info and tcp_info[0] != TCP_ESTABLISHED:
-                self.close()
+                self.close(CloseReason.CLIENT_LEFT)
         return self.state >= LINGERING
 
     def close_if_idle(self, room: bool = False) -> None:
@@ -394,7 +396,7 @@
             self._on_readable()
         if self.is_at_rest or (room and self.is_idle and not self.server.draining):
             if room:
-                self.close()
+                self.close(CloseReason.ROOM_NEEDED)
             else:
                 self.start_lingering()
 
@@ -434,12 +436,12 @@
         """Apply all timeouts, and detect a client that has disconnected."""
         if self.state == LINGERING:
             if now > self.last_progress_at + LINGER_TIMEOUT_MS:
-                self.close()
+                self.close(CloseReason.LINGER_ENDED)
         elif not self.is_reading and self.close_if_disconnected():
             return
         elif self.unsent and now > self.stall_deadline():
             self.server.refusals["client does not read its replies"] += 1
-            self.close()
+            self.close(CloseReason.REPLIES_UNREAD)
         elif self.is_overdue(now) and self.is_awaiting_input:
             if self.is_reading:
                 self._on_readable()  # the rest may have arrived while the event loop was late
@@ -466,7 +468,7 @@
         try:
             self.socket.shutdown(socket.SHUT_WR)
         except OSError:
-            return self.close()  # the client closed first
+            return self.close(CloseReason.CLIENT_LEFT)
         self.server.add_lingering(self)
         if not self.is_reading:
             self.is_reading = True
@@ -490,12 +492,13 @@
             count = 0
         self.discarded_bytes += count
         if not count or self.discarded_bytes > MAX_LINGER_BYTES:
-            self.close()
+            self.close(CloseReason.LINGER_ENDED)
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Close the socket, release all resources, and report open requests to the handler."""
         if self.is_closed:
             return
+        self._record_unanswered(reason, len(self.slots) + bool(self.unsent))
         self.state = CLOSED
         self.server.loop.remove_reader(self.fd)
         self.server.loop.remove_writer(self.fd)
@@ -508,6 +511,10 @@
         self._release_body_grant()
         self._abandon_commands()
 
+    def _record_unanswered(self, reason: CloseReason, count: int) -> None:
+        if count:
+            self.server.request_stats.record_unanswered(reason.value, count)
+
     def _abandon_commands(self) -> None:
         """Give up all commands without a reply, and report open requests to the handler."""
         slots, self.slots = self.slots, deque()
--- a/roadpulley/edges/resp_server.py
+++ b/roadpulley/edges/resp_server.py
@@ -19,6 +19,7 @@
 from roadpulley.core.request_stats import RequestStats
 from roadpulley.core.resp import MAX_ANSWER_BYTES, MAX_BODY_BYTES
 
+from .close_reasons import CloseReason
 from .connection import ClientConnection
 from .request_parser import ATTRIBUTES_PATTERN, CLASS_PATTERN, RequestParser
 from .slots import MAX_HIGH_WATER_BYTES, MIN_HIGH_WATER_BYTES
@@ -169,7 +170,7 @@
         Tried in order: a lingering one, one without a request yet, the least recently used idle one.
         """
         if ended := next(iter(self.lingering), None):
-            ended.close()
+            ended.close(CloseReason.LINGER_ENDED)
             return True
         now = now_ms()
         oldest = next((c for c in self.without_request if c.is_idle), None)
@@ -227,7 +228,7 @@
         self.without_request.pop(connection, None)
         self.lingering[connection] = None
         if len(self.lingering) > self.max_connections // MAX_LINGERING_DIVISOR:
-            next(iter(self.lingering)).close()
+            next(iter(self.lingering)).close(CloseReason.LINGER_ENDED)
 
     def remove_connection(self, connection: ClientConnection) -> None:
         """Forget a closed connection."""
@@ -244,7 +245,7 @@
         slowest = min(candidates, key=lambda c: c.last_progress_at, default=None)
         if slowest is not None:
             self.refusals["client does not read its replies"] += 1
-            slowest.close()
+            slowest.close(CloseReason.REPLIES_UNREAD)
 
     def sweep(self) -> None:
         """Check the timeouts of all connections and log refusals, periodically."""
--- a/roadpulley/operations/controller.py
+++ b/roadpulley/operations/controller.py
@@ -109,6 +109,8 @@
             for outcome, count in zip(OUTCOMES, counts, strict=True):
                 yield f"operations.{name}.{outcome}", count
         yield "relayed", stats.attempts_sent
+        for reason, count in stats.unanswered_at_close.items():  # those that occurred
+            yield f"unanswered_at_close.{reason}", count
         yield "open_requests", len(self.driver.requests)
         yield "registry_entries", len(fleet.backends)
         yield "out_of_rotation", self.driver.gateway.count_avoided(now_ms())
--- a/roadpulley/soak/planted.py
+++ b/roadpulley/soak/planted.py
@@ -26,24 +26,26 @@
 
 def close_over_open_requests() -> None:
     """A connection is closed in a drain though a request is open on it."""
+    from roadpulley.edges.close_reasons import CloseReason
     from roadpulley.edges.connection import ClientConnection
 
     def leave(self: ClientConnection) -> None:
         if self.server.draining:
-            self.close()
+            self.close(CloseReason.ROOM_NEEDED)
 
     ClientConnection.close_for_drain = leave  # type: ignore[method-assign]
 
 
 def close_new_connections() -> None:
     """A drain closes new connections at once, without a look at what lies unread in their sockets."""
+    from roadpulley.edges.close_reasons import CloseReason
     from roadpulley.edges.connection import ClientConnection
 
     close_for_drain = ClientConnection.close_for_drain
 
     def close_unread(self: ClientConnection) -> None:
         if self.server.draining and self in self.server.without_request:
-            return self.close()
+            return self.close(CloseReason.ROOM_NEEDED)
         close_for_drain(self)
 
     ClientConnection.close_for_drain = close_unread  # type: ignore[method-assign]
--- a/tests/edges/test_held_values.py
+++ b/tests/edges/test_held_values.py
@@ -24,6 +24,7 @@
 from test_long_values import MIB, encode_reply, make_value
 
 from roadpulley.core.budget import MemoryBudget
+from roadpulley.edges.close_reasons import CloseReason
 from roadpulley.edges.held_value import HeldValue, State
 from roadpulley.testbed.server import Server
 
@@ -232,6 +233,32 @@
     in_loop(scenario)
 
 
+def test_what_is_unanswered_at_a_close_is_counted_by_its_reason() -> None:
+    """Only a client that has left leaves anything unanswered; a value that breaks takes nothing along."""
+
+    async def scenario() -> None:
+        with server_seen() as servers:
+            async with running(World(LongValueBackend(reset))) as w:
+                counts = servers[0].request_stats.unanswered_at_close
+                alone = await w.client()
+                alone.send(*request(b"long", name=b"wipe"))
+                assert await alone.receive() is None  # it ends within the value
+                behind = await w.client()
+                behind.send(*request(b"long2", name=b"wipe"))
+                behind.send(*request(b"short"))
+                assert str(await behind.receive()) == "ERR failed" and await behind.receive() == b"value"
+                assert not counts
+                leaving = await w.client()
+                leaving.send(*request(b"long3"))
+                leaving.send(*request(b"long4"))
+                await until(lambda: len(w.backends[0].got) >= 5)
+                leaving.close()
+                await until(lambda: counts)
+                assert counts == {CloseReason.CLIENT_LEFT.value: 2}
+
+    in_loop(scenario)
+
+
 # ---- without sockets ----
 
 
