Soak: settings that change after SIGTERM, and long values that break with requests behind them

Change: three in five of some faults of single processes become stop-reload (SIGTERM, and a reload with shorter latency targets 50 to 1,200 ms later). In four plays in ten a tenth of the values are long, nodes break a quarter of these off half-way, and clients have up to four requests open on a connection. The auditor excuses a value that its node broke off and that was begun, and nothing behind it. All of it is drawn apart, so that the other plans of a seed stay as they are.

--- a/roadpulley/soak/plan.py
+++ b/roadpulley/soak/plan.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import asdict, replace
 
 from roadpulley.testbed.scenario import (
@@ -29,6 +29,14 @@
 MAX_FAILED_NODES_RATIO = 0.4
 CEILING_PLAYS_RATIO = 0.3  # of the plays: customers are refused by their ceilings, not by their quotas
 CEILING_LOAD_FACTOR = 6.0  # times its quota, asked by a heavy customer of such a play
+STOP_RELOAD_RATIO = (
+    0.6  # of the faults below, of single processes: a stop, with other settings before its end
+)
+STOP_RELOAD_ORIGINS = ("restart", "signals", "hang")
+LONG_VALUE_PLAYS_RATIO = 0.4  # of the plays: some values are long
+LONG_VALUE_RATIO = 0.1  # of the values of such a play
+BREAK_RATIO = 0.25  # of its long values: their connection ends half-way
+LONG_VALUE_PIPELINE = 4  # requests that a client of such a play may have open on one connection
 MIN_FAULTS = 3
 MAX_FAULTS = 6
 
@@ -79,8 +87,28 @@
             heavy_x=CEILING_LOAD_FACTOR if presses_ceilings else Load.heavy_x,
         ),
     )
-    faults = sorted(draw_faults(rng, scenario), key=lambda fault: fault.at)
-    return replace(scenario, faults=tuple(faults))
+    faults = list(draw_reloads(seed, draw_faults(rng, scenario), bool(scenario.workers)))
+    faults.sort(key=lambda fault: fault.at)
+    return replace(draw_long_values(seed, scenario), faults=tuple(faults))
+
+
+def draw_reloads(seed: int, faults: Iterable[Fault], has_workers: bool) -> Iterator[Fault]:
+    """Turn some faults into stops whose settings change after SIGTERM. Drawn apart, as the ceilings are."""
+    rng = random.Random(f"soak:{seed}:reloads")
+    for fault in faults:
+        is_drawn = fault.kind in STOP_RELOAD_ORIGINS and rng.random() < STOP_RELOAD_RATIO
+        if is_drawn and not has_workers:
+            yield replace(fault, kind="stop-reload", seconds=0.0, ms=round(rng.uniform(50.0, 1_200.0)))
+        else:
+            yield fault
+
+
+def draw_long_values(seed: int, scenario: Scenario) -> Scenario:
+    """Give some plays long values, which nodes may break off, and requests behind them. Drawn apart."""
+    if random.Random(f"soak:{seed}:long values").random() >= LONG_VALUE_PLAYS_RATIO:
+        return scenario
+    node = replace(scenario.node, long_ratio=LONG_VALUE_RATIO, break_ratio=BREAK_RATIO)
+    return replace(scenario, node=node, load=replace(scenario.load, pipeline=LONG_VALUE_PIPELINE))
 
 
 def draw_faults(rng: random.Random, scenario: Scenario) -> Iterator[Fault]:
@@ -188,4 +216,6 @@
         f"  discovery tells within {s.discovery.notice_ms:g} ms; counter of {s.counter.parts} parts, "
         f"{s.counter.per_s:g} calls a second each"
     )
+    if s.node.long_ratio:
+        yield f"  long values: {s.node.long_ratio:g} of all, {s.node.break_ratio:g} of them broken off"
     yield from (f"  {fault.at:6.2f} s  {fault.words()}" for fault in s.faults)
--- a/roadpulley/testbed/answers.py
+++ b/roadpulley/testbed/answers.py
@@ -5,6 +5,7 @@
 import re
 from dataclasses import dataclass
 
+PARTIAL_ANSWER = "an answer that is not whole"  # what a client notes of a connection that ends within one
 LARGEST = 16 * 1024 * 1024
 LINE = re.compile(rb"([+\-:])([^\r\n]{0,4096})\r\n")
 BULK = re.compile(rb"\$(\d{1,8})\r\n")
--- a/roadpulley/testbed/auditor.py
+++ b/roadpulley/testbed/auditor.py
@@ -15,6 +15,7 @@
 
 from mintford import interface as api
 
+from .answers import PARTIAL_ANSWER
 from .ledger import MACHINE, MIN_NEW_CONNECTION_MS, Attempt, BackendNotice, ClientRequest, Ledger
 from .terms import Terms
 
@@ -215,6 +216,10 @@
             return "its connection was closed though the request had been read and sent on"
     if ask.how == "open":
         return "never answered"
+    if ask.note == PARTIAL_ANSWER and any(a.how == "broken" for a in case.by_id.get(ask.id, ())):
+        return (
+            ""  # a node broke this value off, and its client can tell; what is behind it has no such excuse
+        )
     if ask.how in ("lost", "spoilt"):
         return ask.note or "its connection ended without a whole answer"
     written_at = ask.relayed_at if ask.relayed_at is not None else ask.answered_at
--- a/roadpulley/testbed/ledger.py
+++ b/roadpulley/testbed/ledger.py
@@ -60,7 +60,7 @@
     begun_at: float | None = None
     ended_at: float | None = None  # its answer was written
     gone_at: float | None = None  # its gateway ended its connection, whether or not it was answered later
-    how: str = "open"  # open, served, failed, busy (never ran), gone
+    how: str = "open"  # open, served, failed, busy (never ran), gone, broken (the node broke its value off)
     ran: bool = False  # the effect happened: begun, and no repeat of one that had
     serial: int = 0  # of the value made
     work: float = 0.0  # core milliseconds
--- a/roadpulley/testbed/load_generator.py
+++ b/roadpulley/testbed/load_generator.py
@@ -12,7 +12,7 @@
 
 from roadpulley.core.clock import now_ms
 
-from .answers import Answer, AnswerReader, CorruptAnswerError
+from .answers import PARTIAL_ANSWER, Answer, AnswerReader, CorruptAnswerError
 from .arrivals import Arrival
 from .ledger import MACHINE, MIN_NEW_CONNECTION_MS, Anomaly, ClientRequest, Ledger
 from .relay import Pipe, Relay
@@ -198,7 +198,7 @@
             if not one.answer.done():
                 # Only the first can have been answered in part: the rest may just have crossed the close.
                 partly = place == 0 and bool(self.reader.buffer)
-                one.ask.note = one.ask.note or ("an answer that is not whole" if partly else "")
+                one.ask.note = one.ask.note or (PARTIAL_ANSWER if partly else "")
                 one.ask.answered_at = now_ms()
                 one.answer.set_result(None)
 
--- a/roadpulley/testbed/node.py
+++ b/roadpulley/testbed/node.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple, cast
 
 from roadpulley.core.clock import now_ms
-from roadpulley.core.resp import CommandReader, MalformedError
+from roadpulley.core.resp import LONG_VALUE_THRESHOLD_BYTES, CommandReader, MalformedError
 
 from .ledger import Anomaly, Attempt, Ledger, Started
 from .node_machine import Change, Job, NodeMachine, Seen, State, draw_work
@@ -159,12 +159,25 @@
                 turn.attempt.ended_at = now
                 # A link may hold up the end that its gateway made before this answer.
                 turn.attempt.gone_at = self.node.origins.ended.get(self.ends)
-            self.transport.write(turn.reply or b"")
+            reply = turn.reply or b""
+            if (
+                len(reply) > LONG_VALUE_THRESHOLD_BYTES
+                and self.node.rng.random() < self.node.kind.break_ratio
+            ):
+                return self.break_off(turn, reply)
+            self.transport.write(reply)
             self.used_at = now
         while self.behind and len(self.turns) < self.node.kind.streams:
             args, receipt = self.behind.popleft()
             self.node.command(self, args, receipt, now)
 
+    def break_off(self, turn: PendingReply, reply: bytes) -> None:
+        """Write half of a reply, then end the connection."""
+        if turn.attempt is not None:
+            turn.attempt.how = "broken"
+        self.transport.write(reply[: len(reply) // 2])
+        self.transport.close()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Tell the node that nobody waits any more."""
         self.node.connections.discard(self)
@@ -342,7 +355,8 @@
         new = attempt.kind not in self.deployment.keyed or self.seen.first(attempt.key, job.begun_at or 0.0)
         attempt.ran = new
         said = f"tile {attempt.id} {self.name} {self.serial} ".encode()
-        turn.value = said.ljust(self.kind.value_bytes, b".")
+        is_long = self.kind.long_ratio > 0 and self.rng.random() < self.kind.long_ratio
+        turn.value = said.ljust(self.kind.long_bytes if is_long else self.kind.value_bytes, b".")
 
     def _answer(self, turn: PendingReply, how: str, reply: bytes) -> None:
         assert turn.attempt is not None
--- a/roadpulley/testbed/operator.py
+++ b/roadpulley/testbed/operator.py
@@ -57,6 +57,14 @@
     return changed
 
 
+def with_shorter_aims(settings: dict[str, Any]) -> dict[str, Any]:
+    """The same settings with half of each class's latency target: a drain then keeps connections longer."""
+    changed = copy.deepcopy(settings)
+    for request_class in changed["classes"]:
+        request_class["aim"] /= 2
+    return changed
+
+
 def retune(process: GatewayProcess, settings: dict[str, Any], cut: bool = False) -> None:
     """Put other settings in the gateway's file, or half of them, and tell it."""
     process.config["settings"] = settings
--- a/roadpulley/testbed/timeline.py
+++ b/roadpulley/testbed/timeline.py
@@ -195,12 +195,16 @@
             process.kill()
         else:
             process.terminate()
+            settings = process.config["settings"]
             if fault.kind == "signals":
                 self.world.spawn(self.signal_again(process))
+            elif fault.kind == "stop-reload":
+                self.world.spawn(self.reload_while_stopping(process, fault.ms / 1000))
             leaving = self.world.spawn(self.world.load_generator.leave(gate))
             if not await process.ended(MAX_SHUTDOWN_S):
                 process.signal(signal.SIGKILL)  # its requests are lost, and that is its own doing
             await leaving
+            process.config["settings"] = settings
         await process.ended(MAX_SHUTDOWN_S)
         await asyncio.sleep(fault.seconds or RESTART_GAP_S)
         process.config["known"] = self.world.discovery.catalogue.whole(
@@ -211,6 +215,12 @@
         self.world.load_generator.back(gate)
         self.world.say(f"started again: {process.name}")
 
+    async def reload_while_stopping(self, process: GatewayProcess, delay_s: float) -> None:
+        """Bring other settings and SIGHUP some time after SIGTERM, if the process still runs."""
+        await asyncio.sleep(delay_s)
+        if process.running:
+            operator.retune(process, operator.with_shorter_aims(process.config["settings"]))
+
     async def signal_again(self, process: GatewayProcess) -> None:
         """After SIGTERM, while it drains: SIGHUP twice and SIGTERM once more."""
         for number in (signal.SIGHUP, signal.SIGHUP, signal.SIGTERM):
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -53,6 +53,7 @@
     assert sum(map(overlaps, plans)) > 0.8 * len(plans)
     kinds = {fault.kind for plan in plans for fault in plan.faults}
     assert kinds >= {"kill", "restart", "signals", "hang", "crowd", "pause", "retune", "upgrade"}
+    assert "stop-reload" in kinds and {bool(plan.node.break_ratio) for plan in plans} == {False, True}
     assert kinds >= {"node-hang", "node-slow", "node-fail", "node-kill", "node-start", "node-drain"}
     assert kinds >= {"delay", "cut", "half-open", "drip", "reset", "blackhole", "stall", "rush"}
     assert kinds >= {"counter-lost", "counter-slow", "counter-full", "discovery-silent"}
--- a/tests/testbed/test_auditor.py
+++ b/tests/testbed/test_auditor.py
@@ -12,6 +12,7 @@
 
 from roadpulley.checks import ValidationError
 from roadpulley.testbed import terms
+from roadpulley.testbed.answers import PARTIAL_ANSWER
 from roadpulley.testbed.auditor import Bucket, Verdict, judge
 from roadpulley.testbed.ledger import (
     MACHINE,
@@ -396,3 +397,18 @@
             _, attempt = put(ledger, f"e{number}", 20_000 + number, plan="enterprise", customer="rich")
             attempt.departed_at = T0 + 14_000 + number * apart_ms
         assert (broken(judge(ledger, TERMS)) == set()) == ok
+
+
+@pytest.mark.parametrize(
+    ("how", "note", "is_lost"),
+    [
+        ("broken", PARTIAL_ANSWER, False),  # its node broke the value off, and the client can tell
+        ("served", PARTIAL_ANSWER, True),  # the gateway broke it off
+        ("broken", "", True),  # nothing of an answer came: it stood behind another one
+    ],
+)
+def test_only_a_value_that_its_node_broke_off_may_be_cut(how: str, note: str, is_lost: bool) -> None:
+    ledger = good()
+    ask, attempt = put(ledger, "cut", 10_000)
+    ask.how, ask.note, attempt.how = "lost", note, how
+    assert broken(judge(ledger, TERMS)) == ({"answered"} if is_lost else set())
