--- a/mintford/attempts.py
+++ b/mintford/attempts.py
@@ -72,12 +72,12 @@
         request.customer.open_attempts += 1
         attempt = self.in_flight[request.id, request.attempts] = Attempt(request, target, now)
         self.not_yet_lost.append(attempt)
-        latest_start = (
+        send_deadline = (
             get_repeat_deadline(request.kind, request.possibly_run[0].sent_at)
             if request.possibly_run
             else float("inf")
         )
-        out.append(api.Send(request.id, target.id, 0.0, request.attempts, latest_start))
+        out.append(api.Send(request.id, target.id, 0.0, request.attempts, send_deadline))
         request.live_attempts.add(request.attempts)
         request.possibly_run.append(attempt)
         request.tried_backends.add(target.id)
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -396,7 +396,7 @@
     timeout: float = 0.0
     attempt: int = 0  # its number, which `AttemptEnded` carries even if the request has already ended
     # The last byte of this attempt, and of the request's other open attempts, must be sent before this time.
-    latest_start: float = float("inf")
+    send_deadline: float = float("inf")
 
 
 @dataclass(slots=True)
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -440,13 +440,13 @@
             ended,
             key,
             self.on_long_value,
-            action.latest_start,
+            action.send_deadline,
             self.is_client_waiting,
             command.long_body,
         )
         for other in owner.open_attempts.values():
             # Whichever comes whole first runs first, and the others repeat it.
-            other.limit_sending(action.latest_start)
+            other.limit_sending(action.send_deadline)
         self.attempts[key] = owner.open_attempts[number] = attempt
         if 0 < timeout < owner.expires_at - now:
             on_timeout = partial(self.backends.cancel_attempt, attempt, EndReason.ATTEMPT_TIMEOUT)
--- a/tests/core/test_driver.py
+++ b/tests/core/test_driver.py
@@ -203,7 +203,9 @@
             scene.module.answers[api.RequestArrived] = [api.Send("r1", 0)]
             scene.ask()
             deadline = now_ms() + 500
-            scene.module.answers[api.RequestAbandoned] = [api.Send("r1", 1, attempt=1, latest_start=deadline)]
+            scene.module.answers[api.RequestAbandoned] = [
+                api.Send("r1", 1, attempt=1, send_deadline=deadline)
+            ]
             scene.driver.handle_event(api.RequestAbandoned("another"))
             assert [a.latest_send_at for a in scene.driver.attempts.values()] == [deadline, deadline]
             scene.backends.close()
--- a/tests/decisions/test_repeat_deadlines.py
+++ b/tests/decisions/test_repeat_deadlines.py
@@ -16,7 +16,7 @@
 def repeat(kind: api.RequestClass, outcome: api.Outcome) -> api.Send | None:
     world = World((entry(1), entry(2), entry(3)), classes=(kind,), rules=RULES, has_counter=False)
     (first,) = sends(world.ask(kind.name))
-    assert (first.attempt, first.latest_start) == (0, math.inf)
+    assert (first.attempt, first.send_deadline) == (0, math.inf)
     started_at = world.now
     world.pass_time(100)
     found = sends(world.end(first, outcome, finished=False))
@@ -27,7 +27,7 @@
 def test_repeat_of_a_keyed_request_carries_the_end_of_its_window() -> None:
     second = repeat(KEYED, api.Outcome.RESET)
     assert second is not None and second.attempt == 1
-    assert second.latest_start == 10_000 + KEYED.repeat_window - EXPIRY_MARGIN_MS
+    assert second.send_deadline == 10_000 + KEYED.repeat_window - EXPIRY_MARGIN_MS
 
 
 @pytest.mark.parametrize("outcome", [api.Outcome.CONNECT, api.Outcome.FULL, api.Outcome.IGNORED])
@@ -36,7 +36,7 @@
     kind: api.RequestClass, outcome: api.Outcome
 ) -> None:
     second = repeat(kind, outcome)
-    assert second is not None and second.latest_start == math.inf
+    assert second is not None and second.send_deadline == math.inf
 
 
 @pytest.mark.parametrize("outcome", [api.Outcome.RESET, api.Outcome.FAILED, api.Outcome.TIMED_OUT])
