check: a deadline that a stop cuts short is a warning with class, key and remedy

Change: roadpulley check prints a warning for each such class. The file stays a good one.

Evidence: tests/cli/test_check.py, at 3,000, 3,001 and 6,000 ms.

--- a/roadpulley/cli/check.py
+++ b/roadpulley/cli/check.py
@@ -15,6 +15,7 @@
 from mintford.reading import describe_settings, read_settings
 from roadpulley.checks import Table, ValidationError
 from roadpulley.core.validation import validate_gateway_config
+from roadpulley.operations.drain_times import list_stop_warnings
 from roadpulley.testbed import scenario
 
 from . import frame
@@ -46,8 +47,9 @@
     raw = parsed(path)
     if path.suffix == ".json":
         validate_gateway_config(raw).reject_unknown_keys()
-        offered = describe_settings(read_settings(raw["settings"]))
-        return "configuration of a gateway\n" + "\n".join(f"    {line}" for line in offered)
+        settings = read_settings(raw["settings"])
+        lines = [*describe_settings(settings), *(f"warning: {w}" for w in list_stop_warnings(settings))]
+        return "configuration of a gateway\n" + "\n".join(f"    {line}" for line in lines)
     if DEPLOY_KEYS & set(raw) and not SCENARIO_KEYS & set(raw) - {"node"}:
         deploy(raw, path.resolve().parent.parent)
         return "deploy file"
--- a/roadpulley/operations/drain_times.py
+++ b/roadpulley/operations/drain_times.py
@@ -29,6 +29,17 @@
     return max(MIN_DRAIN_S, fail_s - max_target_s), fail_s
 
 
+def list_stop_warnings(settings: Settings) -> list[str]:
+    """Deadlines that a stop cuts short, a line each: key, class, finding and remedy."""
+    max_deadline_ms = MAX_DEADLINE_S * 1000
+    return [
+        f"settings.classes[{number}].deadline: {kind.name} has {kind.deadline:g} ms, and a stop waits for "
+        f"{max_deadline_ms:g}: what is open for longer fails then; give {max_deadline_ms:g} or less"
+        for number, kind in enumerate(settings.classes)
+        if kind.deadline > max_deadline_ms
+    ]
+
+
 def to_drain_times(close_s: float, fail_s: float) -> DrainTimes:
     """The times of the lifecycle, in milliseconds, from those of `compute_drain_times`."""
     return DrainTimes(close_s * 1000, fail_s * 1000)
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -59,6 +59,22 @@
     assert "    load reports: answers (util)" in said and "    probes: not allowed" in said
 
 
+@pytest.mark.parametrize(("deadline", "is_cut"), [(3_000, False), (3_001, True), (6_000, True)])
+def test_a_deadline_that_a_stop_cuts_short_is_a_warning_with_class_key_and_remedy(
+    tmp_path: Path, deadline: int, is_cut: bool
+) -> None:
+    file = tmp_path / "config.json"
+    raw = changed("settings.classes[1].deadline", deadline)
+    raw["settings"]["classes"][1]["aim"] = 500
+    file.write_text(json.dumps(raw))
+    warnings = [line for line in judge(file).splitlines() if "warning: settings.classes[1]" in line]
+    name = GOOD["settings"]["classes"][1]["name"]
+    assert warnings == is_cut * [
+        f"    warning: settings.classes[1].deadline: {name} has {deadline} ms, and a stop waits for 3000: "
+        "what is open for longer fails then; give 3000 or less"
+    ]
+
+
 def test_what_a_deployment_offers_is_said_in_words(tmp_path: Path) -> None:
     raw = copy.deepcopy(GOOD)
     raw["settings"]["telemetry"] = {"how": "answers", "names": ["cpu_share", "pending", "new_one"]}
