Soak: a process that has not ended by itself when SIGKILL is due fails the play

Change: the timeline records gateways that need SIGKILL after SIGTERM, and the soak fails a play for them unless the machine was late.

--- a/roadpulley/soak/runner.py
+++ b/roadpulley/soak/runner.py
@@ -16,6 +16,7 @@
 from roadpulley.testbed.operator import NoAnswerError
 from roadpulley.testbed.processes import GatewayExitError
 from roadpulley.testbed.scenario import Scenario
+from roadpulley.testbed.timeline import MAX_SHUTDOWN_S
 
 from .checks import ProcessUse, descriptors_are_back, resource_faults, tracebacks, use_of_gateway
 from .plan import draw_plan, plan_lines
@@ -80,6 +81,11 @@
                 before = uses(world)
                 outcome = await world.run()
                 record(outcome, work, result)
+                if not outcome.verdict.late:
+                    result.problems += [
+                        f"{name}: had not ended by itself {MAX_SHUTDOWN_S:g} s after SIGTERM"
+                        for name in world.forced_ends
+                    ]
                 result.problems += await not_ready(world)
                 result.problems += resource_faults(
                     {name: use for name, use in before.items() if use is not None},
--- a/roadpulley/testbed/installation.py
+++ b/roadpulley/testbed/installation.py
@@ -128,6 +128,7 @@
         self.fleet: Path | None = None  # the settings of the gateways as instances of one
         self.seen: dict[str, Seen] = {}  # by the group of nodes that drops repeats
         self.gateways: dict[str, GatewayProcess] = {}
+        self.forced_ends: list[str] = []  # gateways that had not ended by themselves when SIGKILL was due
         self.relays: dict[str, Relay] = {}
         self.ports: list[Port | DatagramPort] = []
         self.tasks: set[asyncio.Task[None]] = set()
--- a/roadpulley/testbed/timeline.py
+++ b/roadpulley/testbed/timeline.py
@@ -202,6 +202,7 @@
                 self.world.spawn(self.reload_while_stopping(process, fault.ms / 1000))
             leaving = self.world.spawn(self.world.load_generator.leave(gate))
             if not await process.ended(MAX_SHUTDOWN_S):
+                self.world.forced_ends.append(process.name)
                 process.signal(signal.SIGKILL)  # its requests are lost, and that is its own doing
             await leaving
             process.config["settings"] = settings
