--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,16 +1,17 @@
-"""Use is billed for tries that were refused and never sent on."""
+"""A gateway that ends after SIGTERM cuts a long value off that it is passing on."""
 
 from __future__ import annotations
 
 import asyncio
-import re
+import os
+import signal
+import time
 
 from rig import (
     BROKEN,
     HELD,
     TROUBLE,
     Command,
-    Process,
     World,
     make_request,
     make_settings,
@@ -20,69 +21,75 @@
     served,
 )
 
-PROGRAM = "exec .venv/bin/python -m roadpulley.cli"
-RATE = 170 if TROUBLE else 40  # tries a second: under 5.2 times the usual 75 of the site, over two gateways
-SECONDS = 4.0
-BOXES, CORES, WORK_S = 8, 2, 0.15
-MOST_CONNECTIONS = 8  # of a box, from all gateways
-WORKERS = 1
+VALUE_BYTES = 4 * 1024 * 1024  # the page: up to 4 MiB
+PIECE_BYTES = 192 * 1024
+PAUSE_S = 0.2  # between two pieces: the backend takes 4.4 s to write the value
+WAIT_MS = 4000  # the page: 50 to 100% of the class's time, which is 4 s
+TERM_AFTER_S = 0.3  # after the last request; its value has begun by then
+KILL_AFTER_S = 8.0  # the page: no sooner than 3.7 s after SIGTERM
+CLIENTS = 4
 
 
 async def play(world: World) -> int:
-    cores = {f"box-{number}": asyncio.Semaphore(CORES) for number in range(BOXES)}
+    value = os.urandom(1024) * (VALUE_BYTES // 1024)
+    ended_at = float("inf")  # the gateway, by itself
+    given_after_end: dict[str, int] = {}  # bytes that the backend still had to give when the gateway ended
 
     async def answer(command: Command, writer: asyncio.StreamWriter) -> None:
-        async with cores[command.backend]:
-            await asyncio.sleep(WORK_S)
-        writer.write(served(b"done " + command.id.encode()))
+        await asyncio.sleep(0.1)
+        data, at = served(value), 0
+        try:
+            while at < len(data):
+                writer.write(data[at : at + PIECE_BYTES])
+                at += PIECE_BYTES
+                await writer.drain()
+                if at < len(data):
+                    await asyncio.sleep(PAUSE_S)
+                if writer.transport.is_closing():
+                    raise ConnectionResetError
+        except OSError:
+            given_after_end[command.id] = len(data) - at
+            world.record(f"{command.backend}: the gateway closed after {at} of {len(data)} bytes")
+            raise
+        world.record(f"{command.backend} has written the whole value of {command.id}")
 
-    world.add_backends(BOXES, answer, MOST_CONNECTIONS)
-    settings = make_settings(
-        [
-            request_class("parcel-view", "pure", 1500.0, 4000.0, 2.0),
-            request_class("search-order", "token", 1500.0, 4000.0, 6.0, group="all"),
-        ],
-        plan="basic",
-    )
-    usage = world.folder / "usage.toml"
-    usage.write_text('store = "books"\nspool = "spool"\n')
-    command = f'{PROGRAM} serve --config "$LB_CONFIG" --workers {WORKERS} --usage {usage}'
-    gateway = await world.start_gateway(settings, command=command)
-    counts = {"served": 0, "refused": 0, "failed": 0, "unanswered": 0}
+    world.add_backends(4, answer)
+    settings = make_settings([request_class("quote", "pure", 1500.0, 4000.0, 1.0)])
+    gateway = await world.start_gateway(settings)
+    found: list[str] = []
 
     async def client(number: int) -> None:
-        await asyncio.sleep(number / RATE)
-        identity, data = make_request(
-            b"API.WRITE", number, "search-order", 4000, key=f"{number:016x}", plan="basic"
-        )
-        found = "unanswered"
+        identity, data = make_request(b"API.READ", number, "quote", WAIT_MS)
+        reader, writer = await asyncio.open_connection("127.0.0.1", world.port, limit=2**23)
+        writer.write(data)
+        sent_at = time.monotonic()
         try:
-            async with asyncio.timeout(8):
-                reader, writer = await asyncio.open_connection("127.0.0.1", world.port)
-                writer.write(data)
+            async with asyncio.timeout(20):
                 reply = await read_reply(reader)
-                found = "served" if reply[:1] == b"$" else "refused" if reply[:5] == b"-BUSY" else "failed"
-                writer.close()
-        except (OSError, EOFError, TimeoutError):
-            pass
-        counts[found] += 1
-        world.record(f"client of {identity}: {found}")
+            outcome = "whole" if reply == b"$" + value else f"not served: {reply[:40]!r}"
+        except (EOFError, OSError, TimeoutError) as error:
+            outcome = f"cut off: {error}"
+        found.append(outcome)
+        world.record(f"client of {identity} after {time.monotonic() - sent_at:.2f} s: {outcome}")
+        writer.close()
 
-    tries = int(RATE * SECONDS)
-    await asyncio.gather(*(client(number) for number in range(tries)))
-    await gateway.stop()  # the worker writes all that it has counted
-    outputs = {}
-    for name in ("collect", "show"):
-        process = Process(name, f"{PROGRAM} usage --settings {usage} {name}", {}, world.folder, world.record)
-        await process.start()
-        if await process.wait(20) != 0:
-            raise RuntimeError(f"usage {name} failed")
-        outputs[name] = (world.folder / f"{name}.log").read_text()
-    rows = re.findall(r"^\S+Z\s+\S+\s+basic\s+\d+\s+search-order\s+([\d,]+)\s", outputs["show"], re.M)
-    billed = sum(int(each.replace(",", "")) for each in rows)
-    sent_on = len({command.id for backend in world.backends for command in backend.received})
-    world.record(f"{tries} tries: {counts}; {sent_on} came whole to a backend, {billed} are in the books")
-    return BROKEN if billed != sent_on else HELD
+    clients = [asyncio.ensure_future(client(number)) for number in range(CLIENTS)]
+    code: int | None = None
+    if TROUBLE:
+        await asyncio.sleep(TERM_AFTER_S)
+        gateway.signal(signal.SIGTERM)
+        terminated_at = time.monotonic()
+        code = await gateway.wait(KILL_AFTER_S)
+        if code is None:
+            gateway.signal(signal.SIGKILL)
+        else:
+            ended_at = time.monotonic()
+            world.record(f"the gateway ended by itself {ended_at - terminated_at:.2f} s after SIGTERM")
+    await asyncio.gather(*clients)
+    await asyncio.sleep(PAUSE_S * 2)  # until each backend has seen the end of its connection
+    cut = [outcome for outcome in found if outcome.startswith("cut off")]
+    world.record(f"{len(found)} requests, all sent before SIGTERM: {len(cut)} values were cut off")
+    return BROKEN if cut and given_after_end and code is not None else HELD
 
 
 run_case(__file__, play)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -74,6 +74,7 @@
         writer.close()
 
     await asyncio.gather(*(client(number) for number in range(REQUESTS)))
+    await asyncio.sleep(2 * PAUSE_S)  # until each backend has seen the end of its connection
     world.record(f"{whole} of {REQUESTS} values came whole; {len(cut)} were cut while their backend wrote on")
     broken = [text for text in reasons if text.startswith("cut off")]
     return BROKEN if broken and cut else HELD
