Review: case 7 runs without the command line's library, too

Seen: on a machine that can't install click after the build of the deploy file, case 7 could not run.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,6 +11,7 @@
 from rig import (
     BROKEN,
     HELD,
+    ROOT,
     TROUBLE,
     Command,
     World,
@@ -23,6 +24,15 @@
 )
 
 SERVE = 'exec .venv/bin/python -m roadpulley.cli serve --config "$LB_CONFIG" --workers 1'
+# Where the library of the command line could not be installed: what `serve` does, without its options.
+SUPERVISOR = """exec .venv/bin/python -c '
+import logging, os, uvloop
+from roadpulley.workers.service import SupervisorService
+async def supervise():
+    await SupervisorService(os.environ["LB_CONFIG"], lambda: 1).run()
+logging.basicConfig(level=logging.INFO)
+uvloop.run(supervise())'"""
+HAS_COMMAND_LINE = "import click"
 SETTLED_S = 6.0  # after SIGHUP; a sound replacement of the only worker takes less
 WATCHED_S = 6.0  # from then on
 
@@ -39,7 +49,11 @@
             request_class("payout", "side_effect", 1200.0, 4000.0, 3.0),
         ]
     )
-    gateway = await world.start_gateway(settings, command=SERVE)
+    probe = await asyncio.create_subprocess_exec(
+        str(ROOT / ".venv/bin/python"), "-c", HAS_COMMAND_LINE, stderr=asyncio.subprocess.DEVNULL
+    )
+    command = SUPERVISOR if await probe.wait() else SERVE
+    gateway = await world.start_gateway(settings, command=command)
     good: dict[str, Any] = json.loads(world.config_path.read_text())
     numbers = iter(range(10**6))
 
