Ends: a process goes on with the long values it has begun until they are whole or stalled

Cause: wait_for_drain has one time for all that is open, made of deadlines, and a value that has begun has none. One level up the same: serve sends SIGKILL to a worker 4 s after its SIGTERM.

Change: a lifecycle state `finishing` between leaving and ended. Requests end by the same time as before, nothing new is taken, and the process ends when no long value moves (5 s without a byte). STATUS and the log say so. A worker reports values under way; its supervisor moves SIGKILL to 3 s after the last report.

Support code moved: tests/supervised.py, tests/long_value_backends.py, no check changed by that.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -42,6 +42,7 @@
 CLIENT_DESCRIPTORS_RATIO = 0.5  # of the file descriptors
 BACKEND_DESCRIPTORS_RATIO = 0.25  # of the file descriptors; the rest is headroom
 BUFFER_MEMORY_RATIO = 0.2  # of the memory, for incomplete answers, and again for answers not yet sent
+VALUE_CHECK_INTERVAL_S = 0.1  # between two looks at the long values that a process waits for
 FIRST_LIST_TIMEOUT_S = 0.5  # at the start; the local agent answers at once or is silent
 GC_THRESHOLDS = (10_000, 20, 20)  # high, because requests leave no reference cycles
 
@@ -163,6 +164,7 @@
     closing: Callable[[], None] | None = None,
     link: bool = False,
     wait_for_state: Callable[[], Coroutine[Any, Any, None]] | None = None,
+    finishing: Callable[[int], None] | None = None,
 ) -> None:
     """Serve until `stop` is set, then drain.
 
@@ -170,7 +172,8 @@
     `load`, which gets the current one. `attach` gets the driver before clients can connect. `listener` is a
     socket that is already bound. `closing` is called once no more connections are accepted. `link`: another
     process may accept from the same listener, and the two hand their state over. `wait_for_state` is started
-    after `attach`; clients can connect once it has ended, and it bounds its own time.
+    after `attach`; clients can connect once it has ended, and it bounds its own time. `finishing` is called
+    again and again with the number of long values that keep a process from its end.
     """
     loop, started_at = asyncio.get_running_loop(), now_ms()
     timers = Timers(loop)
@@ -258,7 +261,8 @@
     await wait_for_drain(controller, server, driver, closing)
     stopped.cancel()
     if link_to_peer is not None:
-        await link_to_peer.close()
+        await link_to_peer.close()  # a process that only finishes values needs none of its share
+    await finish_values(controller, server, finishing)
     watch.cancel()
     backends.close()
     if counter is not None:
@@ -274,16 +278,31 @@
     if closing is not None:
         closing()
     drained = asyncio.ensure_future(server.all_closed.wait())
-    ended = asyncio.ensure_future(controller.ended.wait())
-    await asyncio.wait({drained, ended}, return_when=asyncio.FIRST_COMPLETED)
+    requests_ended = asyncio.ensure_future(controller.requests_ended.wait())
+    await asyncio.wait({drained, requests_ended}, return_when=asyncio.FIRST_COMPLETED)
     controller.dispatch_event(Event.CLIENTS_DISCONNECTED if drained.done() else Event.TIMER_FIRED)
-    ended.cancel()
-    if driver.requests:
-        log.warning("%d requests still open at shutdown", len(driver.requests))
-        driver.fail_all()
-    server.finish()
-    await asyncio.wait({drained}, timeout=CLOSE_TIMEOUT_S)
     drained.cancel()
+    requests_ended.cancel()
+    if failed_count := driver.fail_all():
+        log.warning("%d requests still open at shutdown", failed_count)
+    server.finish()
+
+
+async def finish_values(
+    controller: LifecycleController, server: RespServer, report: Callable[[int], None] | None
+) -> None:
+    """Wait until the long values under way have ended, then until clients have seen the end of connection."""
+    closed = asyncio.ensure_future(server.all_closed.wait())
+    if value_count := server.count_moving_values(now_ms()):
+        log.info("this process ends after %d long values that are under way", value_count)
+    while value_count:
+        if report is not None:
+            report(value_count)
+        await asyncio.wait({closed}, timeout=VALUE_CHECK_INTERVAL_S)
+        value_count = server.count_moving_values(now_ms())
+    controller.dispatch_event(Event.VALUES_ENDED)
+    await asyncio.wait({closed}, timeout=CLOSE_TIMEOUT_S)
+    closed.cancel()
 
 
 async def open_link(config: GatewayConfig, driver: Driver, controller: LifecycleController) -> Link:
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -486,8 +486,10 @@
         while owner.end_callbacks:
             owner.end_callbacks.pop()()
 
-    def fail_all(self) -> None:
-        """Fails all open requests when the process has to exit."""
-        for request in list(self.requests):
+    def fail_all(self) -> int:
+        """Fails all open requests whose answer has not begun, as the process ends. Returns their number."""
+        unanswered = [request for request, owner in self.requests.items() if not owner.is_streaming]
+        for request in unanswered:
             self.finish(request, FAILED)
             self.handle_event(api.RequestAbandoned(request))
+        return len(unanswered)
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -59,6 +59,8 @@
 # The same for streamed replies, which hold little memory. The kernel reports a socket as writable only when
 # much of its buffer is free, so a client that reads a few KiB a second makes no visible progress for long.
 STREAM_STALL_TIMEOUT_MS = 30_000.0
+# The same while the process ends: it waits for no client that takes nothing for this long.
+FINISHING_STALL_TIMEOUT_MS = WRITE_STALL_TIMEOUT_MS
 IDLE_TIMEOUT_MS = 30_000.0
 # A drain leaves a connection without a request open for this long after it was accepted or last answered.
 UNUSED_CONNECTION_GRACE_MS = 400.0
@@ -88,6 +90,7 @@
         self.pending_bytes = 0  # total size of the commands in `slots`
         self.discarded_bytes = 0  # read in state LINGERING
         self.streaming_replies = 0  # replies being streamed
+        self.has_streamed = False  # a streamed reply has ended
         self.body_grant_bytes = 0  # of the memory budget, for a long body that is incomplete
         self.body_granted_at = 0.0
         self.unsent = bytearray()
@@ -353,6 +356,15 @@
     def is_closed(self) -> bool:
         return self.state == CLOSED
 
+    def is_passing_value(self, now: float) -> bool:
+        """Whether a long value is under way: its backend gives, or its client takes what was given.
+
+        A backend that gives nothing is noticed by its own connection, which then ends the value.
+        """
+        if not self.streaming_replies and not (self.has_streamed and self.unsent):
+            return False
+        return not self.unsent or now - self.last_progress_at <= FINISHING_STALL_TIMEOUT_MS
+
     @property
     def is_idle(self) -> bool:
         """No command is open and no reply unsent."""
--- a/roadpulley/edges/resp_server.py
+++ b/roadpulley/edges/resp_server.py
@@ -286,6 +286,10 @@
             self.listener.close()
             self.listener = None
 
+    def count_moving_values(self, now: float) -> int:
+        """The number of connections on which a long value is under way."""
+        return sum(connection.is_passing_value(now) for connection in self.connections)
+
     def finish(self) -> None:
         """Before the process ends, read what has arrived and handle no later commands."""
         for connection in list(self.connections):
--- a/roadpulley/edges/slots.py
+++ b/roadpulley/edges/slots.py
@@ -182,6 +182,7 @@
         if slot.body_grant_bytes:
             slot.release_body_grant()
         connection.streaming_replies -= 1
+        connection.has_streamed = True
         connection.server.streaming_replies -= 1
         if slot.class_name is not None:
             connection.server.request_stats.record_answer(slot.class_name, reply)
--- a/roadpulley/operations/controller.py
+++ b/roadpulley/operations/controller.py
@@ -22,6 +22,7 @@
     "throttled",
     "faulted",
 )  # metric names of the counts in RequestStats.answers
+ENDING_STATES = (State.STOPPING, State.LEAVING, State.FINISHING, State.ENDED)
 
 
 class LifecycleController:
@@ -30,6 +31,7 @@
     def __init__(self, lifecycle: Lifecycle, timers: Timers, driver: Driver, server: RespServer) -> None:
         self.lifecycle, self.timers, self.driver, self.server = lifecycle, timers, driver, server
         self.accepting_ended = asyncio.Event()  # set once no more connections will ever be accepted
+        self.requests_ended = asyncio.Event()  # set once no request is taken or waited for any more
         self.ended = asyncio.Event()
         self.policy: ServingPolicy | None = None
         self.timer: Timer | None = None  # pending, and due at the lifecycle's next deadline
@@ -63,8 +65,10 @@
         self.policy = policy
         if policy.takes_requests != took_requests:
             self.driver.handle_event(api.AdmissionChanged(policy.takes_requests))
-        if self.lifecycle.state in (State.LEAVING, State.ENDED):
+        if self.lifecycle.state in (State.LEAVING, State.FINISHING, State.ENDED):
             self.accepting_ended.set()
+        if self.lifecycle.state in (State.FINISHING, State.ENDED):
+            self.requests_ended.set()
         if policy.is_ended:
             return self.ended.set()
         if self.server.listener is not None or not policy.accepts:
@@ -98,7 +102,7 @@
             state = self.lifecycle.state.value
             return format_ok(state) if self.lifecycle.is_serving else format_error(state)
         self.dispatch_event(Event.PAUSE_REQUESTED if call is Call.PAUSE else Event.RESUME_REQUESTED)
-        if self.lifecycle.state in (State.LEAVING, State.STOPPING, State.ENDED):
+        if self.lifecycle.state in ENDING_STATES:
             return format_error("this process is ending")
         return format_ok(self.lifecycle.state.value)
 
--- a/roadpulley/operations/lifecycle.py
+++ b/roadpulley/operations/lifecycle.py
@@ -2,33 +2,39 @@
 
 Pure: events and the time go in, a policy comes out.
 
-| state    | PING | accepts | keeps idle | takes requests                        | process ends        |
-| -------- | ---- | ------- | ---------- | ------------------------------------- | ------------------- |
-| starting | no   | no      | -          | no                                    | on SIGTERM          |
-| serving  | yes  | yes     | yes        | yes                                   | no                  |
-| paused   | no   | yes     | no         | for `PAUSE_NOTICE_MS` after the PAUSE | no                  |
-| stopping | yes  | yes     | yes        | yes                                   | no; leaving is next |
-| leaving  | yes* | no      | no         | yes                                   | without clients     |
-| ended    | no   | no      | no         | no                                    | yes                 |
+| state     | PING | accepts | keeps idle | takes requests                        | process ends        |
+| --------- | ---- | ------- | ---------- | ------------------------------------- | ------------------- |
+| starting  | no   | no      | -          | no                                    | on SIGTERM          |
+| serving   | yes  | yes     | yes        | yes                                   | no                  |
+| paused    | no   | yes     | no         | for `PAUSE_NOTICE_MS` after the PAUSE | no                  |
+| stopping  | yes  | yes     | yes        | yes                                   | no; leaving is next |
+| leaving   | yes* | no      | no         | yes                                   | without clients     |
+| finishing | yes* | no      | no         | no                                    | without long values |
+| ended     | no   | no      | no         | no                                    | yes                 |
 
 *) PING asks about the gateway as a whole, and a successor may be accepting clients. A process that was paused
 before it began to leave continues to answer PING with an error.
 
-| in state | event                | next state                                                            |
-| -------- | -------------------- | --------------------------------------------------------------------- |
-| starting | STARTUP_COMPLETED    | serving; paused if PAUSE was called before                            |
-| starting | STOP_REQUESTED       | ended                                                                 |
-| serving  | PAUSE_REQUESTED      | paused                                                                |
-| paused   | RESUME_REQUESTED     | serving                                                               |
-| serving  | STOP_REQUESTED       | leaving if a successor serves; else stopping, as no other one accepts |
-| stopping | SUCCESSOR_STARTED    | leaving                                                               |
-| paused   | STOP_REQUESTED       | leaving, as no clients are routed to a paused process                 |
-| stopping | TIMER_FIRED **       | leaving                                                               |
-| leaving  | CLIENTS_DISCONNECTED | ended                                                                 |
-| leaving  | TIMER_FIRED **       | ended; requests that are still open are failed                        |
+| in state  | event                | next state                                                            |
+| --------- | -------------------- | --------------------------------------------------------------------- |
+| starting  | STARTUP_COMPLETED    | serving; paused if PAUSE was called before                            |
+| starting  | STOP_REQUESTED       | ended                                                                 |
+| serving   | PAUSE_REQUESTED      | paused                                                                |
+| paused    | RESUME_REQUESTED     | serving                                                               |
+| serving   | STOP_REQUESTED       | leaving if a successor serves; else stopping, as no other one accepts |
+| stopping  | SUCCESSOR_STARTED    | leaving                                                               |
+| paused    | STOP_REQUESTED       | leaving, as no clients are routed to a paused process                 |
+| stopping  | TIMER_FIRED **       | leaving                                                               |
+| leaving   | CLIENTS_DISCONNECTED | ended                                                                 |
+| leaving   | TIMER_FIRED **       | finishing; requests that are still open are failed                    |
+| finishing | CLIENTS_DISCONNECTED | ended                                                                 |
+| finishing | VALUES_ENDED         | ended                                                                 |
 
 **) Only once `next_deadline` has been reached.
 
+A process that is finishing only passes on the long values that it began before: until each is whole, or has
+not moved for a while. It is the only state after a stop that no deadline ends, as a long value has none.
+
 SUCCESSOR_STARTED and SUCCESSOR_LOST record, in any state, whether a successor serves. All other combinations
 change nothing, so repeated calls are harmless.
 """
@@ -53,6 +59,7 @@
     PAUSED = "paused"
     STOPPING = "stopping"
     LEAVING = "leaving"
+    FINISHING = "finishing"
     ENDED = "ended"
 
 
@@ -66,6 +73,7 @@
     SUCCESSOR_STARTED = "succeeded"  # another process of this gateway accepts clients
     SUCCESSOR_LOST = "alone"  # that process has exited
     CLIENTS_DISCONNECTED = "empty"  # no client is connected
+    VALUES_ENDED = "whole"  # no long value is under way
     TIMER_FIRED = "time"  # ignored before `next_deadline`
 
 
@@ -149,7 +157,9 @@
             (State.STOPPING, Event.SUCCESSOR_STARTED): State.LEAVING,
             (State.STOPPING, Event.TIMER_FIRED): State.LEAVING if is_due else state,
             (State.LEAVING, Event.CLIENTS_DISCONNECTED): State.ENDED,
-            (State.LEAVING, Event.TIMER_FIRED): State.ENDED if is_due else state,
+            (State.LEAVING, Event.TIMER_FIRED): State.FINISHING if is_due else state,
+            (State.FINISHING, Event.CLIENTS_DISCONNECTED): State.ENDED,
+            (State.FINISHING, Event.VALUES_ENDED): State.ENDED,
         }.get((state, event), state)
         if next_state is not state:
             self.state, self.entered_at, self.is_notice_over = next_state, now, False
@@ -161,11 +171,11 @@
         """The policy in the current state. It depends on the time only while paused."""
         state = self.state
         answers_ping = state in (State.SERVING, State.STOPPING) or (
-            state is State.LEAVING and not self.is_paused
+            state in (State.LEAVING, State.FINISHING) and not self.is_paused
         )
         keeps_idle = state in (State.STARTING, State.SERVING, State.STOPPING)
         accepts = state in (State.SERVING, State.PAUSED, State.STOPPING)
-        takes_requests = state is not State.ENDED and (
+        takes_requests = state not in (State.FINISHING, State.ENDED) and (
             state is not State.PAUSED or now < self.entered_at + PAUSE_NOTICE_MS
         )
         return ServingPolicy(answers_ping, accepts, keeps_idle, takes_requests, state is State.ENDED)
--- a/roadpulley/workers/service.py
+++ b/roadpulley/workers/service.py
@@ -241,6 +241,8 @@
                     self.perform(self.supervisor.handle_serving(self.loop.time(), slot))
                 elif fields[0] == b"closes":
                     self.perform(self.supervisor.handle_closed(self.loop.time(), slot))
+                elif fields[0] == b"values":
+                    self.perform(self.supervisor.handle_values_under_way(self.loop.time(), slot))
                 elif fields[0] == b"beat":
                     overdue_s = parse_overdue_s(fields)
                     self.perform(self.supervisor.handle_heartbeat(self.loop.time(), slot, overdue_s))
--- a/roadpulley/workers/supervisor.py
+++ b/roadpulley/workers/supervisor.py
@@ -7,7 +7,8 @@
     idle      no process runs; `deadline` is the time to start one
     starting  a process runs and has not reported that it serves
     serving   the process sends heartbeats, each with the time for which a request is overdue
-    draining  the process received SIGTERM and may take `drain_timeout_s` to exit
+    draining  the process received SIGTERM and may take `drain_timeout_s` to exit, or longer while it reports
+              that long values are under way
     ending    the process was killed and its exit has not been reported yet
 
 An overdue worker is killed only if an earlier check, at least `confirmation_delay_s` before, found it
@@ -56,6 +57,8 @@
     # it does not end requests. With a deadline of 3 s that is 5 s after the request.
     max_request_overdue_s: float = 2.0
     drain_timeout_s: float = MAX_STOP_S + STOP_MARGIN_S  # from SIGTERM to SIGKILL
+    # From the last report of a draining worker that long values are under way to SIGKILL.
+    value_report_timeout_s: float = 3.0
     # Between the check that first finds a worker overdue and the one that kills it.
     confirmation_delay_s: float = 0.25
     initial_backoff_s: float = 0.1
@@ -176,6 +179,18 @@
                 self._kill_worker(slot, f"a request is overdue by {overdue_s:.1f} s", actions)
         return actions + self.tick(now)
 
+    def handle_values_under_way(self, now: float, number: int) -> list[Action]:
+        """Handle the report of a draining worker that only long values keep it from its end.
+
+        The worker counts only values that move. So it is not killed as long as it reports, however long
+        these take.
+        """
+        slot = self.slots.get(number)
+        if slot is not None and slot.state is State.DRAINING:
+            slot.deadline = max(slot.deadline, now + self.settings.value_report_timeout_s)
+            slot.first_overdue_at = None
+        return self.tick(now)
+
     def handle_closed(self, now: float, number: int) -> list[Action]:
         """Handle the report of a worker that it no longer accepts connections."""
         actions: list[Action] = []
@@ -268,7 +283,7 @@
         elif slot.state is State.STARTING and self._is_overdue(now, slot):
             self._kill_worker(slot, f"it did not serve within {self.settings.start_timeout_s:g} s", actions)
         elif slot.state is State.DRAINING and self._is_overdue(now, slot):
-            self._kill_worker(slot, f"it did not end within {self.settings.drain_timeout_s:g} s", actions)
+            self._kill_worker(slot, "it did not end in time after SIGTERM", actions)
         elif slot.state is State.SERVING and self._is_overdue(now, slot):
             self._kill_worker(slot, f"no beat for {now - slot.heartbeat_at:.1f} s", actions)
 
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -1,10 +1,18 @@
 """Entry point of a worker process: a gateway that sends heartbeats. Only the supervisor starts it.
 
-The worker writes one message per line into a pipe to the supervisor: `serves PORT` once, then heartbeats, and
-`closes` once it no longer accepts connections. The event loop that answers requests also writes the messages.
-If the loop is blocked, the heartbeats stop; if it runs without ending its requests, they report for how long
-one of them is overdue. The supervisor binds the socket that the worker accepts from, and shares it among all
-workers.
+The worker writes one message per line into a pipe to the supervisor:
+
+| message        | when                                                                     |
+| -------------- | ------------------------------------------------------------------------ |
+| `serves PORT`  | once, when it serves                                                     |
+| a heartbeat    | from then on, at a fixed interval: see `messages`                        |
+| `closes`       | once, when it no longer accepts connections                              |
+| `values COUNT` | again and again, while only long values under way keep it from its end;  |
+|                | a supervisor of an earlier release ignores it                            |
+
+The event loop that answers requests also writes the messages. If the loop is blocked, the heartbeats stop; if
+it runs without ending its requests, they report for how long one of them is overdue. The supervisor binds the
+socket that the worker accepts from, and shares it among all workers.
 """
 
 from __future__ import annotations
@@ -222,6 +230,7 @@
         attach=attach,
         listener=listener,
         closing=lambda: heartbeat.write_message("closes"),
+        finishing=lambda value_count: heartbeat.write_message(f"values {value_count}"),
         wait_for_state=wait_for_state,
     )
     for meter in meters:
--- a/tests/edges/test_held_values.py
+++ b/tests/edges/test_held_values.py
@@ -9,6 +9,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from long_value_backends import MIB, encode_reply, make_value
 from loopback import (
     LOCAL,
     Backend,
@@ -21,7 +22,6 @@
     server_seen,
     until,
 )
-from test_long_values import MIB, encode_reply, make_value
 
 from roadpulley.core.budget import MemoryBudget
 from roadpulley.edges.close_reasons import CloseReason
