Workers: the supervisor accepts a configuration whole, and workers start from what it accepted

A deadline of -5 was taken, and its class answered with an error. A worker that died while a broken file lay there did not come back either.

Cause: the supervisor read the file for its address alone and went on when it could not; each worker parsed the file at its own start, without the check that `run` makes at SIGHUP.

Change: one reader. The supervisor checks the file whole (load_replacement) at SIGHUP, with the number of workers, the address and what the fleet's file forbids, before anything moves. Workers get what was accepted on their standard input. If the first worker of a replacement turns it down all the same, the configuration before stands again and the replacement stops.

A check replaced: test_broken_configuration_takes_down_one_worker_until_it_is_repaired asked for the fault; its successor asks that no worker is lost and none reads the file.

--- a/roadpulley/cli/serve.py
+++ b/roadpulley/cli/serve.py
@@ -7,7 +7,7 @@
 import os
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import click
 import uvloop
@@ -52,19 +52,27 @@
 
 
 def run(args: argparse.Namespace) -> int:
-    from roadpulley.core.settings import load_config
     from roadpulley.workers.service import SupervisorService
 
+    from .fleet import workers_use
+
     path = args.config or os.environ.get("LB_CONFIG")
     form = "%(asctime)s %(levelname)s %(name)s: %(message)s"
     logging.basicConfig(level=logging.INFO, stream=sys.stderr, format=form)
 
     agent: Agent | None = None
 
+    def check_settings(settings: dict[str, Any]) -> None:
+        if agent is None:
+            return
+        found = agent.settings
+        if any(part is not None for part in (found.rights, found.counts, found.orders, found.verdicts)):
+            workers_use(agent, settings)
+
     async def supervise() -> None:
-        service = SupervisorService(str(path), lambda: workers(args.workers))
+        service = SupervisorService(str(path), lambda: workers(args.workers), check_settings=check_settings)
         try:
-            service.listener.rebind(load_config(str(path)).listen)
+            service.load_first_config()
         except OSError as error:
             right = "give an address of this machine that nobody else listens on"
             raise ValidationError(f"{path}: listen", f"cannot be taken ({error.strerror})", right) from error
@@ -94,12 +102,10 @@
             read_usage(Path(args.usage))
             os.environ["ROADPULLEY_USAGE"] = str(Path(args.usage).resolve())
         if args.fleet:
-            from .fleet import instance, structured, workers_use
+            from .fleet import instance, structured
 
             agent = instance(Path(args.fleet), args.name)
-            found = agent.settings
-            if any(part is not None for part in (found.rights, found.counts, found.orders, found.verdicts)):
-                workers_use(agent, raw["settings"])
+            check_settings(raw["settings"])
             structured()
         uvloop.run(supervise())
     except ValidationError as error:
--- a/roadpulley/core/settings.py
+++ b/roadpulley/core/settings.py
@@ -40,6 +40,7 @@
     workers: int  # processes that share this gateway's address; the decision module treats each as a gateway
     saved_members: dict[str, Any]  # the last known list of backends, in the format of discovery
     raw_settings: dict[str, Any]  # the settings as read
+    raw: dict[str, Any]  # the whole configuration as read
 
 
 def parse_address(text: str) -> Address:
@@ -107,6 +108,7 @@
             workers=workers,
             saved_members=raw.get("known") or {},
             raw_settings=original_settings,
+            raw=raw,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise ConfigError(f"{type(error).__name__}: {error}") from error
--- a/roadpulley/workers/service.py
+++ b/roadpulley/workers/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import logging
 import os
 import signal
@@ -10,8 +11,9 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
-from roadpulley.core.settings import Address, ConfigError, load_config
+from roadpulley.core.settings import Address, GatewayConfig, load_config, load_replacement
 
 from .messages import parse_overdue_s
 from .supervisor import (
@@ -28,6 +30,8 @@
 
 log = logging.getLogger("roadpulley.workers")
 
+CONFIG_ERROR_EXIT_CODE = 2  # of a worker that can't start with its configuration
+
 
 @dataclass(eq=False)
 class WorkerProcess:
@@ -92,13 +96,24 @@
 class SupervisorService:
     """Supervises the workers of one gateway.
 
-    `get_worker_count` is called at the start and at each replacement.
+    It reads the configuration once at the start and once at each SIGHUP, and accepts it whole or not at all.
+    Workers start from what was accepted, not from the file, which may be broken when one dies.
+
+    `get_worker_count` and `check_settings` are called at each replacement and raise an error that names what
+    is wrong; the first is called at the start, too.
     """
 
     def __init__(
-        self, config: str, get_worker_count: Callable[[], int], settings: SupervisorSettings | None = None
+        self,
+        config_path: str,
+        get_worker_count: Callable[[], int],
+        settings: SupervisorSettings | None = None,
+        check_settings: Callable[[dict[str, Any]], object] = lambda settings: None,
     ) -> None:
-        self.config, self.get_worker_count = config, get_worker_count
+        self.config_path, self.get_worker_count = config_path, get_worker_count
+        self.check_settings = check_settings
+        self.config: GatewayConfig | None = None  # the accepted one
+        self.previous_config: GatewayConfig | None = None  # until a worker serves with the accepted one
         self.settings = settings or SupervisorSettings()
         self.supervisor = Supervisor(get_worker_count(), self.settings)
         self.loop = asyncio.get_running_loop()
@@ -109,9 +124,16 @@
         self.finished = asyncio.Event()
         self.stopping = asyncio.Event()  # set once `stop` was called
 
+    def load_first_config(self) -> None:
+        """Accept the configuration and bind to its address. Raises OSError, ConfigError."""
+        config = load_config(self.config_path)
+        self.listener.rebind(config.listen)
+        self.config = config
+
     async def run(self) -> None:
         """Run the workers until they are stopped and have exited. Raises OSError, ConfigError."""
-        self.listener.rebind(load_config(self.config).listen)
+        if self.config is None:
+            self.load_first_config()
         for signum in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(signum, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.replace_workers)
@@ -133,21 +155,36 @@
         self.perform(self.supervisor.stop(self.loop.time()))
 
     def replace_workers(self) -> None:
-        """Apply the current configuration: change the number of workers and replace each of them."""
+        """Accept the current configuration, change the number of workers and replace each of them.
+
+        If anything is wrong, nothing changes.
+        """
+        assert self.config is not None
         try:
             worker_count = self.get_worker_count()
+            config = load_replacement(self.config_path, self.config)
+            self.check_settings(config.raw_settings)
+            self.listener.rebind(config.listen)
         except Exception as error:  # no error here may stop running workers
             return log.error("not replaced, the workers stay as they are: %s", error)
-        try:
-            self.listener.rebind(load_config(self.config).listen)
-        except (ConfigError, OSError) as error:
-            # The replacement goes on: with a broken configuration only the first worker is lost.
-            log.error("the listen address is not changed: %s", error)
+        self.previous_config = self.previous_config or self.config
+        self.config = config
         now = self.loop.time()
         if worker_count != self.supervisor.worker_count:
             self.perform(self.supervisor.resize(now, worker_count))
         self.perform(self.supervisor.replace_workers(now))
 
+    def restore_previous_config(self) -> None:
+        """Go back to the configuration before, as no worker can start with the accepted one."""
+        assert self.previous_config is not None
+        self.config, self.previous_config = self.previous_config, None
+        log.error("a worker can't start with the new configuration: the old one stands")
+        try:
+            self.listener.rebind(self.config.listen)
+        except OSError as error:
+            log.error("the listen address of before can't be taken: %s", error)
+        self.perform(self.supervisor.abort_replacement(self.loop.time()))
+
     # ---- actions ----
 
     def perform(self, actions: list[Action]) -> None:
@@ -192,7 +229,7 @@
 
     async def start_worker(self, slot: int, version: int) -> None:
         """Create a worker process and the tasks that watch it."""
-        assert self.listener.socket is not None
+        assert self.listener.socket is not None and self.config is not None
         listener_fd = self.listener.socket.fileno()
         read_fd, write_fd = os.pipe()
         try:
@@ -202,14 +239,14 @@
                 "roadpulley.workers.worker",
                 env={
                     **os.environ,
-                    "LB_CONFIG": self.config,
+                    "LB_CONFIG": self.config_path,
                     "ROADPULLEY_WORKER": str(slot),
                     "ROADPULLEY_WORKERS": str(self.supervisor.worker_count),
                     "ROADPULLEY_LISTEN_FD": str(listener_fd),
                     "ROADPULLEY_BEAT_FD": str(write_fd),
                     "ROADPULLEY_BEAT_S": str(self.settings.heartbeat_interval_s),
                 },
-                stdin=asyncio.subprocess.DEVNULL,
+                stdin=asyncio.subprocess.PIPE,
                 pass_fds=(write_fd, listener_fd),
             )
         except OSError as error:
@@ -219,15 +256,18 @@
             )
         finally:
             os.close(write_fd)
+        assert process.stdin is not None
+        process.stdin.write(json.dumps(self.config.raw).encode())
+        process.stdin.close()
         worker = self.processes[slot] = WorkerProcess(process, version, [])
         worker.tasks = [
-            self.loop.create_task(self.read_messages(slot, read_fd)),
+            self.loop.create_task(self.read_messages(slot, version, read_fd)),
             self.loop.create_task(self.wait_for_exit(slot, worker)),
         ]
         if pending_signal := self.pending_signals.pop(slot, None):
             self.signal_worker(slot, pending_signal)
 
-    async def read_messages(self, slot: int, fd: int) -> None:
+    async def read_messages(self, slot: int, version: int, fd: int) -> None:
         """Read the messages of a worker from its pipe until the pipe is closed."""
         reader = asyncio.StreamReader()
         transport, _ = await self.loop.connect_read_pipe(
@@ -238,6 +278,8 @@
                 fields = line.split()
                 if fields[0] == b"serves":
                     log.info("worker %d serves at port %s", slot, fields[1].decode())
+                    if version == self.supervisor.version:
+                        self.previous_config = None
                     self.perform(self.supervisor.handle_serving(self.loop.time(), slot))
                 elif fields[0] == b"closes":
                     self.perform(self.supervisor.handle_closed(self.loop.time(), slot))
@@ -254,4 +296,7 @@
         exit_code = await worker.process.wait()
         if self.processes.get(slot) is worker:
             del self.processes[slot]
+        is_current = worker.version == self.supervisor.version
+        if exit_code == CONFIG_ERROR_EXIT_CODE and is_current and self.previous_config is not None:
+            self.restore_previous_config()
         self.perform(self.supervisor.handle_exit(self.loop.time(), slot, f"code {exit_code}"))
--- a/roadpulley/workers/supervisor.py
+++ b/roadpulley/workers/supervisor.py
@@ -219,11 +219,10 @@
             del self.slots[number]
             self.replacing_slot = None if self.replacing_slot == number else self.replacing_slot
         elif self.replacing_slot == number and slot.failures >= self.settings.max_failed_starts:
-            self.replacing_slot = None
             actions.append(
                 LogMessage(f"worker {number} does not start as version {self.version}: not replaced further")
             )
-            self._abort_replacement()
+            actions += self.abort_replacement(now)
         return actions + self.tick(now)
 
     def replace_workers(self, now: float) -> list[Action]:
@@ -233,6 +232,17 @@
         self.version += 1
         return [LogMessage(f"replacing workers, version {self.version}"), *self.tick(now)]
 
+    def abort_replacement(self, now: float) -> list[Action]:
+        """Abort a replacement: mark the serving workers as current, so that none of them is drained.
+
+        The worker that failed to start is retried with an increasing backoff.
+        """
+        self.replacing_slot = None
+        for slot in self.slots.values():
+            if slot.state is State.SERVING:
+                slot.version = self.version
+        return self.tick(now)
+
     def resize(self, now: float, worker_count: int) -> list[Action]:
         """Change the number of workers. Workers in slots beyond it are drained."""
         actions: list[Action] = [LogMessage(f"{worker_count} workers configured")]
@@ -350,15 +360,6 @@
             self.replacing_slot = outdated.number
             self._drain_worker(now, outdated, actions)
 
-    def _abort_replacement(self) -> None:
-        """Abort a replacement: mark the serving workers as current so that none of them is drained.
-
-        The worker that failed to start is retried with an increasing backoff.
-        """
-        for slot in self.slots.values():
-            if slot.state is State.SERVING:
-                slot.version = self.version
-
     def _finish_stop(self, actions: list[Action]) -> None:
         if self.is_stopping and not self.slots and not self.is_finished:
             self.is_finished = True
--- a/roadpulley/workers/worker.py
+++ b/roadpulley/workers/worker.py
@@ -69,10 +69,13 @@
 
 
 def load_gateway_config() -> GatewayConfig:
-    """Return the gateway's configuration, extended by the index of this worker. Raises ConfigError."""
+    """Return the gateway's configuration, extended by the index of this worker. Raises ConfigError.
+
+    The supervisor writes what it has accepted to the standard input. The file may have changed since then.
+    """
     path = os.environ["LB_CONFIG"]
     try:
-        raw: Any = json.loads(Path(path).read_text())
+        raw: Any = json.loads(sys.stdin.buffer.read())
         worker_settings = {
             "worker": int(os.environ["ROADPULLEY_WORKER"]),
             "workers": int(os.environ["ROADPULLEY_WORKERS"]),
--- a/tests/workers/test_worker_hard_cases.py
+++ b/tests/workers/test_worker_hard_cases.py
@@ -79,7 +79,9 @@
     assert gaps[4] > 2 * gaps[2] > 0
 
 
-def test_broken_configuration_takes_down_one_worker_until_it_is_repaired() -> None:
+def test_broken_configuration_costs_no_worker_and_is_not_read_by_one_that_restarts() -> None:
+    """Guards against a gateway that is away as long as a broken file lies there, after SIGHUP or a crash."""
+
     async def act(world: Installation) -> None:
         await until(lambda: count_serving_reports(world) == 3)
         old = set(workers_of(world))
@@ -87,10 +89,17 @@
         right = path.read_text()
         path.write_text("{")
         world.gateways["n0"].signal(signal.SIGHUP)
-        await until(lambda: log_of(world).count("ended: code 2") >= 2)
-        assert len(old & set(workers_of(world))) == 2  # only one worker is missing
+        await until(lambda: log_of(world).count("not replaced, the workers stay as they are") == 1)
+        assert set(workers_of(world)) == old
+        victim = min(old)
+        world.ledger.ended.append(Ended("n0", now_ms(), "killed"))
+        os.kill(victim, signal.SIGKILL)
+        await until(lambda: count_serving_reports(world) == 4)  # with the settings that were accepted
+        assert set(workers_of(world)) > old - {victim} and "code 2" not in log_of(world)
+        old = set(workers_of(world))
         path.write_text(right)
-        await until(lambda: count_serving_reports(world) == 6)
+        world.gateways["n0"].signal(signal.SIGHUP)
+        await until(lambda: count_serving_reports(world) == 7)
         assert not old & set(workers_of(world))
 
     outcome = run_scenario("3", act, seconds=8.0)
