Long values: a backend that pauses is told from one that has stopped by the bytes alone

Cause: check_stalled_values had a second bound on silence, 0.3 s once the request's time was over. A value that has begun has no deadline, and a pause of 0.3 s is no stop.

A value isn't ended while bytes of its backend lie unread, as after a suspension of the process.

--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -29,12 +29,6 @@
 # for 150 ms between reading the clock and writing; the rest is network latency.
 CUTOFF_MARGIN_MS = 150.0 + 50.0
 READ_BYTES = 64 * 1024
-# A long value is cut off if nothing is received for the stall timeout while it is being read. Once its
-# request has expired, its client has to see an end within half a second, so the overdue timeout applies. The
-# stall may begin at that very moment and be noticed one check later, and the event loop and the network need
-# time too.
-STALL_TIMEOUT_MS = 5_000.0
-OVERDUE_STALL_TIMEOUT_MS = 300.0
 # A connection is not reused for this long after an answer. A duplicate answer may arrive a few milliseconds
 # after the first one and would be taken for the answer to the next request.
 REUSE_DELAY_MS = 20.0
@@ -203,15 +197,20 @@
         if idle:
             min(idle, key=lambda c: c.idle_since).close()
 
+    def watch_long_answer(self, connection: Connection) -> None:
+        """Checks from now on whether the long answer on a connection is stalled."""
+        self.long_values[connection] = None
+        if not self.is_stall_check_scheduled:
+            self.is_stall_check_scheduled = True
+            self.timers.call_at(now_ms() + STALL_CHECK_INTERVAL_MS, self.check_stalled_values)
+
     def check_stalled_values(self) -> None:
-        """Ends stalled long values, and schedules the next check while any value is being streamed."""
+        """Ends stalled long answers, and schedules the next check while any of them is under way."""
         now = now_ms()
         for connection in list(self.long_values):
-            attempt = connection.attempt
-            overdue = attempt is not None and now > attempt.expires_at
-            if not connection.paused and now - connection.last_read_at > (
-                OVERDUE_STALL_TIMEOUT_MS if overdue else STALL_TIMEOUT_MS
-            ):
+            answer = connection.long_answer
+            # After a suspension of this process, bytes of the backend may still lie unread.
+            if answer is not None and now > answer.get_stall_deadline() and connection.is_alive():
                 self.answer_errors["a long value that did not go on"] += 1
                 connection.end(EndReason.CONNECTION_ERROR)
         self.is_stall_check_scheduled = bool(self.long_values)
