Long values: one with commands behind it is held for 1.5 s at most, then its bytes decide

Change: the hold ends 1.5 s after the value began, or 0.1 s before its latency target or its request's time. core/long_answer.py, a table without I/O, judges by the bytes: one that still comes is passed on, from memory and then as it comes; a silent one is late, which the module hears (ResponseStalled), and goes on with its next byte. The wait for memory counts towards the hold. At the end of the process held values that come are passed on, too.

A break after the hold still costs the answers behind: counted, docs/QUESTIONS.md.

--- a/mintford/attempts.py
+++ b/mintford/attempts.py
@@ -94,9 +94,10 @@
             attempt.request.live_attempts.remove(event.attempt)
         return attempt
 
-    def is_response_started(self, request: Request) -> bool:
-        """Whether the response of an attempt in flight has begun, so that the attempt is not overdue."""
-        return any(self.in_flight[request.id, number].response_started for number in request.live_attempts)
+    def is_response_coming(self, request: Request) -> bool:
+        """Whether the response of an attempt in flight has begun and comes, so that it is not overdue."""
+        attempts = (self.in_flight[request.id, number] for number in request.live_attempts)
+        return any(attempt.response_started and not attempt.response_stalled for attempt in attempts)
 
     def count_waiting(self, oldest: float) -> int:
         """Count the attempts that wait for an answer. Those sent before `oldest` are lost and in no queue."""
--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -189,7 +189,8 @@
 class ResponseStarted:
     """The first bytes of a long response have come, and are being sent to the client.
 
-    `is_held`: they are kept until the response is whole. It may then still fail, and the request goes on.
+    `is_held`: they are kept for a while. The response may then still fail, and the request goes on. A second
+    event without `is_held` says that they are being sent now.
     """
 
     request: str
@@ -198,6 +199,14 @@
     is_held: bool = False
 
 
+@dataclass(slots=True)
+class ResponseStalled:
+    """A held response has stopped to come. Its attempt is still open, and overdue again."""
+
+    request: str
+    attempt: int
+
+
 @dataclass(slots=True)
 class RequestAbandoned:
     """Nobody waits for the answer to this request any more, so it needs no final answer."""
@@ -371,6 +380,7 @@
     | RequestArrived
     | AttemptEnded
     | ResponseStarted
+    | ResponseStalled
     | RequestAbandoned
     | CounterReplied
     | RightsDecided
--- a/mintford/records.py
+++ b/mintford/records.py
@@ -110,11 +110,20 @@
 class Attempt:
     """One attempt of a request at a backend."""
 
-    __slots__ = ("backend", "response_started", "is_lost", "has_ended", "request", "sent_at")
+    __slots__ = (
+        "backend",
+        "response_started",
+        "response_stalled",
+        "is_lost",
+        "has_ended",
+        "request",
+        "sent_at",
+    )
 
     def __init__(self, request: Request, backend: Backend, sent_at: float) -> None:
         self.request, self.backend, self.sent_at = request, backend, sent_at
         self.response_started = False  # its response is being sent to the client, or held
+        self.response_stalled = False  # it was held and has stopped to come
         # A lost attempt has been in flight for so long that it can't be in a queue any more.
         self.has_ended = self.is_lost = False
 
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -57,6 +57,7 @@
             api.PeerVerdictsChanged: lambda _, event, __: self.fleet.apply_peer_verdicts(event),
             api.BackendsChanged: self.on_list,
             api.ResponseStarted: self.on_response_started,
+            api.ResponseStalled: self.on_response_stalled,
             api.LoopLagMeasured: lambda _, event, __: self.loop_lag.update(event.lag),
             api.AdmissionChanged: lambda _, event, __: setattr(
                 self, "admits_requests", event.accepts_requests
@@ -159,19 +160,29 @@
 
         The request gets no other attempt and no other final answer. The latency is measured here, because the
         time for the rest depends on the client too and says nothing about the backend. A response that is
-        held is not final: the attempt is no longer overdue, but may fail like any other.
+        held is not final: the attempt is no longer overdue, but may fail like any other. It becomes final by
+        a second event, when it is sent to the client after all.
         """
         attempt = self.attempts.in_flight.get((event.request, event.attempt))
-        if attempt is None or attempt.response_started:
+        if attempt is None:
             return
-        attempt.response_started, request = True, attempt.request
-        elapsed = max(1.0, now - attempt.sent_at - self.loop_lag.lag)
-        timeout = self.compute_timeout(now, attempt)
-        self.fleet.record_outcome(now, attempt.backend, request.marks, api.Outcome.OK, elapsed, timeout)
+        request = attempt.request
+        if not attempt.response_started:
+            attempt.response_started = True
+            elapsed = max(1.0, now - attempt.sent_at - self.loop_lag.lag)
+            timeout = self.compute_timeout(now, attempt)
+            self.fleet.record_outcome(now, attempt.backend, request.marks, api.Outcome.OK, elapsed, timeout)
         if not event.is_held and event.request in self.attempts.requests:
             del self.attempts.requests[event.request]
             self.attempts.cancel_all(request, out, except_number=event.attempt)
 
+    def on_response_stalled(self, now: float, event: api.ResponseStalled, out: api.Actions) -> None:
+        """Treat an attempt as overdue, as its held response has stopped to come."""
+        attempt = self.attempts.in_flight.get((event.request, event.attempt))
+        if attempt is not None and event.request in self.attempts.requests:
+            attempt.response_stalled = True
+            self.check_request(now, attempt.request, out)
+
     def on_attempt_ended(self, now: float, event: api.AttemptEnded, out: api.Actions) -> None:
         """Record the outcome of an attempt, and finish its request or start another attempt."""
         attempt = self.attempts.remove_attempt(event)
@@ -315,7 +326,7 @@
             return self.attempts.finish(request, RefusalReason.EXPIRED, out)
         if not request.attempts:
             return self.admit_request(now, request, out)  # the counter has not answered in time
-        if self.attempts.is_response_started(request):
+        if self.attempts.is_response_coming(request):
             return self.attempts.schedule_check(now, request, math.inf, out)
         is_repeatable = len(request.live_attempts) == 1 and request.kind.effect is not api.Effect.UNSAFE
         if is_repeatable and not self.settings.may_duplicate:
--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -209,8 +209,9 @@
         now = now_ms()
         for connection in list(self.long_values):
             answer = connection.long_answer
-            # After a suspension of this process, bytes of the backend may still lie unread.
-            if answer is not None and now > answer.get_stall_deadline() and connection.is_alive():
+            if answer is not None and now > answer.get_stall_deadline():
+                connection.note_unread_bytes()
+            if answer is not None and now > answer.get_stall_deadline():
                 self.answer_errors["a long value that did not go on"] += 1
                 connection.end(EndReason.CONNECTION_ERROR)
         self.is_stall_check_scheduled = bool(self.long_values)
--- a/roadpulley/core/command.py
+++ b/roadpulley/core/command.py
@@ -35,7 +35,7 @@
 
 
 class HeldSink(Sink, Protocol):
-    """The receiver of a value that is not sent to the client before it is whole."""
+    """The receiver of a value that is not sent to the client yet."""
 
     def release(self) -> None:
         """Returns the memory of a value that nobody waits for any more. Later calls have no effect."""
@@ -55,7 +55,7 @@
         `probe`: also ask the kernel, because an end of the connection may not have been read yet.
         """
 
-    def must_hold_values(self) -> bool:
+    def has_commands_behind(self) -> bool:
         """Whether a streamed value that breaks would take the answers of other commands with it."""
 
     def begin_streaming(self, length: int, source: Source) -> Sink:
@@ -65,7 +65,10 @@
         """When a streamed answer ends unless its client takes a byte before, in Unix milliseconds."""
 
     def hold_value(self, length: int, source: Source) -> HeldSink:
-        """Starts to receive a value of `length` bytes that is to be sent once it is whole."""
+        """Starts to receive a value of `length` bytes that is not sent yet."""
+
+    def pass_on(self, value: HeldSink) -> None:
+        """Sends a value from `hold_value` as it comes from now on, in place of a call of `answer`."""
 
     def answer_held(self, value: HeldSink) -> None:
         """Sends a whole value from `hold_value` as the answer. Only the first answer has an effect."""
--- a/roadpulley/core/connection.py
+++ b/roadpulley/core/connection.py
@@ -58,7 +58,8 @@
     send_timer: Timer | None = None  # for `latest_send_at`
     has_ended: bool = False
     streams_value: bool = False  # its value is or was streamed to the client
-    held_value: HeldSink | None = None  # its long value, if that is sent only once it is whole
+    held_value: HeldSink | None = None  # its long value, while that is held
+    long_answer: LongAnswer | None = None  # the time of its long value, from the beginning of that
     usage: bytes = b""  # the usage figures of its answer
 
     def end(self, outcome: Outcome, value: bytes = b"") -> None:
@@ -257,17 +258,14 @@
         attempt = self.attempt
         if attempt is None or attempt.on_long_value is None or self.unsent:
             return None
+        self.long_answer = attempt.long_answer = LongAnswer(now_ms())
         sink = attempt.on_long_value(attempt, length, self)
         if sink is None:
+            self.long_answer = attempt.long_answer = None
             return None
-        if attempt.timer is not None:
-            attempt.timer.cancel()
         received = memoryview(bytes(self.answer))[start:]
-        self.discard_answer()
-        attempt.streams_value = attempt.held_value is None
-        self.long_value, self.long_answer, self.sink = LongValue(length), LongAnswer(now_ms()), sink
-        if self.paused:
-            self.long_answer.pause()
+        self._free_buffer()
+        self.long_value, self.sink = LongValue(length), sink
         self.pool.watch_long_answer(self)
         return received
 
@@ -317,10 +315,18 @@
         attempt.usage = answer.usage
         attempt.end(outcome, answer.value or b"")
 
-    def discard_answer(self) -> None:
-        """Frees the buffered part of an answer and stops streaming."""
+    def note_unread_bytes(self) -> None:
+        """Counts bytes that lie unread as given now. This process may have been suspended before."""
+        if self.long_answer is not None and not self.is_alive():
+            self.long_answer.record_bytes(now_ms())
+
+    def _free_buffer(self) -> None:
         self.pool.buffered_bytes -= len(self.answer)
         self.answer = bytearray()
+
+    def discard_answer(self) -> None:
+        """Frees the buffered part of an answer and stops streaming."""
+        self._free_buffer()
         if self.long_value is not None:
             self.long_value = self.long_answer = None
             self.pool.long_values.pop(self, None)
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -13,6 +13,7 @@
 from mintford import Gateway
 from mintford import interface as api
 
+from . import long_answer
 from .backends import BackendPools
 from .clock import Timer, Timers, now_ms
 from .command import Command, HeldSink, ReplySlot, Sink, Source
@@ -309,23 +310,64 @@
     def on_long_value(self, attempt: Attempt, length: int, source: Source) -> Sink | None:
         """A long value begins. Streamed, it is the final answer, complete or cut off, however long it takes.
 
-        Where a cut would cost other answers, it is held until it is whole. It then is an answer like a short
-        one: in time or not at all, and replaced by another attempt if it is cut off.
+        Where a cut would cost other answers, it is held at first, as long as `LongAnswer` allows. Until then
+        it is an answer like a short one: replaced by another attempt if it is cut off.
         """
         request, number = attempt.key
         owner = self.requests.get(request)
         if owner is None or owner.open_attempts.get(number) is not attempt or owner.is_streaming:
             return None
-        if owner.slot.must_hold_values():
-            attempt.held_value = owner.slot.hold_value(length, source)
-            self.handle_event(api.ResponseStarted(request, number, attempt.backend, is_held=True))
-            return attempt.held_value
-        owner.is_streaming = True
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        if owner.slot.has_commands_behind():
+            return self.hold(owner, attempt, length, source)
+        sink = owner.slot.begin_streaming(length, source)
+        self.commit(owner, attempt)
+        return sink
+
+    def hold(self, owner: Request, attempt: Attempt, length: int, source: Source) -> Sink:
+        """Holds a long value that begins, until its hold deadline at the latest."""
+        answer, kind = attempt.long_answer, self.gateway.classes.get(owner.command.request_class)
+        assert answer is not None
+        target_at = owner.received_at + kind.latency_target if kind is not None else owner.expires_at
+        answer.hold(now_ms(), target_at, owner.expires_at)
+        attempt.held_value = owner.slot.hold_value(length, source)
+        attempt.timer = self.timers.call_at(answer.hold_deadline, partial(self.check_hold, owner, attempt))
+        request, number = attempt.key
+        self.handle_event(api.ResponseStarted(request, number, attempt.backend, is_held=True))
+        return attempt.held_value
+
+    def check_hold(self, owner: Request, attempt: Attempt) -> None:
+        """Passes a held value on, if its hold is over and its backend gives."""
+        answer, connection = attempt.long_answer, attempt.connection
+        assert answer is not None and connection is not None
+        was_held = answer.state is long_answer.State.HELD
+        connection.note_unread_bytes()
+        now = now_ms()
+        if answer.check_hold(now) is long_answer.State.PASSED_ON:
+            return self.pass_on(owner, attempt)
+        next_check_at = max(answer.hold_deadline, now + long_answer.HOLD_CHECK_INTERVAL_MS)
+        attempt.timer = self.timers.call_at(next_check_at, partial(self.check_hold, owner, attempt))
+        if was_held:
+            self.handle_event(api.ResponseStalled(*attempt.key))
+
+    def pass_on(self, owner: Request, attempt: Attempt) -> None:
+        """Sends a held value to its client as it comes from now on. It is the final answer."""
+        value, attempt.held_value = attempt.held_value, None
+        assert value is not None and attempt.long_answer is not None
+        attempt.long_answer.pass_on()
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        self.commit(owner, attempt)
+        owner.slot.pass_on(value)
+
+    def commit(self, owner: Request, attempt: Attempt) -> None:
+        """The value of this attempt is the final answer of its request from now on, whole or cut off."""
+        owner.is_streaming = attempt.streams_value = True
         if owner.timer is not None:
             owner.timer.cancel()
-        sink = owner.slot.begin_streaming(length, source)
+        request, number = attempt.key
         self.handle_event(api.ResponseStarted(request, number, attempt.backend))
-        return sink
 
     def on_ended(
         self,
@@ -487,7 +529,18 @@
             owner.end_callbacks.pop()()
 
     def fail_all(self) -> int:
-        """Fails all open requests whose answer has not begun, as the process ends. Returns their number."""
+        """Fails all open requests whose answer has not begun, as the process ends. Returns their number.
+
+        Values that are held and still come are passed on.
+        """
+        now = now_ms()
+        for attempt in list(self.attempts.values()):
+            owner = self.requests.get(attempt.key[0])
+            if owner is None or owner.is_streaming or owner.open_attempts.get(attempt.key[1]) is not attempt:
+                continue
+            answer = attempt.long_answer
+            if attempt.held_value is not None and answer is not None and answer.is_giving(now):
+                self.pass_on(owner, attempt)
         unanswered = [request for request, owner in self.requests.items() if not owner.is_streaming]
         for request in unanswered:
             self.finish(request, FAILED)
--- a/roadpulley/edges/close_reasons.py
+++ b/roadpulley/edges/close_reasons.py
@@ -8,13 +8,14 @@
 | REPLIES_UNREAD | anything                         | the client itself: it takes nothing for 5 s (in |
 |                |                                  | a stream 30 s), or for longest while memory is  |
 |                |                                  | short                                           |
-| VALUE_BROKEN   | that value, and nothing behind   | "may begin to pass on a value and then fail"    |
+| VALUE_BROKEN   | that value, and the commands     | "may begin to pass on a value and then fail";   |
+|                | behind it                        | for those behind see docs/QUESTIONS.md          |
 | ROOM_NEEDED    | nothing: the connection is idle  | -                                               |
 | LINGER_ENDED   | nothing: all replies are written | -                                               |
 
 A connection that drains, is idle, sent QUIT or malformed input, or lives to the end of the process writes
-all its replies before a lingering close. The counts of the last two reasons, and of commands behind a broken
-value, are therefore always 0.
+all its replies before a lingering close. The counts of the last two reasons are therefore always 0. Commands
+stand behind a broken value only if they were read before it began and it came for the whole of its hold.
 """
 
 from __future__ import annotations
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -164,7 +164,7 @@
 
     def _is_blocked(self) -> bool:
         # No commands are read behind a streamed reply: if its backend fails, the connection ends within the
-        # value, while the client sends unread commands again elsewhere. A value is not streamed while
+        # value, while the client sends unread commands again elsewhere. A value is held at first if
         # commands that were read stand behind it: see `has_commands_behind`.
         return (
             self.state != OPEN
--- a/roadpulley/edges/slots.py
+++ b/roadpulley/edges/slots.py
@@ -45,8 +45,8 @@
         self.stream: StreamingReply | None = None  # the reply, if it is streamed
         self.held_value: HeldValue | None = None  # the source of the stream, if it is held in memory
 
-    def must_hold_values(self) -> bool:
-        """Whether a long value has to be whole before it is sent, because commands stand behind it."""
+    def has_commands_behind(self) -> bool:
+        """Whether a value that breaks while it is sent takes the answers of other commands with it."""
         return self.connection.has_commands_behind(self)
 
     def begin_streaming(self, length: int, source: Source) -> Sink:
@@ -66,7 +66,7 @@
         return self.connection.stall_deadline()
 
     def hold_value(self, length: int, source: Source) -> HeldValue:
-        """Start to receive a value that is sent once it is whole. Any other answer may still be given."""
+        """Start to receive a value that is not sent yet. Any other answer may still be given."""
         return HeldValue(self.connection.server.held_value_budget, length, source)
 
     def answer_held(self, value: HeldSink) -> None:
@@ -80,6 +80,17 @@
         value.send_to(stream)
         self.connection.advance()
 
+    def pass_on(self, value: HeldSink) -> None:
+        """Send a value that was held as it comes from now on. Later replies are ignored."""
+        assert isinstance(value, HeldValue)
+        if self.answered:
+            return value.release()
+        self.held_value = value
+        stream = self._start_stream(value.length, value)
+        stream.pause_source()  # until the earlier replies are written
+        value.forward_to(stream)
+        self.connection.advance()
+
     def _start_stream(self, length: int, source: Source) -> StreamingReply:
         self.answered = True
         self.stream = StreamingReply(self, length, source)
--- a/tests/decisions/test_held_responses.py
+++ b/tests/decisions/test_held_responses.py
@@ -54,3 +54,37 @@
     assert not world.gateway.attempts.requests
     actions = world.end(send, api.Outcome.RESET)
     assert not sends(actions) and not final_answers(actions)
+
+
+def test_a_held_response_that_is_sent_after_all_is_final() -> None:
+    world = World(has_counter=False)
+    (send,) = sends(world.ask())
+    begin(world, send, is_held=True)
+    world.pass_time(1_000)
+    assert not begin(world, send, is_held=False)
+    assert not world.gateway.attempts.requests
+    assert not final_answers(world.pass_time(4_000))
+    assert not sends(world.end(send, api.Outcome.RESET)) and not world.gateway.attempts.in_flight
+
+
+@pytest.mark.parametrize("name", ["view", "wipe"])
+def test_a_held_response_that_stops_is_overdue_only_if_the_request_may_run_again(name: str) -> None:
+    """An unsafe request has no other attempt, and its backend may go on."""
+    world = World(has_counter=False)
+    (send,) = sends(world.ask(name))
+    begin(world, send, is_held=True)
+    world.pass_time(100)
+    actions = world.give(api.ResponseStalled(send.request, send.attempt))
+    assert [a.attempt for a in actions if isinstance(a, api.Cancel)] == ([0] if name == "view" else [])
+    assert not final_answers(actions)
+    if name == "view":
+        assert len(sends(world.end(send, api.Outcome.CANCELLED))) == 1
+
+
+def test_a_report_on_a_response_that_has_ended_changes_nothing() -> None:
+    world = World(has_counter=False)
+    (send,) = sends(world.ask())
+    begin(world, send, is_held=True)
+    world.end(send)
+    assert not world.give(api.ResponseStalled(send.request, send.attempt))
+    assert not world.give(api.ResponseStalled("unknown", 0))
--- a/tests/operations/test_values_at_the_end.py
+++ b/tests/operations/test_values_at_the_end.py
@@ -99,6 +99,42 @@
     in_loop(scenario)
 
 
+def test_a_process_that_ends_passes_held_values_on(tmp_path: Path) -> None:
+    """Their hold is not over when the requests are ended, and their backend gives."""
+
+    class LateBackend(PacedBackend):
+        async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await begun.wait()
+            await super().talk(reader, writer)
+
+    begun = asyncio.Event()
+
+    async def scenario() -> None:
+        async with launched(LongTargetWorld(LateBackend(BODY, pause_s=0.06)), tmp_path) as (process, _, port):
+            peer = await connect(port)
+            for number in range(2):
+                peer.send(*request(b"value%d" % number, wait=3_900))
+            process.send_signal(signal.SIGTERM)
+            await said(process, b"leaving, was stopping")
+            await asyncio.sleep(2.6)  # of the 3 s until the requests are ended
+            begun.set()
+            await said(process, b"ends after 1 long values")  # one connection
+            assert await read_value(peer, b"") == WHOLE
+            assert await read_value(peer, b"") == WHOLE
+            assert await peer.receive() is None
+            assert await process.wait() == 0
+
+    in_loop(scenario)
+
+
+class LongTargetWorld(OperatedWorld):
+    """Latency targets so long that a value may be held for the whole `MAX_HOLD_MS`."""
+
+    def config(self) -> dict[str, Any]:
+        kind = {**CLASSES[0], "aim": 3_000.0, "deadline": 4_000.0}
+        return {**super().config(), "settings": {**SETTINGS, "classes": [kind]}}
+
+
 def stop_giving(monkeypatch: pytest.MonkeyPatch) -> Backend:
     monkeypatch.setattr(long_answer, "STALL_TIMEOUT_MS", 1_000.0)
     return PacedBackend(BODY, pause_s=0.01, stops_after=4 * PIECE_BYTES)
