Long values: one whose first 16 KiB come slowly has begun, and is late only if its bytes stop

Cause: a value counted as begun with 16 KiB; before, its attempt had the time-out that the module makes of what answers usually take.

Change: from 2 KiB on the module hears that it has begun (held), with the hold's end and the judgement by its bytes of core/long_answer.py. What has come stays in the buffer of its connection until 16 KiB have come or the hold ends.

Shown: test_a_value_whose_first_bytes_come_slowly_... has one attempt, on two (safe class). Noise of 500 bytes behind such a head is given up as before, within a second.

--- a/roadpulley/core/connection.py
+++ b/roadpulley/core/connection.py
@@ -23,7 +23,15 @@
 from .command import HeldSink, Sink, Source
 from .long_answer import LongAnswer
 from .outcomes import EndReason, Stage, resolve_outcome
-from .resp import Answer, LongValue, MalformedError, parse_answer, parse_long_value_header
+from .resp import (
+    LONG_VALUE_EVIDENCE_BYTES,
+    STREAMING_START_BYTES,
+    Answer,
+    LongValue,
+    MalformedError,
+    parse_answer,
+    parse_long_value_header,
+)
 
 if TYPE_CHECKING:
     from .backends import BackendPools, Host
@@ -61,6 +69,8 @@
     held_value: HeldSink | None = None  # its long value, while that is held
     long_answer: LongAnswer | None = None  # the time of its long value, from the beginning of that
     usage: bytes = b""  # the usage figures of its answer
+    # Called when a long value begins whose first bytes come slowly.
+    on_slow_start: Callable[[Attempt], None] | None = None
 
     def end(self, outcome: Outcome, value: bytes = b"") -> None:
         """Ends the attempt. Only the first call has an effect."""
@@ -247,21 +257,40 @@
             self.pool.idle_limit.record(self.idle_before_ms, False)
         self.answer += self.pool.read_view[:count]
         self.pool.buffered_bytes += count
-        if (header := parse_long_value_header(self.answer)) and (received := self._start_streaming(*header)):
-            return self._read_streaming(received)
+        if header := parse_long_value_header(self.answer, LONG_VALUE_EVIDENCE_BYTES):
+            if len(self.answer) < header[1] + STREAMING_START_BYTES:
+                self._note_slow_start()
+            elif received := self._start_streaming(*header):
+                return self._read_streaming(received)
         if self.pool.buffered_bytes > self.pool.max_buffered_bytes:
             raise MalformedError("buffer limit exceeded")
         return parse_answer(self.answer)
 
+    def _note_slow_start(self) -> None:
+        """A long value has begun, and not enough of it has come to pass it on."""
+        attempt = self.attempt
+        if attempt is None or attempt.on_slow_start is None or self.unsent:
+            return
+        if self.long_answer is not None:
+            return self.long_answer.record_bytes(now_ms())
+        self.long_answer = attempt.long_answer = LongAnswer(now_ms())
+        attempt.on_slow_start(attempt)
+
+    def start_long_value(self) -> None:
+        """Passes a long value on whose beginning comes slowly, as it may be held no longer."""
+        header = parse_long_value_header(self.answer, LONG_VALUE_EVIDENCE_BYTES)
+        if header is not None and (received := self._start_streaming(*header)):
+            self._read_streaming(received)
+
     def _start_streaming(self, length: int, start: int) -> memoryview | None:
         """Starts to pass a long value on, if its client waits for it. Returns the part that is received."""
         attempt = self.attempt
         if attempt is None or attempt.on_long_value is None or self.unsent:
             return None
-        self.long_answer = attempt.long_answer = LongAnswer(now_ms())
+        if self.long_answer is None:
+            self.long_answer = attempt.long_answer = LongAnswer(now_ms())
         sink = attempt.on_long_value(attempt, length, self)
         if sink is None:
-            self.long_answer = attempt.long_answer = None
             return None
         received = memoryview(bytes(self.answer))[start:]
         self._free_buffer()
@@ -327,8 +356,9 @@
     def discard_answer(self) -> None:
         """Frees the buffered part of an answer and stops streaming."""
         self._free_buffer()
+        self.long_answer = None
         if self.long_value is not None:
-            self.long_value = self.long_answer = None
+            self.long_value = None
             self.pool.long_values.pop(self, None)
 
     def get_stage(self) -> Stage:
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -319,23 +319,37 @@
             return None
         if attempt.timer is not None:
             attempt.timer.cancel()
-        if owner.slot.has_commands_behind():
-            return self.hold(owner, attempt, length, source)
+        answer = attempt.long_answer
+        assert answer is not None
+        if answer.state is not long_answer.State.PASSED_ON and owner.slot.has_commands_behind():
+            attempt.held_value = owner.slot.hold_value(length, source)
+            self.hold(owner, attempt)
+            return attempt.held_value
+        answer.pass_on()
         sink = owner.slot.begin_streaming(length, source)
         self.commit(owner, attempt)
         return sink
 
-    def hold(self, owner: Request, attempt: Attempt, length: int, source: Source) -> Sink:
-        """Holds a long value that begins, until its hold deadline at the latest."""
+    def on_slow_start(self, attempt: Attempt) -> None:
+        """A long value begins whose first bytes come slowly."""
+        request, number = attempt.key
+        owner = self.requests.get(request)
+        if owner is None or owner.open_attempts.get(number) is not attempt or owner.is_streaming:
+            return
+        self.hold(owner, attempt)
+
+    def hold(self, owner: Request, attempt: Attempt) -> None:
+        """Holds a long value that has begun, until its hold deadline at the latest."""
         answer, kind = attempt.long_answer, self.gateway.classes.get(owner.command.request_class)
         assert answer is not None
-        target_at = owner.received_at + kind.latency_target if kind is not None else owner.expires_at
-        answer.hold(now_ms(), target_at, owner.expires_at)
-        attempt.held_value = owner.slot.hold_value(length, source)
+        if answer.hold_deadline == math.inf:
+            target_at = owner.received_at + kind.latency_target if kind is not None else owner.expires_at
+            answer.hold(now_ms(), target_at, owner.expires_at)
+        if attempt.timer is not None:
+            attempt.timer.cancel()
         attempt.timer = self.timers.call_at(answer.hold_deadline, partial(self.check_hold, owner, attempt))
         request, number = attempt.key
         self.handle_event(api.ResponseStarted(request, number, attempt.backend, is_held=True))
-        return attempt.held_value
 
     def check_hold(self, owner: Request, attempt: Attempt) -> None:
         """Passes a held value on, if its hold is over and its backend gives."""
@@ -345,12 +359,20 @@
         connection.note_unread_bytes()
         now = now_ms()
         if answer.check_hold(now) is long_answer.State.PASSED_ON:
-            return self.pass_on(owner, attempt)
+            return self.end_hold(owner, attempt)
         next_check_at = max(answer.hold_deadline, now + long_answer.HOLD_CHECK_INTERVAL_MS)
         attempt.timer = self.timers.call_at(next_check_at, partial(self.check_hold, owner, attempt))
         if was_held:
             self.handle_event(api.ResponseStalled(*attempt.key))
 
+    def end_hold(self, owner: Request, attempt: Attempt) -> None:
+        """Passes on what is held: a value, or the beginning of one in the buffer of its connection."""
+        if attempt.held_value is not None:
+            self.pass_on(owner, attempt)
+        elif attempt.connection is not None and attempt.long_answer is not None:
+            attempt.long_answer.pass_on()
+            attempt.connection.start_long_value()
+
     def pass_on(self, owner: Request, attempt: Attempt) -> None:
         """Sends a held value to its client as it comes from now on. It is the final answer."""
         value, attempt.held_value = attempt.held_value, None
@@ -485,6 +507,7 @@
             action.send_deadline,
             self.is_client_waiting,
             command.long_body,
+            on_slow_start=self.on_slow_start,
         )
         for other in owner.open_attempts.values():
             # Whichever comes whole first runs first, and the others repeat it.
@@ -539,8 +562,8 @@
             if owner is None or owner.is_streaming or owner.open_attempts.get(attempt.key[1]) is not attempt:
                 continue
             answer = attempt.long_answer
-            if attempt.held_value is not None and answer is not None and answer.is_giving(now):
-                self.pass_on(owner, attempt)
+            if answer is not None and answer.is_giving(now):
+                self.end_hold(owner, attempt)
         unanswered = [request for request, owner in self.requests.items() if not owner.is_streaming]
         for request in unanswered:
             self.finish(request, FAILED)
--- a/roadpulley/core/long_answer.py
+++ b/roadpulley/core/long_answer.py
@@ -6,14 +6,16 @@
 
 | state     | meaning                                  | ended by                                          |
 | --------- | ---------------------------------------- | ------------------------------------------------- |
-| HELD      | nothing is sent to the client yet        | the hold deadline; its end, like a short answer's |
+| HELD      | nothing is sent to the client yet, as    | the hold deadline; its end, like a short answer's |
+|           | its beginning comes slowly or commands   |                                                   |
+|           | stand behind it                          |                                                   |
 | OVERDUE   | held beyond that, as its backend is      | the next byte; the request's time, like a short   |
 |           | silent                                   | answer                                            |
 | PASSED_ON | sent to the client as it comes, for good | `STALL_TIMEOUT_MS` without a byte                 |
 
 | event                                | HELD                           | OVERDUE   | PASSED_ON |
 | ------------------------------------ | ------------------------------ | --------- | --------- |
-| nothing stands behind the answer     | PASSED_ON                      | -         | -         |
+| enough has come, nothing behind it   | PASSED_ON                      | PASSED_ON | -         |
 | hold deadline, its backend gives     | PASSED_ON                      | PASSED_ON | -         |
 | hold deadline, its backend is silent | OVERDUE                        | OVERDUE   | -         |
 | the process ends, its backend gives  | PASSED_ON                      | -         | -         |
@@ -59,8 +61,8 @@
         self.began_at = self.last_byte_at = now
         self.longest_pause_ms = 0.0  # between two pieces
         self.is_paused = False  # the backend isn't read
-        self.state = State.PASSED_ON
-        self.hold_deadline = math.inf  # in Unix milliseconds
+        self.state = State.HELD
+        self.hold_deadline = math.inf  # in Unix milliseconds; known once `hold` was called
 
     # ---- the backend ----
 
@@ -91,8 +93,7 @@
     # ---- the hold ----
 
     def hold(self, now: float, target_at: float, expires_at: float) -> None:
-        """Begin to hold the answer of a request with this latency target and this end of its time."""
-        self.state = State.HELD
+        """Bound the hold by the latency target and the end of the time of its request."""
         deadline = min(now + MAX_HOLD_MS, expires_at - FIRST_BYTE_MARGIN_MS)
         if target_at - FIRST_BYTE_MARGIN_MS > now:
             deadline = min(deadline, target_at - FIRST_BYTE_MARGIN_MS)
--- a/roadpulley/core/resp.py
+++ b/roadpulley/core/resp.py
@@ -20,7 +20,11 @@
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 # A longer value is streamed, and the attempt's timeout covers only its first bytes.
 LONG_VALUE_THRESHOLD_BYTES = 64 * 1024
-# Streaming starts once this much is received. A wrong length is rarely followed by so much data.
+# Once this much is received, a long value has begun, and its attempt is late only if the bytes stop. A wrong
+# length is rarely followed by so much noise.
+LONG_VALUE_EVIDENCE_BYTES = 2 * 1024
+# Streaming starts once this much is received, or the hold is over. What breaks before can still be replaced
+# by another attempt.
 STREAMING_START_BYTES = 16 * 1024
 MAX_ERROR_BYTES = 1024
 MAX_EXTRA_BYTES = 4 * 1024  # the usage figures or the load report, as encoded
@@ -184,12 +188,14 @@
     report: bytes = b""
 
 
-def parse_long_value_header(data: bytearray) -> tuple[int, int] | None:
-    """Length and start of a long value, once enough of it is received for streaming to begin."""
-    if len(data) < STREAMING_START_BYTES:
+def parse_long_value_header(
+    data: bytearray, min_value_bytes: int = STREAMING_START_BYTES
+) -> tuple[int, int] | None:
+    """Length and start of a long value, once `min_value_bytes` of it are received."""
+    if len(data) < min_value_bytes:
         return None
     head = VALUE_HEADER.match(data)
-    if head is None or len(data) < head.end() + STREAMING_START_BYTES:
+    if head is None or len(data) < head.end() + min_value_bytes:
         return None
     return (
         (int(head[1]), head.end()) if LONG_VALUE_THRESHOLD_BYTES < int(head[1]) <= MAX_ANSWER_BYTES else None
--- a/tests/edges/test_held_values.py
+++ b/tests/edges/test_held_values.py
@@ -191,6 +191,75 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize("behind", [False, True])
+@pytest.mark.parametrize("name", [b"view", b"wipe"])
+def test_a_value_whose_first_bytes_come_slowly_arrives_whole_by_one_attempt(
+    name: bytes, behind: bool
+) -> None:
+    """Guards against attempts that are given up in turn, as 16 KiB have not come within the usual time.
+
+    The first 20 KiB come in pieces of 4 KiB, 0.3 s apart.
+    """
+
+    async def scenario() -> None:
+        body = make_value(MIB)
+
+        class SlowStartBackend(Backend):
+            async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                peer = Peer(reader, writer)
+                while (command := await peer.receive()) is not None:
+                    self.got.append(command)
+                    if command[2].startswith(b"quick"):
+                        writer.write(SHORT)
+                        continue
+                    whole = encode_reply(body)
+                    for at in range(0, 20 * 1024, 4 * 1024):
+                        writer.write(whole[at : at + 4 * 1024])
+                        await asyncio.sleep(0.3)
+                    writer.write(whole[20 * 1024 :])
+
+        backends = [SlowStartBackend() for _ in range(2)]
+        async with running(World(*backends)) as w:
+            peer = await w.client()
+            for number in range(20):  # the usual time becomes short
+                assert await w.ask(peer, id=b"quick%d" % number) == b"value"
+            peer.send(*request(b"slow", name=name, wait=4_000))
+            if behind:
+                peer.send(*request(b"quick", name=b"wipe", wait=4_000))
+            assert await peer.receive() == body
+            if behind:
+                assert await peer.receive() == b"value"
+            assert sum(command[2] == b"slow" for backend in backends for command in backend.got) == 1
+
+    in_loop(scenario)
+
+
+def test_noise_that_looks_like_the_head_of_a_long_value_is_given_up_as_before() -> None:
+    """The head and some bytes come at once and nothing follows: the attempt is late like any other."""
+
+    async def scenario() -> None:
+        noises: list[bytes] = []
+
+        async def script(command: list[bytes]) -> bytes:
+            if not command[2].startswith(b"noisy") or noises:
+                return SHORT
+            noises.append(command[2])
+            return encode_reply(make_value(200_000))[:500]
+
+        backends = [Backend(script) for _ in range(2)]
+        async with running(World(*backends)) as w:
+            peer = await w.client()
+            for number in range(40):  # the usual time becomes short
+                assert await w.ask(peer, id=b"quick%d" % number) == b"value"
+            for number in range(5):
+                noises.clear()
+                began = now_ms()
+                assert await w.ask(peer, id=b"noisy%d" % number, wait=4_000) == b"value"
+                assert noises and now_ms() - began < 1_000
+
+    in_loop(scenario)
+
+
 def test_thirty_values_behind_each_other_that_fill_the_memory_arrive_whole_in_order() -> None:
     """They are passed on when their hold is over, also those that still wait for memory, and read in turn.
 
