Usage: a try is counted when an attempt of it has been written whole to a backend

Cause: the driver told the meter before the first attempt was given to the pool; an attempt that got no connection took nothing back.

Change: the connection tells when the last byte is written, where `relayed` is counted, and the driver meters the try at the first of these.

The module's quota still counts such tries: open.

--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -44,7 +44,10 @@
     """Meters usage. A request is one try of its client, however many attempts it takes."""
 
     def record_sent(self, command: Command) -> Any:
-        """Records the first attempt of a request. Returns a record for `record_settled`, or None."""
+        """Records a request whose first attempt has been sent whole. Returns a record for `record_settled`.
+
+        That is None if the request can't be recorded.
+        """
 
     def record_settled(self, record: Any, command: Command, actual_units: float) -> None:
         """Records the actual units of a request, as its answer stated them."""
@@ -85,6 +88,7 @@
 
     __slots__ = (
         "end_callbacks",
+        "is_metered",
         "is_streaming",
         "received_at",
         "command",
@@ -104,6 +108,7 @@
         self.is_streaming = False  # a long value is being sent to the client
         self.open_attempts: dict[int, Attempt] = {}  # by number
         self.timer: Timer | None = None  # for its deadline
+        self.is_metered = False
         self.meter_record: Any = None  # from `UsageMeter.record_sent`
         self.end_callbacks: list[EndCallback] = []  # called at its end, for example to return rights
 
@@ -493,8 +498,6 @@
             number, ignored = owner.attempt_count if owner else action.attempt, api.Outcome.IGNORED
             return self.handle_event(api.AttemptEnded(request, number, backend, ignored, 0.0, owner is None))
         number, owner.attempt_count = owner.attempt_count, owner.attempt_count + 1
-        if not number and self.meter is not None:
-            owner.meter_record = self.meter.record_sent(owner.command)
         ended = partial(self.on_ended, owner, number, now)
         key, command = (request, number), owner.command
         attempt = Attempt(
@@ -507,6 +510,7 @@
             action.send_deadline,
             self.is_client_waiting,
             command.long_body,
+            on_sent=partial(self.meter_sent, owner) if self.meter is not None else None,
             on_slow_start=self.on_slow_start,
         )
         for other in owner.open_attempts.values():
@@ -518,6 +522,15 @@
             attempt.timer = self.timers.call_at(now + timeout, on_timeout)
         self.backends.send(attempt)
 
+    def meter_sent(self, owner: Request) -> None:
+        """Meters a request when the last byte of an attempt has been written, once however many there are.
+
+        Not before: an attempt that gets no connection, or is given up on the way, takes nothing.
+        """
+        if self.meter is not None and not owner.is_metered:
+            owner.is_metered = True
+            owner.meter_record = self.meter.record_sent(owner.command)
+
     def is_client_waiting(self, attempt: Attempt) -> bool:
         """Whether the client still waits. Checked when a new connection is established."""
         owner = self.requests.get(attempt.key[0])
