Workers: the supervisor waits for its address while workers of a killed one hold it

Cause: the workers hold the listening socket; they notice the death within 0.25 s, drain as after SIGTERM, and take connections for up to 1.9 s more. The supervisor bound once, where `run` waits 8 s.

Change: the supervisor waits by the same function (listen_with_retries). Signals count meanwhile.

--- a/roadpulley/cli/serve.py
+++ b/roadpulley/cli/serve.py
@@ -52,6 +52,7 @@
 
 
 def run(args: argparse.Namespace) -> int:
+    from roadpulley.core.settings import ConfigError
     from roadpulley.workers.service import SupervisorService
 
     from .fleet import workers_use
@@ -71,11 +72,6 @@
 
     async def supervise() -> None:
         service = SupervisorService(str(path), lambda: workers(args.workers), check_settings=check_settings)
-        try:
-            service.load_first_config()
-        except OSError as error:
-            right = "give an address of this machine that nobody else listens on"
-            raise ValidationError(f"{path}: listen", f"cannot be taken ({error.strerror})", right) from error
         if agent is not None:
             from .fleet import beside
 
@@ -108,7 +104,7 @@
             check_settings(raw["settings"])
             structured()
         uvloop.run(supervise())
-    except ValidationError as error:
+    except (ValidationError, ConfigError) as error:
         print(f"roadpulley serve: {error}", file=sys.stderr)
         return 2
     return 0
--- a/roadpulley/workers/service.py
+++ b/roadpulley/workers/service.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from roadpulley.core.settings import Address, GatewayConfig, load_config, load_replacement
+from roadpulley.operations.listen_retry import listen_with_retries
 
 from .messages import parse_overdue_s
 from .supervisor import (
@@ -124,19 +125,30 @@
         self.finished = asyncio.Event()
         self.stopping = asyncio.Event()  # set once `stop` was called
 
-    def load_first_config(self) -> None:
-        """Accept the configuration and bind to its address. Raises OSError, ConfigError."""
+    async def load_first_config(self) -> bool:
+        """Accept the configuration and bind to its address; return False if it is stopped before.
+
+        Workers of a supervisor that was killed hold the address until they have ended. Raises ConfigError.
+        """
         config = load_config(self.config_path)
-        self.listener.rebind(config.listen)
+
+        async def bind() -> int:
+            self.listener.rebind(config.listen)
+            return config.listen[1]
+
+        stopped = self.loop.create_task(self.stopping.wait())
+        port = await listen_with_retries("listen", config.listen, bind, stopped)
+        stopped.cancel()
         self.config = config
+        return port is not None
 
     async def run(self) -> None:
-        """Run the workers until they are stopped and have exited. Raises OSError, ConfigError."""
-        if self.config is None:
-            self.load_first_config()
+        """Run the workers until they are stopped and have exited. Raises ConfigError."""
         for signum in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(signum, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.replace_workers)
+        if not await self.load_first_config():
+            return
         self.perform(self.supervisor.tick(self.loop.time()))
         try:
             await self.finished.wait()
@@ -159,7 +171,8 @@
 
         If anything is wrong, nothing changes.
         """
-        assert self.config is not None
+        if self.config is None:
+            return  # it is read when the address is free
         try:
             worker_count = self.get_worker_count()
             config = load_replacement(self.config_path, self.config)
--- a/tests/supervised.py
+++ b/tests/supervised.py
@@ -46,6 +46,14 @@
             peer.close()
 
 
+async def start_supervisor(config: Path, workers: int, **env: str) -> asyncio.subprocess.Process:
+    program = "import sys; from roadpulley.cli import main; sys.exit(main(sys.argv[1:]))"
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-c", program, "serve", "--config", str(config), "--workers", str(workers),
+        cwd=ROOT, env={**os.environ, **env}, stderr=asyncio.subprocess.PIPE,
+    )  # fmt: skip
+
+
 @asynccontextmanager
 async def supervised(world: World, folder: Path, workers: int = 2, **env: str) -> AsyncIterator[Supervised]:
     servers = [*world.backends, world.counter, world.discovery]
@@ -54,11 +62,7 @@
     config = folder / "config.json"
     with reserved_port() as port:
         config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port.number}"}))
-        program = "import sys; from roadpulley.cli import main; sys.exit(main(sys.argv[1:]))"
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-c", program, "serve", "--config", str(config), "--workers", str(workers),
-            cwd=ROOT, env={**os.environ, **env}, stderr=asyncio.subprocess.PIPE,
-        )  # fmt: skip
+        process = await start_supervisor(config, workers, **env)
         gateway = Supervised(process, config, port.number)
         try:
             await gateway.wait_for("serves at port", workers)
