Driver: long values and the record of a request are modules of their own

core/driver.py had grown to 584 lines with two jobs: events and actions of the decision module, and the life of long values. Now 460; core/long_values.py (on_begin, hold, check_hold, pass_on) and core/request.py hold the rest, and the look-up of the request that an attempt's value may answer stands once.

--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -13,14 +13,15 @@
 from mintford import Gateway
 from mintford import interface as api
 
-from . import long_answer
 from .backends import BackendPools
-from .clock import Timer, Timers, now_ms
-from .command import Command, HeldSink, ReplySlot, Sink, Source
+from .clock import Timers, now_ms
+from .command import Command, HeldSink, ReplySlot
 from .connection import Attempt
 from .counter import CounterClient
 from .discovery import Member
+from .long_values import LongValues
 from .outcomes import EndReason
+from .request import EndCallback, Request
 from .resp import encode_bulk
 from .usage_figures import parse_cost
 
@@ -53,9 +54,6 @@
         """Records the actual units of a request, as its answer stated them."""
 
 
-EndCallback = Callable[[], None]
-
-
 class Rights(Protocol):
     """Spends units of the limits that apply to all gateways together."""
 
@@ -83,36 +81,6 @@
         """
 
 
-class Request:
-    """An open request, which still needs its final answer."""
-
-    __slots__ = (
-        "end_callbacks",
-        "is_metered",
-        "is_streaming",
-        "received_at",
-        "command",
-        "meter_record",
-        "expires_at",
-        "open_attempts",
-        "attempt_count",
-        "attempt_limit",
-        "slot",
-        "timer",
-    )
-
-    def __init__(self, command: Command, slot: ReplySlot, expires_at: float) -> None:
-        self.command, self.slot, self.expires_at = command, slot, expires_at
-        self.received_at = expires_at - command.timeout_ms
-        self.attempt_count, self.attempt_limit = 0, 1  # the limit is the one in effect at its arrival
-        self.is_streaming = False  # a long value is being sent to the client
-        self.open_attempts: dict[int, Attempt] = {}  # by number
-        self.timer: Timer | None = None  # for its deadline
-        self.is_metered = False
-        self.meter_record: Any = None  # from `UsageMeter.record_sent`
-        self.end_callbacks: list[EndCallback] = []  # called at its end, for example to return rights
-
-
 class Driver:
     """Owns the decision module and is its only caller.
 
@@ -137,6 +105,7 @@
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # open, also those of ended requests
         self.events: deque[api.Event] = deque()
+        self.long_values = LongValues(self)
         self.is_handling = False
         self.meter: UsageMeter | None = None  # if usage is metered
         self.rights: Rights | None = None  # in a fleet only
@@ -312,90 +281,6 @@
         self.cancel_attempts(owner, EndReason.ABANDONED)
         self.run_end_callbacks(owner)
 
-    def on_long_value(self, attempt: Attempt, length: int, source: Source) -> Sink | None:
-        """A long value begins. Streamed, it is the final answer, complete or cut off, however long it takes.
-
-        Where a cut would cost other answers, it is held at first, as long as `LongAnswer` allows. Until then
-        it is an answer like a short one: replaced by another attempt if it is cut off.
-        """
-        request, number = attempt.key
-        owner = self.requests.get(request)
-        if owner is None or owner.open_attempts.get(number) is not attempt or owner.is_streaming:
-            return None
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-        answer = attempt.long_answer
-        assert answer is not None
-        if answer.state is not long_answer.State.PASSED_ON and owner.slot.has_commands_behind():
-            attempt.held_value = owner.slot.hold_value(length, source)
-            self.hold(owner, attempt)
-            return attempt.held_value
-        answer.pass_on()
-        sink = owner.slot.begin_streaming(length, source)
-        self.commit(owner, attempt)
-        return sink
-
-    def on_slow_start(self, attempt: Attempt) -> None:
-        """A long value begins whose first bytes come slowly."""
-        request, number = attempt.key
-        owner = self.requests.get(request)
-        if owner is None or owner.open_attempts.get(number) is not attempt or owner.is_streaming:
-            return
-        self.hold(owner, attempt)
-
-    def hold(self, owner: Request, attempt: Attempt) -> None:
-        """Holds a long value that has begun, until its hold deadline at the latest."""
-        answer, kind = attempt.long_answer, self.gateway.classes.get(owner.command.request_class)
-        assert answer is not None
-        if answer.hold_deadline == math.inf:
-            target_at = owner.received_at + kind.latency_target if kind is not None else owner.expires_at
-            answer.hold(now_ms(), target_at, owner.expires_at)
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-        attempt.timer = self.timers.call_at(answer.hold_deadline, partial(self.check_hold, owner, attempt))
-        request, number = attempt.key
-        self.handle_event(api.ResponseStarted(request, number, attempt.backend, is_held=True))
-
-    def check_hold(self, owner: Request, attempt: Attempt) -> None:
-        """Passes a held value on, if its hold is over and its backend gives."""
-        answer, connection = attempt.long_answer, attempt.connection
-        assert answer is not None and connection is not None
-        was_held = answer.state is long_answer.State.HELD
-        connection.note_unread_bytes()
-        now = now_ms()
-        if answer.check_hold(now) is long_answer.State.PASSED_ON:
-            return self.end_hold(owner, attempt)
-        next_check_at = max(answer.hold_deadline, now + long_answer.HOLD_CHECK_INTERVAL_MS)
-        attempt.timer = self.timers.call_at(next_check_at, partial(self.check_hold, owner, attempt))
-        if was_held:
-            self.handle_event(api.ResponseStalled(*attempt.key))
-
-    def end_hold(self, owner: Request, attempt: Attempt) -> None:
-        """Passes on what is held: a value, or the beginning of one in the buffer of its connection."""
-        if attempt.held_value is not None:
-            self.pass_on(owner, attempt)
-        elif attempt.connection is not None and attempt.long_answer is not None:
-            attempt.long_answer.pass_on()
-            attempt.connection.start_long_value()
-
-    def pass_on(self, owner: Request, attempt: Attempt) -> None:
-        """Sends a held value to its client as it comes from now on. It is the final answer."""
-        value, attempt.held_value = attempt.held_value, None
-        assert value is not None and attempt.long_answer is not None
-        attempt.long_answer.pass_on()
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-        self.commit(owner, attempt)
-        owner.slot.pass_on(value)
-
-    def commit(self, owner: Request, attempt: Attempt) -> None:
-        """The value of this attempt is the final answer of its request from now on, whole or cut off."""
-        owner.is_streaming = attempt.streams_value = True
-        if owner.timer is not None:
-            owner.timer.cancel()
-        request, number = attempt.key
-        self.handle_event(api.ResponseStarted(request, number, attempt.backend))
-
     def on_ended(
         self,
         owner: Request,
@@ -506,12 +391,12 @@
             owner.expires_at,
             ended,
             key,
-            self.on_long_value,
+            self.long_values.on_begin,
             action.send_deadline,
             self.is_client_waiting,
             command.long_body,
             on_sent=partial(self.meter_sent, owner) if self.meter is not None else None,
-            on_slow_start=self.on_slow_start,
+            on_slow_start=self.long_values.on_slow_start,
         )
         for other in owner.open_attempts.values():
             # Whichever comes whole first runs first, and the others repeat it.
@@ -569,14 +454,7 @@
 
         Values that are held and still come are passed on.
         """
-        now = now_ms()
-        for attempt in list(self.attempts.values()):
-            owner = self.requests.get(attempt.key[0])
-            if owner is None or owner.is_streaming or owner.open_attempts.get(attempt.key[1]) is not attempt:
-                continue
-            answer = attempt.long_answer
-            if answer is not None and answer.is_giving(now):
-                self.end_hold(owner, attempt)
+        self.long_values.pass_on_all()
         unanswered = [request for request, owner in self.requests.items() if not owner.is_streaming]
         for request in unanswered:
             self.finish(request, FAILED)
