--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -39,6 +39,7 @@
 from roadpulley.core.clock import now_ms
 from roadpulley.core.resp import CommandReader, MalformedError, encode_bulk
 
+from .body_grant import BODY_TIMEOUT_MS, BodyGrant
 from .close_reasons import CloseReason
 from .request_parser import REQUEST_VERBS
 from .slots import Slot, StreamingReply
@@ -50,7 +51,6 @@
 MAX_PENDING_COMMANDS = 32  # commands without a reply
 MAX_PENDING_COMMAND_BYTES = 128 * 1024  # total size of these commands
 MAX_UNSENT_BYTES = 128 * 1024  # replies that the client has not read
-BODY_TIMEOUT_MS = 30_000.0  # for receiving a long body, and for the wait until its memory is granted
 # From the connection's start, or a command's first byte, until the command is complete. A client may take 2 s
 # for the head of a request, and an incomplete one must end within 3 s of connecting, including a sweep
 # interval.
@@ -91,8 +91,7 @@
         self.discarded_bytes = 0  # read in state LINGERING
         self.streaming_replies = 0  # replies being streamed
         self.has_streamed = False  # a streamed reply has ended
-        self.body_grant_bytes = 0  # of the memory budget, for a long body that is incomplete
-        self.body_granted_at = 0.0
+        self.body_grant = BodyGrant(server.body_budget)  # for a long body that is incomplete
         self.unsent = bytearray()
         self.state = OPEN
         self.is_reading = self.is_writing = self.is_advancing = self.has_unparsed_bytes = False
@@ -185,11 +184,8 @@
                         continue
                     self.has_unparsed_bytes = False
                     if self.reader.wanted_body_bytes or self.reader.is_reading_body:
-                        # A long body has a timeout between its pieces and one in total.
                         if not self.reader.wanted_body_bytes:
-                            self.command_deadline = min(
-                                now_ms() + COMMAND_TIMEOUT_MS, self.body_granted_at + BODY_TIMEOUT_MS
-                            )
+                            self.command_deadline = self.body_grant.get_deadline(COMMAND_TIMEOUT_MS)
                     elif not self.reader.buffered_bytes:
                         self.command_deadline = None
                     elif self.command_deadline is None:
@@ -202,23 +198,18 @@
 
     def _request_body_grant(self) -> bool:
         """Request memory for a long body; returns whether it was granted at once."""
-        size = self.reader.wanted_body_bytes
         try:
-            granted = self.server.body_budget.acquire(self, size, self._on_body_granted)
+            granted = self.body_grant.request(self.reader.wanted_body_bytes, self._on_body_granted)
         except ValueError:
             raise MalformedError("length of an argument") from None
         if granted:
-            self._start_body(size)
+            self.reader.grant_body()
         else:
             self.command_deadline = now_ms() + BODY_TIMEOUT_MS
         return granted
 
-    def _start_body(self, size: int) -> None:
-        self.body_grant_bytes, self.body_granted_at = size, now_ms()
-        self.reader.grant_body()
-
     def _on_body_granted(self) -> None:
-        self._start_body(self.reader.wanted_body_bytes)
+        self.reader.grant_body()
         self.has_unparsed_bytes = True
         self.advance()
 
@@ -309,7 +300,8 @@
         """Handle one complete command: a request goes to the handler, anything else is answered here."""
         body = self.reader.take_body()
         slot = Slot(self, sum(map(len, args)) + (len(body) if body else 0))
-        slot.body_grant_bytes, self.body_grant_bytes = self.body_grant_bytes, 0
+        if body is not None:
+            slot.body_grant_bytes = self.body_grant.hand_over()
         self.pending_bytes += slot.size
         self.slots.append(slot)
         verb = args[0].upper()
@@ -476,7 +468,7 @@
         """Shut down the sending side, then discard what arrives until the client closes."""
         self.state, self.command_deadline, self.last_progress_at = LINGERING, None, now_ms()
         self.reader = CommandReader()
-        self._release_body_grant()
+        self.body_grant.cancel()
         try:
             self.socket.shutdown(socket.SHUT_WR)
         except OSError:
@@ -488,13 +480,6 @@
             self.server.loop.remove_reader(self.fd)
         self.server.loop.add_reader(self.fd, self._discard)
 
-    def _release_body_grant(self) -> None:
-        """Return the memory of an incomplete long body, or withdraw the request for it."""
-        self.server.body_budget.cancel_wait(self)
-        if self.body_grant_bytes:
-            self.server.body_budget.release(self.body_grant_bytes)
-            self.body_grant_bytes = 0
-
     def _discard(self) -> None:
         try:
             count = self.socket.recv_into(self.server.read_buffer)
@@ -520,7 +505,7 @@
         self.unsent = bytearray()
         self.server.streaming_replies -= self.streaming_replies
         self.streaming_replies = 0
-        self._release_body_grant()
+        self.body_grant.cancel()
         self._abandon_commands()
 
     def _record_unanswered(self, reason: CloseReason, count: int) -> None:
--- a/setup.py
+++ b/setup.py
@@ -36,6 +36,7 @@
     "roadpulley/core/request.py",
     "roadpulley/core/resp.py",
     "roadpulley/edges/resp_server.py",
+    "roadpulley/edges/body_grant.py",
     "roadpulley/edges/connection.py",
     "roadpulley/edges/slots.py",
     "roadpulley/edges/request_parser.py",
--- a/tests/edges/test_connection_close.py
+++ b/tests/edges/test_connection_close.py
@@ -394,7 +394,9 @@
         server.body_budget.reserved = reserved_elsewhere  # reserved by others
         client = RawClient(world.port)
         client.write(encode(*request(b"long", name=b"keyed", body=b"x" * length)).split(b"x" * 64)[0])
-        await until(lambda: any(c.body_grant_bytes or c.reader.wanted_body_bytes for c in server.connections))
+        await until(
+            lambda: any(c.body_grant.granted_bytes or c.reader.wanted_body_bytes for c in server.connections)
+        )
         (accepted,) = server.connections
         accepted.finish_commands()
         assert await client.read_to_end() == b"" and not client.reset
