--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -122,7 +122,6 @@
         self.reader.feed(data)
         self.has_unparsed_bytes = True
         self.advance()
-        self._count_unparsed()
 
     def _count_unparsed(self) -> None:
         """Keep the server's sum of what was received and not parsed."""
@@ -167,6 +166,8 @@
                 self.start_lingering()
             elif self.server.draining and self.is_at_rest:
                 self.close_for_drain()
+        if not self.is_closed:
+            self._count_unparsed()
         self._update_reading()
 
     def _is_blocked(self) -> bool:
@@ -314,7 +315,7 @@
 
     def handle_command(self, args: list[bytes]) -> None:
         """Handle one complete command: a request goes to the handler, anything else is answered here."""
-        body = self.reader.take_body()
+        body, was_skipped = self.reader.take_body(), self.reader.take_skipped()
         slot = Slot(self, sum(map(len, args)) + (len(body) if body else 0))
         if body is not None:
             slot.body_grant_bytes = self.body_grant.hand_over()
@@ -323,7 +324,7 @@
         verb = args[0].upper()
         self.awaits_first_request = self.awaits_first_request and verb in SETUP_COMMANDS
         if verb in REQUEST_VERBS:
-            if self.reader.take_skipped():
+            if was_skipped:
                 self.server.refusals["no memory for its value"] += 1
                 self.server.note_request(self)
                 slot.class_name = self.server.find_class(args)
--- a/tests/edges/test_long_bodies.py
+++ b/tests/edges/test_long_bodies.py
@@ -288,3 +288,41 @@
 def test_buffers_are_a_part_of_what_the_limit_leaves(memory_mb: int) -> None:
     """Incomplete answers and unsent replies are bounded by it each, and half of it again by three budgets."""
     assert compute_buffer_bytes(memory_mb) <= max(memory_mb - IDLE_MEMORY_MB, 8) / 4 * MIB
+
+
+def test_what_was_parsed_later_is_not_counted_as_unparsed_while_its_connection_rests() -> None:
+    """Guards against small reads for ever, as commands that waited on their connection stay counted."""
+
+    async def scenario() -> None:
+        with server_seen() as servers:
+            async with running(World(*(Backend() for _ in range(4)))) as world:
+                peer = await world.client()
+                count = 3 * connection.MAX_PENDING_COMMANDS
+                peer.writer.write(b"".join(encode_request(b"%d" % n, b"x" * 200) for n in range(count)))
+                await until(lambda: servers[0].unparsed_bytes)
+                for _ in range(count):
+                    assert await peer.receive() is not None
+                assert not servers[0].unparsed_bytes
+
+    in_loop(scenario)
+
+
+def test_a_body_that_was_dropped_says_nothing_of_the_next_command() -> None:
+    """Its command is no request, and gets its own error."""
+
+    async def scenario() -> None:
+        with server_seen() as servers:
+            async with running(World(Backend())) as world:
+                budget = servers[0].short_body_budget
+                budget.reserved = budget.capacity  # reserved by others
+                peer = await world.client()
+                peer.writer.write(
+                    encode_request(b"1", make_body(MAX_VALUE_BYTES)).replace(b"API.WRITE", b"API.OTHER")
+                )
+                assert str(await peer.receive()) == "ERR unknown command"
+                budget.reserved = 0
+                assert await world.ask(peer, id=b"2") == b"value"
+                assert await world.ask(peer, id=b"3", name=b"wipe", body=make_body(MIB)) == b"value"
+                assert [command[2] for command in world.backends[0].got] == [b"2", b"3"]
+
+    in_loop(scenario)
