Log: reasons of attempts' ends, retries, refusals and closes, by request, told when an answer breaks

A bounded ring in memory keeps each unusual event with its reason; a request that is answered in its first attempt leaves none. When a long value breaks, or a request's time is over without an answer, the log names the request and its events, ten times a second at most.

One planted mistake of test_outcomes.py replaces a function that has one more argument now.

--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -134,6 +134,7 @@
         """Sends an attempt on an idle connection, or on a new one if there is none."""
         host = self.hosts.get(attempt.backend)
         if host is None or not host.accepts_new_requests(now_ms()):
+            attempt.end_detail = EndReason.UNAVAILABLE.value
             return attempt.end(resolve_outcome(Stage.CONNECTING, EndReason.UNAVAILABLE))
         now = now_ms()
         for index in range(len(host.idle) - 1, -1, -1):  # the last used first, once it has idle_ms
@@ -151,11 +152,13 @@
             self.close_oldest()
         if len(self.connections) >= self.max_connections:
             # Failing one request is better than running out of descriptors.
+            attempt.end_detail = "no descriptor left for backends"
             return attempt.end(resolve_outcome(Stage.CONNECTING, EndReason.CONNECTION_ERROR))
         try:
             self.connections.add(Connection(self, host, attempt))
         except OSError as error:
             self.connect_errors[error.strerror or "unknown"] += 1
+            attempt.end_detail = f"no connection: {error.strerror}"
             attempt.end(resolve_outcome(Stage.CONNECTING, EndReason.CONNECTION_ERROR))
 
     def cancel_attempt(self, attempt: Attempt, reason: EndReason) -> None:
@@ -213,7 +216,7 @@
                 connection.note_unread_bytes()
             if answer is not None and now > answer.get_stall_deadline():
                 self.answer_errors["a long value that did not go on"] += 1
-                connection.end(EndReason.CONNECTION_ERROR)
+                connection.end(EndReason.CONNECTION_ERROR, "its long value does not go on")
         self.is_stall_check_scheduled = bool(self.long_values)
         if self.is_stall_check_scheduled:
             self.timers.call_at(now + STALL_CHECK_INTERVAL_MS, self.check_stalled_values)
@@ -241,4 +244,4 @@
     def close(self) -> None:
         """Closes all connections and ends their attempts."""
         for connection in list(self.connections):
-            connection.end(EndReason.CONNECTION_ERROR)
+            connection.end(EndReason.CONNECTION_ERROR, "this process ends")
--- a/roadpulley/core/connection.py
+++ b/roadpulley/core/connection.py
@@ -72,6 +72,7 @@
     on_sent: Callable[[], None] | None = None  # called when the last byte has been written
     # Called when a long value begins whose first bytes come slowly.
     on_slow_start: Callable[[Attempt], None] | None = None
+    end_detail: str = ""  # why it ended, for the log
 
     def end(self, outcome: Outcome, value: bytes = b"") -> None:
         """Ends the attempt. Only the first call has an effect."""
@@ -133,7 +134,7 @@
             self.timer.cancel()
         # Data that arrived before the request is no answer to it, and would be served as one.
         if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or not self.is_alive():
-            return self.end(EndReason.CONNECTION_ERROR)
+            return self.end(EndReason.CONNECTION_ERROR, "not established")
         self.is_connected = True
         self.pool.loop.add_reader(self.fd, self._on_readable)
         attempt = self.attempt
@@ -205,8 +206,8 @@
             sent = self.socket.send(self.unsent)
         except (BlockingIOError, InterruptedError):
             sent = 0
-        except OSError:
-            return self.end(EndReason.CONNECTION_ERROR)
+        except OSError as error:
+            return self.end(EndReason.CONNECTION_ERROR, f"send failed: {error.strerror}")
         self.unsent = self.unsent[sent:]
         if not self.unsent and self.body is not None:
             self.unsent, self.body = self.body, None  # not empty in between: the last byte isn't sent yet
@@ -225,16 +226,17 @@
 
     def _on_readable(self) -> None:
         view = self.pool.read_view if self.sink is None else self.pool.read_view[: self.sink.free_bytes()]
+        end_detail = "closed by the backend"
         try:
             count = self.socket.recv_into(view)
         except (BlockingIOError, InterruptedError):
             return
-        except OSError:
-            count = 0
+        except OSError as error:
+            count, end_detail = 0, f"receive failed: {error.strerror}"
         if not count:
             if self.attempt is not None and not self.answer:
                 self.pool.idle_limit.record(self.idle_before_ms, True)
-            return self.end(EndReason.CONNECTION_ERROR)
+            return self.end(EndReason.CONNECTION_ERROR, end_detail)
         if self.attempt is None:
             self.pool.answer_errors["data without a request"] += 1
             return self.close()
@@ -246,7 +248,7 @@
             )
         except MalformedError as error:
             self.pool.answer_errors[str(error)] += 1
-            return self.end(EndReason.CONNECTION_ERROR)
+            return self.end(EndReason.CONNECTION_ERROR, str(error))
         # Streaming a value may reveal that the client has disconnected, which ends the attempt.
         if answer is not None and self.attempt is not None:
             self._complete(self.attempt, answer)
@@ -370,10 +372,21 @@
             return Stage.CONNECTING
         return Stage.SENDING if self.unsent else Stage.SENT
 
-    def end(self, reason: EndReason) -> None:
-        """Closes the connection before it ends the attempt, so that two attempts never run at once."""
+    def describe_progress(self) -> str:
+        """How far the attempt has got, for the log."""
+        if self.long_value is not None:
+            return f"{self.long_value.remaining_bytes} bytes of its long value missing"
+        return f"{self.get_stage().value}, {len(self.answer)} bytes of its answer received"
+
+    def end(self, reason: EndReason, detail: str = "") -> None:
+        """Closes the connection before it ends the attempt, so that two attempts never run at once.
+
+        `detail`: what the reason doesn't tell, for the log.
+        """
         outcome = resolve_outcome(self.get_stage(), reason)
         attempt, self.attempt = self.attempt, None
+        if attempt is not None:
+            attempt.end_detail = f"{detail or reason.value}; {self.describe_progress()}"
         if attempt is not None and self.has_unsent_in_kernel():
             # Otherwise the kernel would go on sending, and the backend could begin a request given up here.
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -19,6 +19,7 @@
 from .connection import Attempt
 from .counter import CounterClient
 from .discovery import Member
+from .event_ring import EventKind
 from .long_values import LongValues
 from .outcomes import EndReason
 from .request import EndCallback, Request
@@ -100,6 +101,7 @@
         self.gateway, self.settings = Gateway(settings, seed), settings
         self.timers = timers
         self.backends = backends
+        self.event_ring = backends.stats.events
         self.counter = counter
         self.max_open_requests = max_open_requests
         self.requests: dict[str, Request] = {}
@@ -267,7 +269,7 @@
         self.cancel_attempts(owner, EndReason.ATTEMPT_TIMEOUT)
         if self.requests.get(request) is owner:
             # Only a bug leaves a request unanswered here, but its client must still get an answer.
-            log.error("request %s expired without an answer", request)
+            self.event_ring.report(request, "its time is over, and the decision module gave no answer")
             self.finish(request, FAILED)
             self.handle_event(api.RequestAbandoned(request))
 
@@ -303,6 +305,8 @@
         if finished:
             self.run_end_callbacks(owner)
         lag = now_ms() - sent_at
+        if outcome is not api.Outcome.OK:
+            self.record_attempt_end(attempt, outcome)
         if self.attempt_observer is not None:
             self.attempt_observer.record(attempt.backend, outcome, lag)
         cost = (
@@ -320,6 +324,18 @@
             owner.meter_record = None
         self.handle_event(api.AttemptEnded(request, number, attempt.backend, outcome, lag, finished, cost))
 
+    def record_attempt_end(self, attempt: Attempt, outcome: api.Outcome) -> None:
+        """Keeps why an attempt ended without a value. One that broke its client's answer is reported."""
+        request, number = attempt.key
+        self.event_ring.record(
+            EventKind.ATTEMPT_ENDED,
+            request,
+            f"attempt {number} at backend {attempt.backend}: {outcome.value},",
+            attempt.end_detail,
+        )
+        if attempt.streams_value:
+            self.event_ring.report(request, "its long value broke")
+
     def on_counter_reply(self, name: str, outcome: api.Outcome, total: float) -> None:
         """A call to the counter has ended."""
         self.handle_event(api.CounterReplied(name, outcome, total))
@@ -334,11 +350,13 @@
     def refuse(self, action: api.Refuse) -> None:
         """Answers a request with `-BUSY`."""
         self.refusals[action.reason.value] += 1
+        self.event_ring.record(EventKind.REFUSED, action.request, action.reason.value)
         self.finish(action.request, encode_busy(action.retry_after))
 
     def fail(self, action: api.Fail) -> None:
         """Answers a request with an error, as it may have run."""
         self.refusals[action.reason.value] += 1
+        self.event_ring.record(EventKind.FAILED, action.request, action.reason.value)
         self.finish(action.request, FAILED)
 
     def set_timer(self, action: api.SetTimer) -> None:
@@ -383,6 +401,8 @@
             number, ignored = owner.attempt_count if owner else action.attempt, api.Outcome.IGNORED
             return self.handle_event(api.AttemptEnded(request, number, backend, ignored, 0.0, owner is None))
         number, owner.attempt_count = owner.attempt_count, owner.attempt_count + 1
+        if number:
+            self.event_ring.record(EventKind.RETRIED, request, f"attempt {number} to backend {backend}")
         ended = partial(self.on_ended, owner, number, now)
         key, command = (request, number), owner.command
         attempt = Attempt(
--- a/roadpulley/core/long_values.py
+++ b/roadpulley/core/long_values.py
@@ -15,6 +15,7 @@
 from .clock import now_ms
 from .command import Sink, Source
 from .connection import Attempt
+from .event_ring import EventKind
 from .long_answer import HOLD_CHECK_INTERVAL_MS, State
 from .request import Request
 
@@ -43,13 +44,22 @@
         assert answer is not None
         if answer.state is not State.PASSED_ON and owner.slot.has_commands_behind():
             attempt.held_value = owner.slot.hold_value(length, source)
+            self.record(EventKind.VALUE_HELD, attempt, f"{length} bytes, commands stand behind it")
             self.hold(owner, attempt)
             return attempt.held_value
         answer.pass_on()
         sink = owner.slot.begin_streaming(length, source)
+        self.record(EventKind.VALUE_BEGAN, attempt, f"{length} bytes")
         self.commit(owner, attempt)
         return sink
 
+    def record(self, kind: EventKind, attempt: Attempt, detail: str) -> None:
+        """Keeps a change of state of a long value."""
+        request, number = attempt.key
+        self.driver.event_ring.record(
+            kind, request, f"attempt {number} from backend {attempt.backend}: {detail}"
+        )
+
     def on_slow_start(self, attempt: Attempt) -> None:
         """A long value begins whose first bytes come slowly."""
         owner = self.find_waiting_request(attempt)
@@ -108,6 +118,7 @@
         attempt.long_answer.pass_on()
         if attempt.timer is not None:
             attempt.timer.cancel()
+        self.record(EventKind.VALUE_PASSED_ON, attempt, "at the end of its hold")
         self.commit(owner, attempt)
         owner.slot.pass_on(value)
 
--- a/roadpulley/core/request_stats.py
+++ b/roadpulley/core/request_stats.py
@@ -1,14 +1,16 @@
-"""Counters of answers, attempts and closed connections since the start of this process."""
+"""Counters of answers, attempts and closed connections since the start, and the last unusual events."""
 
 from __future__ import annotations
 
+from .event_ring import EventRing
+
 SERVED = 0
 REFUSED = 1
 FAILED = 2
 
 
 class RequestStats:
-    """Final answers by class and outcome, and the attempts that were sent completely.
+    """Final answers by class and outcome, the attempts that were sent completely, and unusual events.
 
     A class is never removed: its counts remain valid when the settings drop it.
     """
@@ -16,6 +18,7 @@
     def __init__(self) -> None:
         self.answers: dict[str, list[int]] = {}  # by class: served, refused, failed
         self.attempts_sent = 0
+        self.events = EventRing()
         self.unanswered_at_close: dict[str, int] = {}  # commands and unread replies, by reason of the close
 
     def add_class(self, request_class: str) -> None:
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -37,6 +37,7 @@
 from typing import TYPE_CHECKING
 
 from roadpulley.core.clock import now_ms
+from roadpulley.core.event_ring import EventKind
 from roadpulley.core.resp import MAX_VALUE_BYTES, CommandReader, MalformedError, encode_bulk
 
 from .body_grant import BodyGrant, get_wait_ms
@@ -362,7 +363,7 @@
         Earlier replies may still be unsent, or in flight: an immediate close would destroy them.
         """
         self._record_unanswered(CloseReason.VALUE_BROKEN, len(self.slots) - 1)
-        self._abandon_commands()
+        self._abandon_commands(CloseReason.VALUE_BROKEN)
         self.state = max(self.state, FLUSHING)
         self.advance()
 
@@ -533,16 +534,17 @@
         self.reader = CommandReader()
         self._count_unparsed()
         self.body_grant.cancel()
-        self._abandon_commands()
+        self._abandon_commands(reason)
 
     def _record_unanswered(self, reason: CloseReason, count: int) -> None:
         if count:
             self.server.request_stats.record_unanswered(reason.value, count)
 
-    def _abandon_commands(self) -> None:
+    def _abandon_commands(self, reason: CloseReason) -> None:
         """Give up all commands without a reply, and report open requests to the handler."""
         slots, self.slots = self.slots, deque()
         for slot in slots:
             slot.discard()
             if slot.request is not None:
+                self.server.request_stats.events.record(EventKind.CLIENT_CLOSED, slot.request, reason.value)
                 self.server.handler.on_client_gone(slot.request)
--- a/setup.py
+++ b/setup.py
@@ -29,6 +29,7 @@
     "roadpulley/core/connection.py",
     "roadpulley/core/counter.py",
     "roadpulley/core/driver.py",
+    "roadpulley/core/event_ring.py",
     "roadpulley/core/idle_limit.py",
     "roadpulley/core/long_answer.py",
     "roadpulley/core/long_values.py",
--- a/tests/core/test_outcomes.py
+++ b/tests/core/test_outcomes.py
@@ -417,8 +417,8 @@
     "idle connections are not looked at": (Connection, "is_alive", lambda self: True),
     "nothing is checked again before the first byte": (Connection, "write", blind_write),
     "a connection leads wherever the host is": (BackendPools, "is_current", lambda self, connection: True),
-    "an ended attempt stays on its connection": (Connection, "end", lambda self, reason: self.attempt and
-        self.attempt.end(resolve_outcome(self.get_stage(), reason))),
+    "an ended attempt stays on its connection": (Connection, "end", lambda self, reason, detail="":
+        self.attempt and self.attempt.end(resolve_outcome(self.get_stage(), reason))),
 }  # fmt: skip
 
 
