Connections: a reader is called again until it has read a reset that lies behind unread bytes

Cause: libuv stops to poll a descriptor on which the kernel reports an error, and uvloop calls its reader once. Backend and client connections read a bounded piece and count on the next call. One owner of a watched socket now, core/socket_watcher.py, for both: after each call it asks for the TCP state, and calls the reader itself once that is CLOSE, until reading is turned off. Not taken: reading until EAGAIN (the pieces are bounded on purpose), and asyncio's own loop (a change of all CPU figures).

--- a/roadpulley/core/connection.py
+++ b/roadpulley/core/connection.py
@@ -32,6 +32,7 @@
     parse_answer,
     parse_long_value_header,
 )
+from .socket_watcher import SocketWatcher
 
 if TYPE_CHECKING:
     from .backends import BackendPools, Host
@@ -113,6 +114,7 @@
         self.idle_before_ms: float | None = None  # before the current request; None: new connection
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.fd = self.socket.fileno()
+        self.watcher = SocketWatcher(pool.loop, self.socket)
         attempt.connection = self
         try:
             self.socket.setblocking(False)
@@ -126,17 +128,17 @@
         self.timer: asyncio.TimerHandle | None = pool.loop.call_later(
             pool.connect_timeout_ms / 1000, self.end, EndReason.CONNECT_TIMEOUT
         )
-        pool.loop.add_writer(self.fd, self._on_connected)
+        self.watcher.start_writing(self._on_connected)
 
     def _on_connected(self) -> None:
-        self.pool.loop.remove_writer(self.fd)
+        self.watcher.stop_writing()
         if self.timer is not None:
             self.timer.cancel()
         # Data that arrived before the request is no answer to it, and would be served as one.
         if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) or not self.is_alive():
             return self.end(EndReason.CONNECTION_ERROR, "not established")
         self.is_connected = True
-        self.pool.loop.add_reader(self.fd, self._on_readable)
+        self.watcher.start_reading(self._on_readable)
         attempt = self.attempt
         assert attempt is not None
         if attempt.is_client_waiting is None or attempt.is_client_waiting(attempt):
@@ -220,9 +222,9 @@
         if bool(self.unsent) != self.writing:
             self.writing = not self.writing
             if self.writing:
-                self.pool.loop.add_writer(self.fd, self._continue_sending)
+                self.watcher.start_writing(self._continue_sending)
             else:
-                self.pool.loop.remove_writer(self.fd)
+                self.watcher.stop_writing()
 
     def _on_readable(self) -> None:
         view = self.pool.read_view if self.sink is None else self.pool.read_view[: self.sink.free_bytes()]
@@ -322,7 +324,7 @@
             self.paused = True
             if self.long_answer is not None:
                 self.long_answer.pause()
-            self.pool.loop.remove_reader(self.fd)
+            self.watcher.stop_reading()
 
     def resume(self) -> None:
         """Continues reading after `pause`."""
@@ -330,7 +332,7 @@
             self.paused = False
             if self.long_answer is not None:
                 self.long_answer.resume(now_ms())
-            self.pool.loop.add_reader(self.fd, self._on_readable)
+            self.watcher.start_reading(self._on_readable)
 
     def _complete(self, attempt: Attempt, answer: Answer) -> None:
         self.discard_answer()
@@ -406,8 +408,7 @@
         self.discard_answer()
         if self.timer is not None:
             self.timer.cancel()
-        self.pool.loop.remove_reader(self.fd)
-        self.pool.loop.remove_writer(self.fd)
+        self.watcher.close()
         self.socket.close()
         self.pool.remove_connection(self)
 
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -39,6 +39,7 @@
 from roadpulley.core.clock import now_ms
 from roadpulley.core.event_ring import EventKind
 from roadpulley.core.resp import MAX_VALUE_BYTES, CommandReader, MalformedError, encode_bulk
+from roadpulley.core.socket_watcher import TCP_ESTABLISHED, UNKNOWN_STATE, SocketWatcher, get_tcp_state
 
 from .body_grant import BodyGrant, get_wait_ms
 from .close_reasons import CloseReason
@@ -78,7 +79,6 @@
 FLUSHING = 1
 LINGERING = 2
 CLOSED = 3
-TCP_ESTABLISHED = 1  # the state number in the kernel's struct tcp_info
 
 
 class ClientConnection:
@@ -86,6 +86,7 @@
 
     def __init__(self, server: RespServer, accepted: socket.socket) -> None:
         self.server, self.socket, self.fd = server, accepted, accepted.fileno()
+        self.watcher = SocketWatcher(server.loop, accepted)
         self.reader = CommandReader()
         self.slots: deque[Slot] = deque()
         self.pending_bytes = 0  # total size of the commands in `slots`
@@ -291,17 +292,17 @@
         if bool(self.unsent) != self.is_writing:
             self.is_writing = not self.is_writing
             if self.is_writing:
-                self.server.loop.add_writer(self.fd, self._on_writable)
+                self.watcher.start_writing(self._on_writable)
             else:
-                self.server.loop.remove_writer(self.fd)
+                self.watcher.stop_writing()
 
     def _update_reading(self) -> None:
         if self.state < LINGERING and (should_read := not self._is_blocked()) != self.is_reading:
             self.is_reading = should_read
             if should_read:
-                self.server.loop.add_reader(self.fd, self._on_readable)
+                self.watcher.start_reading(self._on_readable)
             else:
-                self.server.loop.remove_reader(self.fd)
+                self.watcher.stop_reading()
 
     def refuse_protocol(self, reason: str) -> None:
         """Refuse malformed input with an error reply; earlier commands still get their replies.
@@ -406,11 +407,7 @@
         end may also lie behind unread bytes. Only the kernel's TCP state shows it.
         """
         if self.state < LINGERING:
-            try:
-                tcp_info = self.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-            except OSError:
-                return False  # not a TCP socket: only reading shows the end
-            if tcp_info and tcp_info[0] != TCP_ESTABLISHED:
+            if get_tcp_state(self.socket) not in (TCP_ESTABLISHED, UNKNOWN_STATE):
                 self.close(CloseReason.CLIENT_LEFT)
         return self.state >= LINGERING
 
@@ -500,11 +497,8 @@
         except OSError:
             return self.close(CloseReason.CLIENT_LEFT)
         self.server.add_lingering(self)
-        if not self.is_reading:
-            self.is_reading = True
-        else:
-            self.server.loop.remove_reader(self.fd)
-        self.server.loop.add_reader(self.fd, self._discard)
+        self.is_reading = True
+        self.watcher.start_reading(self._discard)
 
     def _discard(self) -> None:
         try:
@@ -523,8 +517,7 @@
             return
         self._record_unanswered(reason, len(self.slots) + bool(self.unsent))
         self.state = CLOSED
-        self.server.loop.remove_reader(self.fd)
-        self.server.loop.remove_writer(self.fd)
+        self.watcher.close()
         self.socket.close()
         self.server.remove_connection(self)
         self.server.unsent_bytes -= len(self.unsent)
--- a/setup.py
+++ b/setup.py
@@ -36,6 +36,7 @@
     "roadpulley/core/outcomes.py",
     "roadpulley/core/request.py",
     "roadpulley/core/resp.py",
+    "roadpulley/core/socket_watcher.py",
     "roadpulley/edges/resp_server.py",
     "roadpulley/edges/body_grant.py",
     "roadpulley/edges/connection.py",
