Long values: what lies unread at a time limit is read, as counting it postponed the limit for ever

At the limit the gateway looked whether bytes lay unread and counted them as given now (for a process that was suspended); where the reader is not called, they lie there at each look. Now the look reads. A value whose reader is taken from the loop ends in the test; it waited on before (time-out after 3 s, with the limit at 0.3 s). The test of a suspended process is unchanged and passes.

--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -212,9 +212,10 @@
         now = now_ms()
         for connection in list(self.long_values):
             answer = connection.long_answer
-            if answer is not None and now > answer.get_stall_deadline():
-                connection.note_unread_bytes()
-            if answer is not None and now > answer.get_stall_deadline():
+            if answer is None or now <= answer.get_stall_deadline():
+                continue
+            connection.read_now()
+            if connection.long_answer is answer and now > answer.get_stall_deadline():
                 self.answer_errors["a long value that did not go on"] += 1
                 connection.end(EndReason.CONNECTION_ERROR, "its long value does not go on")
         self.is_stall_check_scheduled = bool(self.long_values)
--- a/roadpulley/core/connection.py
+++ b/roadpulley/core/connection.py
@@ -351,10 +351,14 @@
         attempt.usage = answer.usage
         attempt.end(outcome, answer.value or b"")
 
-    def note_unread_bytes(self) -> None:
-        """Counts bytes that lie unread as given now. This process may have been suspended before."""
-        if self.long_answer is not None and not self.is_alive():
-            self.long_answer.record_bytes(now_ms())
+    def read_now(self) -> None:
+        """Reads what lies unread, as far as reading is on: this process may have been suspended before.
+
+        It may end the attempt. Counting unread bytes without reading them would postpone a time limit for
+        ever where the reader isn't called.
+        """
+        if not (self.closed or self.paused):
+            self._on_readable()
 
     def _free_buffer(self) -> None:
         self.pool.buffered_bytes -= len(self.answer)
--- a/roadpulley/core/long_values.py
+++ b/roadpulley/core/long_values.py
@@ -93,8 +93,10 @@
         """Passes a held value on, if its hold is over and its backend gives."""
         answer, connection = attempt.long_answer, attempt.connection
         assert answer is not None and connection is not None
-        was_held = answer.state is State.HELD
-        connection.note_unread_bytes()
+        was_held, timer = answer.state is State.HELD, attempt.timer
+        connection.read_now()
+        if attempt.has_ended or attempt.streams_value or attempt.timer is not timer:
+            return  # what was read has changed its state
         now = now_ms()
         if answer.check_hold(now) is State.PASSED_ON:
             return self.end_hold(owner, attempt)
--- a/tests/edges/test_long_values.py
+++ b/tests/edges/test_long_values.py
@@ -268,6 +268,38 @@
     in_loop(scenario)
 
 
+# Report c39a3a, related: bytes that lay unread counted as progress for ever, so no limit ended the value.
+def test_a_value_ends_although_its_reader_is_not_called_any_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(long_answer, "STALL_TIMEOUT_MS", 300.0)
+
+    async def scenario() -> None:
+        go_on = asyncio.Event()
+
+        async def script(writer: asyncio.StreamWriter) -> bool:
+            whole = encode_reply(make_value(MIB))
+            writer.write(whole[:100_000])
+            await go_on.wait()
+            writer.write(whole[100_000:150_000])
+            await asyncio.Event().wait()
+            return True
+
+        with server_seen() as servers:
+            async with running(world(script)) as w:
+                driver = servers[0].handler
+                assert isinstance(driver, Driver)
+                peer = await w.client()
+                peer.send(*request())
+                await peer.reader.readexactly(90_000)
+                (connection,) = driver.backends.long_values
+                asyncio.get_running_loop().remove_reader(connection.fd)
+                go_on.set()
+                async with asyncio.timeout(3):
+                    while await peer.reader.read(65536):
+                        pass
+
+    in_loop(scenario)
+
+
 def test_a_client_disconnect_during_a_stream_ends_the_attempt() -> None:
     in_loop(disconnect_during_stream)
 
