Overdue watch: what is past its last possible end is named, counted and ended

What two looks in a row find overdue by 0.5 s is told in the log with its events, counted in METRICS (overdue.KIND) and ended.

test_a_worker_that_never_ends_a_request_is_killed_in_time plants a request that nothing ends; the new watch ends it first, with an error to its client. The test is about the supervisor, so it now takes the watch away as well; its bounds and checks are unchanged.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -33,6 +33,7 @@
 from .operations.lifecycle import DrainTimes, Event, Lifecycle
 from .operations.listen_retry import listen_with_retries
 from .operations.operator_server import OperatorServer
+from .operations.overdue_watch import OverdueWatch
 
 if TYPE_CHECKING:
     from .operations.link import Link
@@ -250,6 +251,7 @@
         controller.dispatch_event(Event.STOP_REQUESTED)  # before any client could connect
     else:
         driver.start_lag_monitor()
+        OverdueWatch(timers, driver, server).start()
         gc.collect()
         gc.freeze()  # exempts the loaded modules from garbage collection pauses
         gc.set_threshold(*GC_THRESHOLDS)
--- a/roadpulley/core/backends.py
+++ b/roadpulley/core/backends.py
@@ -189,6 +189,12 @@
         if connection in connection.host.idle:
             connection.host.idle.remove(connection)
 
+    def get_latest_idle_end(self, connection: Connection, now: float) -> float:
+        """When a connection without an attempt must have been closed or used, in Unix milliseconds."""
+        if connection not in connection.host.idle:
+            return now  # nothing would ever use or close it
+        return connection.idle_since + self.max_idle_ms + SWEEP_INTERVAL_MS
+
     def close_idle(self, host: Host) -> None:
         """Closes the idle connections to a backend."""
         for connection in list(host.idle):
--- a/roadpulley/core/command.py
+++ b/roadpulley/core/command.py
@@ -64,6 +64,9 @@
     def get_stream_deadline(self) -> float:
         """When a streamed answer ends unless its client takes a byte before, in Unix milliseconds."""
 
+    def close_connection(self) -> None:
+        """Ends the client's connection at once, as its answer can't go on."""
+
     def hold_value(self, length: int, source: Source) -> HeldSink:
         """Starts to receive a value of `length` bytes that is not sent yet."""
 
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -273,6 +273,20 @@
             self.finish(request, FAILED)
             self.handle_event(api.RequestAbandoned(request))
 
+    def fail_overdue(self, owner: Request) -> None:
+        """Ends a request that is still open after its time, whatever it waits for."""
+        request = owner.command.id
+        self.event_ring.record(EventKind.OVERDUE, request, "no answer was given in time")
+        self.on_expired(owner)
+
+    def break_stream(self, owner: Request) -> None:
+        """Ends a streamed answer that does not go on, and with it its client's connection."""
+        self.event_ring.record(EventKind.OVERDUE, owner.command.id, "its long value does not go on")
+        self.cancel_attempts(owner, EndReason.CONNECTION_ERROR)
+        if self.requests.get(owner.command.id) is owner:  # without an attempt its stream is not told
+            owner.slot.close_connection()
+            self.on_client_gone(owner.command.id)
+
     def on_client_gone(self, request: str) -> None:
         """The client of an open request has disconnected."""
         owner = self.requests.pop(request, None)
--- a/roadpulley/core/long_values.py
+++ b/roadpulley/core/long_values.py
@@ -132,6 +132,16 @@
         request, number = attempt.key
         self.driver.handle_event(api.ResponseStarted(request, number, attempt.backend))
 
+    def get_latest_end(self, owner: Request, now: float) -> float:
+        """When the streamed answer of a request must have ended, unless bytes move until then.
+
+        Its backend is waited for while it is read, and otherwise its client.
+        """
+        for attempt in owner.open_attempts.values():
+            if attempt.streams_value and attempt.long_answer is not None:
+                return min(attempt.long_answer.get_stall_deadline(), owner.slot.get_stream_deadline())
+        return now  # without an attempt nothing would ever end it
+
     def pass_on_all(self) -> None:
         """Passes on all held values that still come, as the process ends."""
         now = now_ms()
--- a/roadpulley/core/request_stats.py
+++ b/roadpulley/core/request_stats.py
@@ -19,6 +19,7 @@
         self.answers: dict[str, list[int]] = {}  # by class: served, refused, failed
         self.attempts_sent = 0
         self.events = EventRing()
+        self.overdue: dict[str, int] = {}  # what the overdue watch ended, by its kind
         self.unanswered_at_close: dict[str, int] = {}  # commands and unread replies, by reason of the close
 
     def add_class(self, request_class: str) -> None:
--- a/roadpulley/edges/close_reasons.py
+++ b/roadpulley/edges/close_reasons.py
@@ -10,6 +10,8 @@
 |                |                                  | short                                           |
 | VALUE_BROKEN   | that value, and the commands     | "may begin to pass on a value and then fail";   |
 |                | behind it                        | for those behind see docs/QUESTIONS.md          |
+| OVERDUE        | anything                         | nothing: a fault of this program, ended by the  |
+|                |                                  | overdue watch                                   |
 | ROOM_NEEDED    | nothing: the connection is idle  | -                                               |
 | LINGER_ENDED   | nothing: all replies are written | -                                               |
 
@@ -29,5 +31,6 @@
     CLIENT_LEFT = "client_left"
     REPLIES_UNREAD = "replies_unread"
     VALUE_BROKEN = "value_broken"
+    OVERDUE = "overdue"
     ROOM_NEEDED = "room_needed"
     LINGER_ENDED = "linger_ended"
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -481,6 +481,18 @@
         elif self.is_idle and now - self.last_used_at > IDLE_TIMEOUT_MS:
             self.close_if_idle()
 
+    def get_latest_end(self) -> float:
+        """When the present state must have ended, in Unix milliseconds. Infinite while only requests wait."""
+        if self.state == LINGERING:
+            return self.last_progress_at + LINGER_TIMEOUT_MS
+        if self.unsent:
+            return self.stall_deadline()
+        if self.state == FLUSHING and not self.slots:
+            return self.last_progress_at
+        if self.state == OPEN and self.command_deadline is not None and self.is_awaiting_input:
+            return self.command_deadline
+        return math.inf
+
     def stall_deadline(self) -> float:
         """When the connection is closed unless the client reads something of its replies before."""
         timeout_ms = STREAM_STALL_TIMEOUT_MS if self.streaming_replies else WRITE_STALL_TIMEOUT_MS
--- a/roadpulley/edges/slots.py
+++ b/roadpulley/edges/slots.py
@@ -7,6 +7,7 @@
 
 from roadpulley.core.command import HeldSink, Sink, Source
 
+from .close_reasons import CloseReason
 from .held_value import HeldValue
 
 if TYPE_CHECKING:
@@ -65,6 +66,10 @@
             return math.inf
         return self.connection.stall_deadline()
 
+    def close_connection(self) -> None:
+        """End the connection at once, as the answer can't go on."""
+        self.connection.close(CloseReason.OVERDUE)
+
     def hold_value(self, length: int, source: Source) -> HeldValue:
         """Start to receive a value that is not sent yet. Any other answer may still be given."""
         return HeldValue(self.connection.server.held_value_budget, length, source)
--- a/roadpulley/operations/controller.py
+++ b/roadpulley/operations/controller.py
@@ -115,6 +115,8 @@
         yield "relayed", stats.attempts_sent
         for reason, count in stats.unanswered_at_close.items():  # those that occurred
             yield f"unanswered_at_close.{reason}", count
+        for kind, count in stats.overdue.items():  # those that occurred
+            yield f"overdue.{kind}", count
         yield "open_requests", len(self.driver.requests)
         yield "registry_entries", len(fleet.backends)
         yield "out_of_rotation", self.driver.gateway.count_avoided(now_ms())
--- a/tests/workers/test_long_requests.py
+++ b/tests/workers/test_long_requests.py
@@ -83,8 +83,11 @@
     in_loop(scenario)
 
 
-# Registers a request that the decision module is never told of, and gives it no timer.
+# Registers a request that the decision module is never told of, and gives it no timer. The worker's own watch
+# for what is overdue would end it, so that fails as well.
 PLANTED_FAULT = """
+from roadpulley.operations.overdue_watch import OverdueWatch
+OverdueWatch.start = lambda self: None
 from roadpulley.core.driver import Driver, Request
 from roadpulley.core.clock import now_ms
 on_command = Driver.on_command
