Connections: a broken one is told by SO_ERROR, whose value goes into the log

The mend before asked for TCP_INFO after every read; the kernel fills the whole structure for it. The error that the kernel tells once is kept for the log: "Connection reset by peer".

--- a/roadpulley/core/connection.py
+++ b/roadpulley/core/connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import errno
 import fcntl
+import os
 import re
 import socket
 import struct
@@ -238,7 +239,7 @@
         if not count:
             if self.attempt is not None and not self.answer:
                 self.pool.idle_limit.record(self.idle_before_ms, True)
-            return self.end(EndReason.CONNECTION_ERROR, end_detail)
+            return self.end(EndReason.CONNECTION_ERROR, self.describe_break() or end_detail)
         if self.attempt is None:
             self.pool.answer_errors["data without a request"] += 1
             return self.close()
@@ -378,6 +379,10 @@
             return Stage.CONNECTING
         return Stage.SENDING if self.unsent else Stage.SENT
 
+    def describe_break(self) -> str:
+        """The error that the kernel reported on the connection, for the log."""
+        return os.strerror(self.watcher.error) if self.watcher.error else ""
+
     def describe_progress(self) -> str:
         """How far the attempt has got, for the log."""
         if self.long_value is not None:
--- a/roadpulley/core/socket_watcher.py
+++ b/roadpulley/core/socket_watcher.py
@@ -8,12 +8,12 @@
 | ----------------------- | ------- | ------------------------------------------------------ |
 | open                    | on      | when bytes or the end can be read                      |
 | open                    | off     | never                                                  |
-| ended by the kernel     | on      | again and again, until it turns reading off or closes  |
-| ended by the kernel     | off     | never; as above once it turns reading on               |
+| broken                  | on      | again and again, until it turns reading off or closes  |
+| broken                  | off     | never; as above once it turns reading on               |
 
-"Ended by the kernel" is TCP's state CLOSE: after a reset, a time-out of the transport, or the ends of both
-sides. No read waits in that state, so an owner that reads comes to the end or the error. A writer needs none
-of this: an error of the descriptor calls it as well, and its next `send` fails.
+Broken is a connection on which the kernel has reported an error. No read waits on it any more: an owner that
+reads gets what lies unread, and then the end. The error itself is kept in `error`, as the kernel tells it
+once. A writer needs none of this: an error of the descriptor calls it as well, and its next `send` fails.
 """
 
 from __future__ import annotations
@@ -21,9 +21,9 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from socket import SO_ERROR, SOL_SOCKET  # by name, as they are needed for every read
 
 TCP_ESTABLISHED = 1  # of the states in the kernel's struct tcp_info
-TCP_CLOSE = 7
 UNKNOWN_STATE = -1
 
 Callback = Callable[[], None]
@@ -41,13 +41,14 @@
 class SocketWatcher:
     """Calls its owner when the socket can be read or written. The owner closes the socket after `close`."""
 
-    __slots__ = ("_call_handle", "_fd", "_has_writer", "_loop", "_on_readable", "_socket")
+    __slots__ = ("_call_handle", "_fd", "_has_writer", "_loop", "_on_readable", "_socket", "error")
 
     def __init__(self, loop: asyncio.AbstractEventLoop, watched: socket.socket) -> None:
         self._loop, self._socket, self._fd = loop, watched, watched.fileno()
         self._on_readable: Callback | None = None
         self._has_writer = False
-        self._call_handle: asyncio.Handle | None = None  # the next call after the kernel ended the connection
+        self._call_handle: asyncio.Handle | None = None  # the next call on a broken connection
+        self.error = 0  # the `errno` with which the connection broke
 
     def start_reading(self, on_readable: Callback) -> None:
         """Calls `on_readable` from now on, in place of any reader before."""
@@ -86,8 +87,11 @@
             if self._on_readable is not None:
                 self._on_readable()
         finally:
-            if self._on_readable is not None and get_tcp_state(self._socket) == TCP_CLOSE:
-                self._call_again()
+            if self._on_readable is not None:
+                if not self.error:
+                    self.error = self._socket.getsockopt(SOL_SOCKET, SO_ERROR)
+                if self.error:
+                    self._call_again()
 
     def _call_again(self) -> None:
         if self._call_handle is None:
