Ids: a request with effects that may have run is not sent on again under its id

An id is remembered from the last byte of its first attempt, until its deadline or the window of repeats is over; the second one gets "-ERR failed", never -BUSY and never a second run. Where every attempt was refused by its backend, the id is free again.

One process only so far: not across an upgrade, nor between the workers of one supervisor.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -24,6 +24,7 @@
 from .core.counter import CounterClient
 from .core.discovery import DiscoveryClient, DiscoveryError, parse_member_list
 from .core.driver import Driver
+from .core.recent_requests import RecentRequests, compute_capacity
 from .core.request_stats import RequestStats
 from .core.settings import ConfigError, GatewayConfig, load_config, load_replacement
 from .edges.request_parser import RequestParser
@@ -205,7 +206,15 @@
         if config.counter
         else None
     )
-    driver = Driver(config.settings, config.seed, timers, backends, counter, config.max_open_requests)
+    driver = Driver(
+        config.settings,
+        config.seed,
+        timers,
+        backends,
+        counter,
+        config.max_open_requests,
+        RecentRequests(compute_capacity(config.memory_mb)),
+    )
 
     version = None
     if config.saved_members:
--- a/roadpulley/core/connection.py
+++ b/roadpulley/core/connection.py
@@ -72,6 +72,7 @@
     long_answer: LongAnswer | None = None  # the time of its long value, from the beginning of that
     usage: bytes = b""  # the usage figures of its answer
     on_sent: Callable[[], None] | None = None  # called when the last byte has been written
+    was_sent: bool = False  # the last byte has been written
     # Called when a long value begins whose first bytes come slowly.
     on_slow_start: Callable[[Attempt], None] | None = None
     end_detail: str = ""  # why it ended, for the log
@@ -218,8 +219,10 @@
             # An empty view of a long body would keep the whole body in memory while this connection is idle.
             self.unsent = EMPTY_VIEW
             self.pool.stats.attempts_sent += 1
-            if self.attempt is not None and self.attempt.on_sent is not None:
-                self.attempt.on_sent()
+            if self.attempt is not None:
+                self.attempt.was_sent = True
+                if self.attempt.on_sent is not None:
+                    self.attempt.on_sent()
         if bool(self.unsent) != self.writing:
             self.writing = not self.writing
             if self.writing:
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -21,7 +21,8 @@
 from .discovery import Member
 from .event_ring import EventKind
 from .long_values import LongValues
-from .outcomes import EndReason
+from .outcomes import NOT_RUN_OUTCOMES, EndReason
+from .recent_requests import RecentRequests, compute_capacity
 from .request import EndCallback, Request
 from .resp import encode_bulk
 from .usage_figures import parse_cost
@@ -33,6 +34,9 @@
 REFUSAL_LOG_INTERVAL_MS = 1_000.0
 MIN_REMAINING_MS = 60.0  # of a request's time; with less the decision module could not even refuse it
 CLIENT_PROBE_LAG_MS = 20.0  # with more lag, clients are probed: a disconnect must be noticed within 100 ms
+# How long after its time a request that was sent again may still come: the way to a new connection.
+RESEND_MARGIN_MS = 500.0
+DEFAULT_MEMORY_MB = 64
 MIN_REPORTED_LAG_MS = 5.0  # timers are late by up to a tick and the rounding of the loop anyway
 
 
@@ -97,6 +101,7 @@
         backends: BackendPools,
         counter: CounterClient | None,
         max_open_requests: int,
+        recent_requests: RecentRequests | None = None,
     ) -> None:
         self.gateway, self.settings = Gateway(settings, seed), settings
         self.timers = timers
@@ -104,6 +109,7 @@
         self.event_ring = backends.stats.events
         self.counter = counter
         self.max_open_requests = max_open_requests
+        self.recent_requests = recent_requests or RecentRequests(compute_capacity(DEFAULT_MEMORY_MB))
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # open, also those of ended requests
         self.events: deque[api.Event] = deque()
@@ -236,10 +242,13 @@
         self.handle_event(api.BackendsChanged(scope, tuple(m.entry for m in members)))
 
     def on_command(self, command: Command, slot: ReplySlot) -> None:
-        """Accepts a request, or refuses it if its id is in use or too many requests are open."""
+        """Accepts a request, or refuses it: its id is in use or may have run, or too many are open."""
         if command.id in self.requests:
             slot.request = None  # the id belongs to the other request
             return slot.answer(b"-ERR id in use\r\n")
+        has_effects = self.has_effects(command.request_class)
+        if has_effects and not self.admit_id(command.id, slot):
+            return None
         if len(self.requests) >= self.max_open_requests:
             self.refusals["too many requests are open"] += 1
             return slot.answer(b"-BUSY\r\n")
@@ -260,9 +269,50 @@
         )
         owner = self.requests[command.id] = Request(command, slot, expires)
         owner.attempt_limit = self.settings.max_attempts
+        owner.has_effects = has_effects
         owner.timer = self.timers.call_at(owner.expires_at, partial(self.on_expired, owner))
         self.handle_event(event)
 
+    def has_effects(self, request_class: str) -> bool:
+        """Whether a second run of a request of this class may change something."""
+        kind = self.gateway.classes.get(request_class)
+        return kind is not None and kind.effect is not api.Effect.SAFE
+
+    def may_have_run(self, request: str) -> bool:
+        """Whether an earlier request of this id may have run, so that a refusal would promise too much."""
+        return self.recent_requests.may_have_run(request, now_ms())
+
+    def admit_id(self, request: str, slot: ReplySlot) -> bool:
+        """Whether a request with effects may be sent on under this id. Otherwise it is answered."""
+        now = now_ms()
+        if self.recent_requests.may_have_run(request, now):
+            self.refusals["its id may have run before"] += 1
+            self.event_ring.record(EventKind.FAILED, request, "its id may have run before")
+            slot.answer(FAILED)
+            return False
+        if self.recent_requests.is_full(now):
+            self.refusals["too many ids are remembered"] += 1
+            slot.answer(b"-BUSY\r\n")
+            return False
+        return True
+
+    def on_attempt_sent(self, owner: Request) -> None:
+        """The last byte of an attempt has been written: it may run from now on."""
+        self.meter_sent(owner)
+        if not owner.has_effects:
+            return
+        owner.possible_runs += 1
+        now, kind = now_ms(), self.gateway.classes.get(owner.command.request_class)
+        deadline, window = (kind.deadline, kind.repeat_window) if kind is not None else (0.0, 0.0)
+        latest_return = max(owner.expires_at, owner.received_at + deadline, now + window)
+        self.recent_requests.add(owner.command.id, now, latest_return + RESEND_MARGIN_MS)
+
+    def note_not_run(self, owner: Request) -> None:
+        """An attempt that was sent certainly didn't run, as its backend refused it."""
+        owner.possible_runs -= 1
+        if not owner.possible_runs:
+            self.recent_requests.discard(owner.command.id)
+
     def on_expired(self, owner: Request) -> None:
         """The request's time is over. Its attempts end, and the decision module gives the final answer."""
         request = owner.command.id
@@ -321,6 +371,8 @@
         lag = now_ms() - sent_at
         if outcome is not api.Outcome.OK:
             self.record_attempt_end(attempt, outcome)
+            if attempt.was_sent and owner.has_effects and outcome in NOT_RUN_OUTCOMES:
+                self.note_not_run(owner)
         if self.attempt_observer is not None:
             self.attempt_observer.record(attempt.backend, outcome, lag)
         cost = (
@@ -429,7 +481,9 @@
             action.send_deadline,
             self.is_client_waiting,
             command.long_body,
-            on_sent=partial(self.meter_sent, owner) if self.meter is not None else None,
+            on_sent=(
+                partial(self.on_attempt_sent, owner) if owner.has_effects or self.meter is not None else None
+            ),
             on_slow_start=self.long_values.on_slow_start,
         )
         for other in owner.open_attempts.values():
--- a/roadpulley/core/request.py
+++ b/roadpulley/core/request.py
@@ -17,6 +17,7 @@
 
     __slots__ = (
         "end_callbacks",
+        "has_effects",
         "is_metered",
         "is_streaming",
         "received_at",
@@ -24,6 +25,7 @@
         "meter_record",
         "expires_at",
         "open_attempts",
+        "possible_runs",
         "attempt_count",
         "attempt_limit",
         "slot",
@@ -37,6 +39,8 @@
         self.is_streaming = False  # a long value is being sent to the client
         self.open_attempts: dict[int, Attempt] = {}  # by number
         self.timer: Timer | None = None  # for its deadline
+        self.has_effects = False  # a second run may change something
+        self.possible_runs = 0  # attempts that were sent whole, without those that certainly didn't run
         self.is_metered = False
         self.meter_record: Any = None  # from `UsageMeter.record_sent`
         self.end_callbacks: list[EndCallback] = []  # called at its end, for example to return rights
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -330,7 +330,8 @@
                 self.server.refusals["no memory for its value"] += 1
                 self.server.note_request(self)
                 slot.class_name = self.server.find_class(args)
-                return slot.answer(b"-BUSY\r\n")
+                is_repeat = len(args) > 2 and self.server.may_have_run(args[2])
+                return slot.answer(b"-ERR failed\r\n" if is_repeat else b"-BUSY\r\n")
             if self.server.handler.is_shedding and (early_refusal := self.server.refuse_early(args)):
                 slot.class_name, reply = early_refusal
                 return slot.answer(reply)
--- a/roadpulley/edges/resp_server.py
+++ b/roadpulley/edges/resp_server.py
@@ -51,6 +51,8 @@
 
     def on_client_gone(self, request: str) -> None: ...
 
+    def may_have_run(self, request: str) -> bool: ...
+
 
 class RespServer:
     """Accepts clients, and bounds their connections and memory.
@@ -220,12 +222,18 @@
         Only for attributes in the parser's cache, so that invalid requests still get their own error.
         """
         match = ATTRIBUTES_PATTERN.fullmatch(args[3]) if len(args) > 3 else None
+        if match is not None and self.may_have_run(args[2]):
+            return None
         validated = (
             self.parser.known_attributes.get((args[0], *match.group(2, 3, 7, 8, 9))) if match else None
         )
         reply = self.handler.encode_early_refusal(validated[0].name) if validated else None
         return (validated[0].name, reply) if validated and reply else None
 
+    def may_have_run(self, request: bytes) -> bool:
+        """Whether an earlier request of this id may have run, so that it must not be refused."""
+        return self.handler.may_have_run(request.decode(errors="replace"))
+
     def find_class(self, args: list[bytes]) -> str | None:
         """The class that an invalid request names, if it is or was configured."""
         match = CLASS_PATTERN.search(args[3]) if len(args) > 3 else None
--- a/setup.py
+++ b/setup.py
@@ -34,6 +34,7 @@
     "roadpulley/core/long_answer.py",
     "roadpulley/core/long_values.py",
     "roadpulley/core/outcomes.py",
+    "roadpulley/core/recent_requests.py",
     "roadpulley/core/request.py",
     "roadpulley/core/resp.py",
     "roadpulley/core/socket_watcher.py",
