--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -104,6 +104,7 @@
         recent_requests: RecentRequests | None = None,
     ) -> None:
         self.gateway, self.settings = Gateway(settings, seed), settings
+        self.classes = {kind.name: kind for kind in settings.classes}
         self.timers = timers
         self.backends = backends
         self.event_ring = backends.stats.events
@@ -226,6 +227,7 @@
     def apply_settings(self, settings: api.Settings, max_open: int) -> None:
         """Applies changed settings from the next event on. Open requests keep their previous limits."""
         self.settings, self.max_open_requests = settings, max_open
+        self.classes = {kind.name: kind for kind in settings.classes}
         self.handle_event(api.SettingsChanged(settings))
 
     def update_members(self, scope: api.ListScope, members: tuple[Member, ...], since: float) -> None:
@@ -275,7 +277,7 @@
 
     def has_effects(self, request_class: str) -> bool:
         """Whether a second run of a request of this class may change something."""
-        kind = self.gateway.classes.get(request_class)
+        kind = self.classes.get(request_class)
         return kind is not None and kind.effect is not api.Effect.SAFE
 
     def may_have_run(self, request: str) -> bool:
@@ -302,7 +304,7 @@
         if not owner.has_effects:
             return
         owner.possible_runs += 1
-        now, kind = now_ms(), self.gateway.classes.get(owner.command.request_class)
+        now, kind = now_ms(), self.classes.get(owner.command.request_class)
         deadline, window = (kind.deadline, kind.repeat_window) if kind is not None else (0.0, 0.0)
         latest_return = max(owner.expires_at, owner.received_at + deadline, now + window)
         self.recent_requests.add(owner.command.id, now, latest_return + RESEND_MARGIN_MS)
