Upgrades: both processes know the ids that may have run, however one of them ends

The two now exchange over their link what they remember: all ids at the hand-over, and each further one as soon as its request was sent on, in both directions. A process of an earlier release says in its first message that it takes none, and gets none.

Not known after a SIGKILL without an upgrade: nothing outlives the process.

--- a/roadpulley/core/recent_requests.py
+++ b/roadpulley/core/recent_requests.py
@@ -19,6 +19,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 TICK_MS = 250.0  # ids whose time ends within one tick are forgotten together
 BYTES_PER_ID = 400  # with its places in two containers
 MEMORY_RATIO = 1 / 16  # of a process's memory limit
@@ -37,6 +39,8 @@
         self._ends: dict[str, float] = {}  # when the time of an id is over
         self._ticks: dict[int, list[str]] = {}  # the ids by the tick in which they may be forgotten
         self._next_tick = 0  # all earlier ones have been forgotten
+        # Called with an id of this process, and for how many milliseconds it is remembered.
+        self.on_added: Callable[[str, float], None] | None = None
         self._listed_count = 0  # in `_ticks`, also those whose time was extended or that were discarded
 
     def __len__(self) -> int:
@@ -49,14 +53,23 @@
         self._forget_expired(now)
         return self._listed_count >= self.capacity
 
-    def add(self, request: str, now: float, until: float) -> None:
-        """Remembers that a request may have run. A second call only extends the time."""
+    def add(self, request: str, now: float, until: float, is_own: bool = True) -> None:
+        """Remembers that a request may have run. A second call only extends the time.
+
+        `is_own`: it was sent on by this process.
+        """
         end = self._ends.get(request)
         if end is not None and end >= until:
             return
         self._ends[request] = until
         self._ticks.setdefault(int(until // TICK_MS) + 1, []).append(request)
         self._listed_count += 1
+        if is_own and self.on_added is not None:
+            self.on_added(request, until - now)
+
+    def list_remaining(self, now: float) -> list[tuple[str, float]]:
+        """All ids, and for how many milliseconds each is still remembered."""
+        return [(request, end - now) for request, end in self._ends.items() if end > now]
 
     def discard(self, request: str) -> None:
         """Forgets an id, as its request certainly didn't run."""
--- a/roadpulley/operations/handover.py
+++ b/roadpulley/operations/handover.py
@@ -21,6 +21,7 @@
 SERVING = "serving"  # from the new process, once it accepts clients
 PARTIAL_STATE = "gives"  # from the old process, in reply to HELLO
 REMAINING_STATE = "left"  # from the old process, when it exits
+RECENT_IDS = "ids"  # from both, while both serve; see `id_exchange.py`
 CARRIES_STATE = {HELLO: False, SERVING: False, PARTIAL_STATE: True, REMAINING_STATE: True}
 
 # Fields of a lease by type. All others are numbers.
@@ -35,14 +36,22 @@
 
 
 def encode_message(
-    kind: str, gateway: str, state: api.HandoverState | None = None, wall_offset_ms: float = 0.0
+    kind: str,
+    gateway: str,
+    state: api.HandoverState | None = None,
+    wall_offset_ms: float = 0.0,
+    ids: list[tuple[str, float]] | None = None,
 ) -> bytes:
     """Encode a message as a line. `wall_offset_ms` is that of the sender, see `core.clock`.
 
+    `ids`: those that the sender remembers, and so that it takes such ids.
+
     If there are more than MAX_CUSTOMERS customers, only those with the most recent demand are sent. The
     receiver then treats the others as after a crash of this process.
     """
     message: dict[str, Any] = {"v": VERSION, "kind": kind, "gateway": gateway}
+    if ids is not None:
+        message["ids"] = ids
     if state is not None:
         by_demand_time = sorted(state.customers, key=lambda snapshot: -snapshot.lease["asked_at"])
         customers = [asdict(snapshot) for snapshot in by_demand_time[:MAX_CUSTOMERS]]
@@ -69,16 +78,24 @@
     The times of the state are those of the receiver's clock, whose `wall_offset_ms` is given.
     Raises MessageError if the message is malformed or has another version, kind or gateway.
     """
+    message = parse_message(line, gateway)
+    if message.get("kind") != kind:
+        raise MessageError(f"kind is {str(message.get('kind'))[:40]!r}, not {kind!r}")
+    return decode_state(message.get("estate"), now, wall_offset_ms) if CARRIES_STATE[kind] else None
+
+
+def parse_message(line: bytes, gateway: str) -> dict[str, Any]:
+    """The message in a line, of any kind. Raises MessageError for another version or gateway."""
     try:
         message = json.loads(line)
     except (ValueError, RecursionError) as error:
         raise MessageError(f"not valid JSON ({error})") from error
     if not isinstance(message, dict):
         raise MessageError("not a JSON object")
-    for key, expected in (("v", VERSION), ("kind", kind), ("gateway", gateway)):
+    for key, expected in (("v", VERSION), ("gateway", gateway)):
         if message.get(key) != expected:
             raise MessageError(f"{key} is {str(message.get(key))[:40]!r}, not {expected!r}")
-    return decode_state(message.get("estate"), now, wall_offset_ms) if CARRIES_STATE[kind] else None
+    return message
 
 
 def decode_state(raw: Any, now: float, wall_offset_ms: float) -> api.HandoverState:
--- a/roadpulley/operations/link.py
+++ b/roadpulley/operations/link.py
@@ -25,12 +25,15 @@
     HELLO,
     MAX_MESSAGE_BYTES,
     PARTIAL_STATE,
+    RECENT_IDS,
     REMAINING_STATE,
     SERVING,
     MessageError,
     decode_message,
     encode_message,
+    parse_message,
 )
+from .id_exchange import IdExchange
 
 log = logging.getLogger(__name__)
 
@@ -67,6 +70,7 @@
         """`on_successor_change` is called with True when a successor serves, with False when it is lost."""
         self.gateway, self.driver, self.on_successor_change = gateway, driver, on_successor_change
         self.path = path or socket_path(gateway)
+        self.id_exchange = IdExchange(gateway, driver.recent_requests)
         self.predecessor: Predecessor | None = None
         self.successor: asyncio.StreamWriter | None = None
         self.state_to_send: api.HandoverState | None = None
@@ -86,10 +90,11 @@
             return self.start_without_state(str(error) or "no answer")
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
-                writer.write(encode_message(HELLO, self.gateway))
+                writer.write(encode_message(HELLO, self.gateway, ids=[]))
                 line = await reader.readline()
             state = decode_message(line, PARTIAL_STATE, self.gateway, now_ms(), wall_offset_ms())
             assert state is not None
+            self.receive_ids(line, writer)
         except (OSError, ValueError, MessageError) as error:  # ValueError: the line exceeds the limit
             writer.close()
             return self.start_without_state(str(error) or "no answer")
@@ -121,12 +126,14 @@
         """Wait until the predecessor exits, take over its remaining state, and listen for a successor."""
         remaining: api.HandoverState | None = None
         try:
-            if line := await predecessor.reader.readline():
+            line = await self.read_beyond_ids(predecessor.reader)
+            if line:
                 remaining = decode_message(line, REMAINING_STATE, self.gateway, now_ms(), wall_offset_ms())
         except (OSError, ValueError, MessageError) as error:
             log.warning("the remaining state could not be taken over: %s", error)
         predecessor.writer.close()
         self.predecessor = None
+        self.id_exchange.stop()
         self.driver.handle_event(api.GatewayShareChanged(1.0))
         if remaining is not None:
             self.driver.handle_event(api.HandoverReceived(remaining))
@@ -158,7 +165,8 @@
         """Hand half of the state to a successor, and follow its messages until the connection ends."""
         try:
             async with asyncio.timeout(REPLY_TIMEOUT_S):
-                decode_message(await reader.readline(), HELLO, self.gateway, now_ms())
+                hello = await reader.readline()
+                decode_message(hello, HELLO, self.gateway, now_ms())
         except (OSError, ValueError, MessageError) as error:
             log.warning("connection on the link is not from a process of this gateway: %s", error or "silent")
             return writer.close()
@@ -168,8 +176,10 @@
         try:
             if (state := self.split_state(HALF_SHARE)) is None:
                 return
-            writer.write(encode_message(PARTIAL_STATE, self.gateway, state, wall_offset_ms()))
-            while line := await reader.readline():
+            takes_ids = self.receive_ids(hello, writer)
+            ids = self.id_exchange.list_all() if takes_ids else None
+            writer.write(encode_message(PARTIAL_STATE, self.gateway, state, wall_offset_ms(), ids))
+            while line := await self.read_beyond_ids(reader):
                 decode_message(line, SERVING, self.gateway, now_ms())
                 self.on_successor_change(True)
         except (OSError, ValueError, MessageError) as error:
@@ -178,10 +188,31 @@
             writer.close()
             if self.successor is writer:
                 self.successor = None
+                self.id_exchange.stop()
                 self.on_successor_change(False)
                 self.driver.handle_event(api.GatewayShareChanged(1.0))
                 log.info("the next process has gone: this one stands for the whole again")
 
+    # ---- ids that may have run ----
+
+    def receive_ids(self, line: bytes, writer: asyncio.StreamWriter) -> bool:
+        """Exchange ids from now on, if the peer's first message says that it does. Raises MessageError."""
+        message = parse_message(line, self.gateway)
+        if "ids" not in message:
+            return False  # an earlier release
+        self.id_exchange.receive(message)
+        self.id_exchange.start(writer)
+        return True
+
+    async def read_beyond_ids(self, reader: asyncio.StreamReader) -> bytes:
+        """The next line that does not hold ids; those before it are remembered. Raises MessageError."""
+        while line := await reader.readline():
+            message = parse_message(line, self.gateway)
+            if message.get("kind") != RECENT_IDS:
+                return line
+            self.id_exchange.receive(message)
+        return b""
+
     def split_state(self, share: float) -> api.HandoverState | None:
         """Reduce this process to a share of the gateway. Return the state that it gives up."""
         self.state_to_send = None
@@ -203,6 +234,7 @@
         if self.watch_task is not None:
             self.watch_task.cancel()
         writer, self.successor = self.successor, None
+        self.id_exchange.stop()
         if writer is None or (state := self.split_state(0.0)) is None:
             return
         writer.write(encode_message(REMAINING_STATE, self.gateway, state, wall_offset_ms()))
--- a/tests/operations/test_link.py
+++ b/tests/operations/test_link.py
@@ -18,6 +18,7 @@
 from loopback import LOCAL, Backend, Peer, Reply, World, in_loop, request, until
 
 from mintford import interface as api
+from roadpulley.core.recent_requests import RecentRequests
 from roadpulley.operations import link as module
 from roadpulley.operations.handover import HELLO, encode_message
 from roadpulley.operations.link import Link
@@ -30,6 +31,7 @@
 
     def __init__(self) -> None:
         self.events: list[api.Event] = []
+        self.recent_requests = RecentRequests(100)
         self.hand_over: Any = lambda state: None
 
     def handle_event(self, event: api.Event) -> None:
--- a/tests/test_repeated_ids.py
+++ b/tests/test_repeated_ids.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import signal
 import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 import hiredis
 import pytest
-from loopback import Backend, Peer, Reply, World, in_loop, request, until
+from loopback import LOCAL, Backend, Peer, Reply, World, in_loop, request, until
+from operations.test_inherited_listener import start as start_with_listener
 from test_process import connect, launched
 from test_resets import RESET_ON_CLOSE
 
@@ -92,3 +97,53 @@
             assert await send_again(port, b"view") == b"value"
 
     in_loop(scenario)
+
+
+@asynccontextmanager
+async def upgraded(
+    backend: Backend, folder: Path
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, asyncio.subprocess.Process, Peer]]:
+    """Two processes at one listener, and a client of the old one."""
+    world = World(backend)
+    servers = [backend, world.counter, world.discovery]
+    for server in servers:
+        await server.start()
+    listener = socket.create_server((LOCAL, 0))
+    config = folder / "config.json"
+    config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{listener.getsockname()[1]}"}))
+    processes = [await start_with_listener(config, listener)]
+    peer = await connect(listener.getsockname()[1])
+    peer.send(b"PING")
+    assert await peer.receive() == b"PONG"
+    processes.append(await start_with_listener(config, listener))
+    try:
+        yield processes[0], processes[1], peer
+    finally:
+        for process in processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        listener.close()
+        for server in servers:
+            await server.stop()
+
+
+# Report c39a3a, picture (d): an id ran a second time at the other process of an upgrade.
+@pytest.mark.parametrize("signal_number", [signal.SIGKILL, signal.SIGTERM])
+def test_an_id_that_may_have_run_is_known_to_the_next_process(
+    signal_number: signal.Signals, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        backend = SlowBackend(0.1)
+        async with upgraded(backend, tmp_path) as (old, _, peer):
+            port = peer.writer.get_extra_info("peername")[1]
+            peer.send(*effect_request(b"wipe"))
+            await until(lambda: backend.got)
+            leave(peer, "reset")
+            old.send_signal(signal_number)
+            await old.wait()
+            reply = await send_again(port, b"wipe")
+            assert len(backend.got) == 1, "an effect ran twice"
+            assert str(reply).startswith("ERR")
+
+    in_loop(scenario)
