Memory: customers and open requests are bounded by the memory limit; a stranger is refused before that

One client that sends requests of ever new customers on one connection filled the memory: 133 MB after 8 s under memory_mb 64 (26 MB at rest). Each customer has a record for up to a minute, however many there are; 400 clients with 400 requests each reached 153 MB of 64.

The number of records follows from memory_mb (core/memory_limits.py, which now holds all such shares). In a full table the least recently used record goes that owes nothing: no request or call under way, nothing unreported, store and ceiling full. If there is none, the new customer's request is refused. Open requests have a bound of the same kind; ids of requests that may have run take theirs from the same place.

The check of the store has no test of its own yet.

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -431,6 +431,7 @@
     NO_BACKEND = "no backend may be used"
     ATTEMPTS_FAILED = "its attempts failed, and no other one is possible"
     EXPIRED = "its time is over"
+    TOO_MANY_CUSTOMERS = "more customers are known than memory allows"
 
 
 @dataclass(slots=True)
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -16,6 +16,7 @@
 
 from . import interface as api
 from .ceilings import Ceiling
+from .customer_table import make_room, note_use
 from .gateway_share import GatewayShare
 from .guards import LEASE_MS, NOT_RUN_OUTCOMES
 from .records import EPOCH_MS, Call, CallKind, CustomerRecord
@@ -110,8 +111,11 @@
 class Quotas:
     """All customers of this gateway, and its calls to the counter in flight."""
 
-    def __init__(self, settings: api.Settings, chance: random.Random) -> None:
+    def __init__(
+        self, settings: api.Settings, chance: random.Random, max_customers: int | None = None
+    ) -> None:
         self.settings, self.random = settings, chance
+        self.max_customers = max_customers  # None: any number
         self.plans = {p.name: p for p in settings.plans}
         self.customer_plans: dict[str, api.Plan] = {}  # for customers with terms of their own
         self.customers: dict[str, Customer] = {}
@@ -134,13 +138,20 @@
         self.started_at = self.cleaned_up_at = self.last_total_at = now
         self.gateway_share.restart(now)
 
-    def get_customer(self, now: float, event: api.RequestArrived, out: api.Actions) -> Customer:
-        """Return the customer of a request, with its buckets refilled up to now."""
+    def get_customer(self, now: float, event: api.RequestArrived, out: api.Actions) -> Customer | None:
+        """Return the customer of a request, with its buckets refilled up to now.
+
+        None if it is new and no room can be made for it.
+        """
         if now - self.cleaned_up_at > LEASE_MS:
             self.remove_idle_customers(now, out)
         record = self.customers.get(event.customer)
         if record is None:
+            if not make_room(now, self, out):
+                return None
             record = self.add_customer(event.customer, event.plan, event.spread, now)
+        else:
+            note_use(self, record)
         self.refill(now, record)
         if self.report_backlog and self.call_budget >= BACKLOG_CALL_BUDGET_RATIO:
             # The customer may send no request to this gateway for a long time. Without this report all other
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -33,11 +33,12 @@
 class Gateway:
     """Decides for one gateway: `handle` takes an event and returns the actions that follow."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, max_customers: int | None = None) -> None:
+        """`max_customers`: that are remembered at once; None for any number."""
         self.settings = settings
         chance = random.Random(seed)
         self.classes = {c.name: c for c in settings.classes}
-        self.quotas = Quotas(settings, chance)
+        self.quotas = Quotas(settings, chance, max_customers)
         self.fleet = Fleet(settings, chance)
         self.attempts = Attempts(settings)
         self.loop_lag, self.orders = LoopLagController(settings, chance), Orders()
@@ -99,6 +100,9 @@
     def on_request(self, now: float, event: api.RequestArrived, out: api.Actions) -> None:
         """Decide on a new request, or let it wait for a reading of the counter."""
         remaining, customer = event.expires - now, self.quotas.get_customer(now, event, out)
+        if customer is None:
+            wait = self.settings.max_retry_after
+            return out.append(api.Refuse(event.request, wait, RefusalReason.TOO_MANY_CUSTOMERS))
         kind = self.classes.get(event.request_class) or api.RequestClass(
             event.request_class, remaining, remaining
         )
--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -24,7 +24,7 @@
 from .core.counter import CounterClient
 from .core.discovery import DiscoveryClient, DiscoveryError, parse_member_list
 from .core.driver import Driver
-from .core.recent_requests import RecentRequests, compute_capacity
+from .core.memory_limits import compute_memory_limits
 from .core.request_stats import RequestStats
 from .core.settings import ConfigError, GatewayConfig, load_config, load_replacement
 from .edges.request_parser import RequestParser
@@ -43,10 +43,6 @@
 
 CLIENT_DESCRIPTORS_RATIO = 0.5  # of the file descriptors
 BACKEND_DESCRIPTORS_RATIO = 0.25  # of the file descriptors; the rest is headroom
-IDLE_MEMORY_MB = 16  # what a process needs before any client comes
-MIN_BUFFER_MEMORY_MB = 8  # assumed to be left beside that, however small the limit
-# Of the memory beside that: for incomplete answers, and again for answers not yet sent.
-BUFFER_MEMORY_RATIO = 0.25
 VALUE_CHECK_INTERVAL_S = 0.1  # between two looks at the long values that a process waits for
 FIRST_LIST_TIMEOUT_S = 0.5  # at the start; the local agent answers at once or is silent
 GC_THRESHOLDS = (10_000, 20, 20)  # high, because requests leave no reference cycles
@@ -141,12 +137,6 @@
     return soft
 
 
-def compute_buffer_bytes(memory_mb: int) -> int:
-    """The bytes of incomplete answers, and again of answers not yet sent, under a memory limit."""
-    free_mb = max(memory_mb - IDLE_MEMORY_MB, MIN_BUFFER_MEMORY_MB)
-    return int(free_mb * BUFFER_MEMORY_RATIO * 2**20)
-
-
 def take_inherited_listener() -> socket.socket | None:
     """The listening socket that the platform keeps open across restarts, or None. Raises ConfigError."""
     descriptor = os.environ.get("LB_ACCEPT_FD")
@@ -189,7 +179,7 @@
     loop, started_at = asyncio.get_running_loop(), now_ms()
     timers = Timers(loop)
     stats = RequestStats()
-    memory_bytes = compute_buffer_bytes(config.memory_mb)
+    memory_limits = compute_memory_limits(config.memory_mb)
     descriptor_limit = reserve_descriptors(config.max_descriptors)
     backends = BackendPools(
         loop,
@@ -198,7 +188,7 @@
         config.keepalive_ms,
         config.settings.rules.drain_grace,
         int(descriptor_limit * BACKEND_DESCRIPTORS_RATIO),
-        memory_bytes,
+        memory_limits.buffer_bytes,
         stats,
     )
     counter = (
@@ -213,7 +203,7 @@
         backends,
         counter,
         config.max_open_requests,
-        RecentRequests(compute_capacity(config.memory_mb)),
+        memory_limits,
     )
 
     version = None
@@ -228,7 +218,7 @@
         driver,
         RequestParser(config.settings, config.workers),
         int(descriptor_limit * CLIENT_DESCRIPTORS_RATIO),
-        memory_bytes,
+        memory_limits.buffer_bytes,
         stats,
     )
     if attach is not None:
--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -21,8 +21,9 @@
 from .discovery import Member
 from .event_ring import EventKind
 from .long_values import LongValues
+from .memory_limits import MemoryLimits, compute_memory_limits
 from .outcomes import NOT_RUN_OUTCOMES, EndReason
-from .recent_requests import RecentRequests, compute_capacity
+from .recent_requests import RecentRequests
 from .request import EndCallback, Request
 from .resp import encode_bulk
 from .usage_figures import parse_cost
@@ -36,7 +37,7 @@
 CLIENT_PROBE_LAG_MS = 20.0  # with more lag, clients are probed: a disconnect must be noticed within 100 ms
 # How long after its time a request that was sent again may still come: the way to a new connection.
 RESEND_MARGIN_MS = 500.0
-DEFAULT_MEMORY_MB = 64
+CROWDED_RATIO = 0.5  # of the open requests that are allowed
 MIN_REPORTED_LAG_MS = 5.0  # timers are late by up to a tick and the rounding of the loop anyway
 
 
@@ -101,16 +102,17 @@
         backends: BackendPools,
         counter: CounterClient | None,
         max_open_requests: int,
-        recent_requests: RecentRequests | None = None,
+        memory_limits: MemoryLimits | None = None,
     ) -> None:
-        self.gateway, self.settings = Gateway(settings, seed), settings
+        self.memory_limits = memory_limits or compute_memory_limits()
+        self.gateway, self.settings = Gateway(settings, seed, self.memory_limits.max_customers), settings
         self.classes = {kind.name: kind for kind in settings.classes}
         self.timers = timers
         self.backends = backends
         self.event_ring = backends.stats.events
         self.counter = counter
-        self.max_open_requests = max_open_requests
-        self.recent_requests = recent_requests or RecentRequests(compute_capacity(DEFAULT_MEMORY_MB))
+        self.max_open_requests = min(max_open_requests, self.memory_limits.max_open_requests)
+        self.recent_requests = RecentRequests(self.memory_limits.max_recent_ids)
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # open, also those of ended requests
         self.events: deque[api.Event] = deque()
@@ -216,6 +218,10 @@
         )
         return max(0.0, now_ms() - min(latest_ends, default=math.inf))
 
+    def is_crowded(self) -> bool:
+        """Whether so many requests are open that each connection may add only a few."""
+        return len(self.requests) > CROWDED_RATIO * self.max_open_requests
+
     def encode_early_refusal(self, request_class: str) -> bytes | None:
         """The refusal of a request that is shed before it is parsed, or None if it is admitted."""
         wait = self.gateway.get_early_refusal(request_class)
@@ -226,7 +232,8 @@
 
     def apply_settings(self, settings: api.Settings, max_open: int) -> None:
         """Applies changed settings from the next event on. Open requests keep their previous limits."""
-        self.settings, self.max_open_requests = settings, max_open
+        self.settings = settings
+        self.max_open_requests = min(max_open, self.memory_limits.max_open_requests)
         self.classes = {kind.name: kind for kind in settings.classes}
         self.handle_event(api.SettingsChanged(settings))
 
--- a/roadpulley/core/recent_requests.py
+++ b/roadpulley/core/recent_requests.py
@@ -22,13 +22,6 @@
 from collections.abc import Callable
 
 TICK_MS = 250.0  # ids whose time ends within one tick are forgotten together
-BYTES_PER_ID = 400  # with its places in two containers
-MEMORY_RATIO = 1 / 16  # of a process's memory limit
-
-
-def compute_capacity(memory_mb: int) -> int:
-    """The number of ids that a process with this memory limit may remember."""
-    return int(memory_mb * 2**20 * MEMORY_RATIO / BYTES_PER_ID)
 
 
 class RecentRequests:
--- a/setup.py
+++ b/setup.py
@@ -14,6 +14,7 @@
     "mintford/attempts.py",
     "mintford/ceilings.py",
     "mintford/changes.py",
+    "mintford/customer_table.py",
     "mintford/gateway_share.py",
     "mintford/guards.py",
     "mintford/handover.py",
--- a/tests/edges/test_long_bodies.py
+++ b/tests/edges/test_long_bodies.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from loopback import Backend, Reply, World, in_loop, request, running, server_seen, until
 
-from roadpulley.__main__ import IDLE_MEMORY_MB, compute_buffer_bytes
+from roadpulley.core.memory_limits import IDLE_MEMORY_MB, compute_memory_limits
 from roadpulley.core.resp import (
     MAX_BODY_BYTES,
     MAX_VALUE_BYTES,
@@ -287,7 +287,7 @@
 @pytest.mark.parametrize("memory_mb", [16, 32, 64, 192])
 def test_buffers_are_a_part_of_what_the_limit_leaves(memory_mb: int) -> None:
     """Incomplete answers and unsent replies are bounded by it each, and half of it again by three budgets."""
-    assert compute_buffer_bytes(memory_mb) <= max(memory_mb - IDLE_MEMORY_MB, 8) / 4 * MIB
+    assert compute_memory_limits(memory_mb).buffer_bytes <= max(memory_mb - IDLE_MEMORY_MB, 8) / 4 * MIB
 
 
 def test_what_was_parsed_later_is_not_counted_as_unparsed_while_its_connection_rests() -> None:
