Client connections: commands are handled in turns, so that a client at full speed delays no other

Beside 200 clients that wrote 400 short requests each at once, another client's requests took up to 2.4 s (p99 1.4 s); beside 32 that send PING at full speed 0.9 s, beside 100 with ever new customers 1.6 s. Commands that are answered at once were handled for as long as bytes were there: up to a thousand of one read, for each connection, before any other was looked at.

A short read is handled at once, unless its connection waits itself.

--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -51,8 +51,14 @@
 
 # A connection is not read while it exceeds one of the next three bounds.
 MAX_PENDING_COMMANDS = 32  # commands without a reply
+# The same while many requests are open: a few connections leave no room to all others otherwise.
+MAX_CROWDED_PENDING_COMMANDS = 4
 MAX_PENDING_COMMAND_BYTES = 128 * 1024  # total size of these commands
 MAX_UNSENT_BYTES = 128 * 1024  # replies that the client has not read
+# Commands that are handled at once. The others on the connection wait until other connections had a turn:
+# a client that sends at full speed would otherwise hold up all others.
+MAX_COMMANDS_PER_TURN = 16
+MAX_PROMPT_BYTES = 2 * 1024  # received at once, and handled at once although others wait for their turn
 # From the connection's start, or a command's first byte, until the command is complete. A client may take 2 s
 # for the head of a request, and an incomplete one must end within 3 s of connecting, including a sweep
 # interval.
@@ -98,6 +104,9 @@
         self.unsent = bytearray()
         self.state = OPEN
         self.is_reading = self.is_writing = self.is_advancing = self.has_unparsed_bytes = False
+        self.is_deferred = False  # commands wait for the next turn of this connection
+        self.has_turn = False  # commands may be handled although other connections wait
+        self.commands_in_turn = 0
         self.awaits_first_request = True  # neither a request nor a PING was received
         self.last_used_at = self.last_progress_at = now_ms()  # progress: the client read replies
         # For the command that is being received, or the first one; None between commands.
@@ -123,6 +132,7 @@
             return  # not handled any more, and must not accumulate
         self.reader.feed(data)
         self.has_unparsed_bytes = True
+        self.has_turn = len(data) <= MAX_PROMPT_BYTES
         self.advance()
 
     def _count_unparsed(self) -> None:
@@ -148,12 +158,15 @@
         """Handle commands and write replies as far as possible; replies given at once are batched."""
         if self.is_advancing or self.state >= LINGERING:
             return
-        self.is_advancing = True
+        self.is_advancing, self.commands_in_turn = True, 0
         try:
             if self.slots:
                 self._write_replies()
                 if self.server.draining and self.is_at_rest:
                     self._on_readable()
+            if self.server.deferred and not self.has_turn and self.has_unparsed_bytes:
+                if not self._is_blocked():
+                    self._defer()
             while self.has_unparsed_bytes and not self._is_blocked():
                 self._process_commands()
                 self._write_replies()
@@ -162,7 +175,7 @@
                 if self.server.draining and self.is_at_rest:
                     self._on_readable()
         finally:
-            self.is_advancing = False
+            self.is_advancing = self.has_turn = False
         if not self.slots and not self.unsent:
             if self.state == FLUSHING:
                 self.start_lingering()
@@ -178,9 +191,13 @@
         # commands that were read stand behind it: see `has_commands_behind`.
         return (
             self.state != OPEN
+            or self.is_deferred
             or self.streaming_replies > 0
             or self.pending_bytes > MAX_PENDING_COMMAND_BYTES
-            or len(self.slots) >= MAX_PENDING_COMMANDS
+            or (
+                len(self.slots) >= MAX_CROWDED_PENDING_COMMANDS
+                and (len(self.slots) >= MAX_PENDING_COMMANDS or self.server.handler.is_crowded())
+            )
             or len(self.unsent) > MAX_UNSENT_BYTES
             or self.reader.wanted_body_bytes > 0
         )
@@ -204,9 +221,25 @@
                     return
                 self.command_deadline = None
                 self.handle_command(args)
+                self._count_command()
         except MalformedError as error:
             self.refuse_protocol(str(error))
 
+    def _count_command(self) -> None:
+        """End the turn of this connection if it has handled enough commands and may have more."""
+        self.commands_in_turn += 1
+        if self.commands_in_turn >= MAX_COMMANDS_PER_TURN and self.state == OPEN and self.has_unparsed_bytes:
+            self._defer()
+
+    def _defer(self) -> None:
+        self.is_deferred = True
+        self.server.defer(self)
+
+    def take_turn(self) -> None:
+        """Handle further commands that were received before."""
+        self.is_deferred, self.has_turn = False, True
+        self.advance()
+
     def _request_body_grant(self) -> bool:
         """Request memory for a long body; returns whether it was granted at once."""
         try:
@@ -384,8 +417,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """No command is open and no reply unsent."""
-        return self.state == OPEN and not self.slots and not self.unsent
+        """No command is open or waits for its turn, and no reply is unsent."""
+        return self.state == OPEN and not self.slots and not self.unsent and not self.is_deferred
 
     def is_overdue(self, now: float) -> bool:
         """Whether a command is incomplete after its deadline."""
@@ -451,8 +484,12 @@
 
     def finish_commands(self) -> None:
         """Read what has arrived and handle no later commands; the connection ends after its last reply."""
+        while self.state == OPEN and self.is_deferred:
+            self.take_turn()
         if self.state == OPEN and self.is_reading:
             self._on_readable()
+        while self.state == OPEN and self.is_deferred:
+            self.take_turn()
         if self.state == OPEN:
             self.state = FLUSHING
             self.advance()
