Cold backends: a gateway whose machine's clock is wrong spares them by what it has seen itself

A process that starts while its clock is an hour off sent a backend that had started a second ago its full part: 241 of 1,500 requests at six backends, 28 with a right clock. With the clock behind the age is negative, and two negative factors gave a large share; with the clock ahead the backend looks old.

No age is negative now. A start that is seen after the first whole list, and seems older than the time to warm up, counts as now; so do the newest starts of the first list, where these are few. All of it ends one warm-up time after it was seen. mintford/start_times.py states what remains: clocks that are ahead by less, more new backends than a quarter of the first list, and the periods at the counter, which a gateway with a wrong clock does not share with the others.

--- a/mintford/guards.py
+++ b/mintford/guards.py
@@ -45,7 +45,7 @@
 
     A start time of 0 means long ago.
     """
-    age = (now - started) / max(1.0, rules.warmup_time) if started > 0 else 1.0
+    age = max(0.0, now - started) / max(1.0, rules.warmup_time) if started > 0 else 1.0
     return min(1.0, rules.start_capacity + (1 - rules.start_capacity) * age)
 
 
--- a/mintford/load.py
+++ b/mintford/load.py
@@ -10,6 +10,7 @@
 from . import interface as api
 from .guards import CANCELLED_OUTCOMES, LEASE_MS, compute_cold_share, compute_warmth
 from .records import BackendRecord
+from .start_times import set_cold_since, spare_newest
 
 MAX_LATENCY_SAMPLES = 40.0  # the typical latency averages this many answers
 FREE_ATTEMPTS_PER_BACKEND = 3.0  # open attempts that are always allowed
@@ -43,7 +44,7 @@
 
     def compute_warmth(self, now: float) -> float:
         """The ratio of its full capacity that the backend is sure to have by now."""
-        return compute_warmth(self.rules, self.started, now)
+        return compute_warmth(self.rules, self.cold_since, now)
 
 
 class Fleet:
@@ -52,6 +53,7 @@
     def __init__(self, settings: api.Settings, chance: random.Random) -> None:
         self.settings, self.random = settings, chance
         self.backends: dict[int, Backend] = {}
+        self.has_whole_list = False  # a list that was whole has come, beside the saved one
         self.excluded_backends: frozenset[int] = frozenset()  # ordered by operators
         self.subset: list[Backend] = []  # the backends that this gateway uses
         self.warm: list[Backend] = []  # the backends of the subset that are surely warm
@@ -84,14 +86,26 @@
         for entry in event.entries:
             if entry.state is api.BackendState.GONE:
                 self.backends.pop(entry.backend, None)
-            elif entry.backend in self.backends:
-                self.backends[entry.backend].update(entry)
             else:
-                self.backends[entry.backend] = Backend(entry, self.settings)
+                self.apply_entry(now, entry)
+        if not self.has_whole_list and event.scope is not api.ListScope.CHANGES:
+            spare_newest(self.backends.values(), now, self.settings.rules.warmup_time)
+            self.has_whole_list = event.scope is api.ListScope.FULL
         self.free_attempts = FREE_ATTEMPTS_PER_BACKEND * len(self.backends) / max(1, self.settings.gateways)
         self.subset = self.choose_subset(self.list_usable())
         self.update_warm(now)
 
+    def apply_entry(self, now: float, entry: api.BackendEntry) -> None:
+        """Apply one entry of the list, of a backend that is not gone."""
+        backend = self.backends.get(entry.backend)
+        known_start = None if backend is None else backend.started
+        if backend is None:
+            backend = self.backends[entry.backend] = Backend(entry, self.settings)
+        else:
+            backend.update(entry)
+        if backend.started != known_start:
+            set_cold_since(backend, now, self.settings.rules.warmup_time, not self.has_whole_list)
+
     def list_usable(self) -> list[Backend]:
         """The ready backends that operators have not excluded, or all ready ones if all are excluded."""
         ready = [b for b in self.backends.values() if b.ready]
@@ -101,7 +115,8 @@
         """Find the warm backends of the subset, and when the next cold one becomes warm."""
         self.warm = [b for b in self.subset if b.compute_warmth(now) >= 1]
         self.warm_ring = self.warm * 2
-        cold = (b.started + self.settings.rules.warmup_time for b in self.subset if b.compute_warmth(now) < 1)
+        warmup_time = self.settings.rules.warmup_time
+        cold = (b.cold_since + warmup_time for b in self.subset if b.compute_warmth(now) < 1)
         self.next_warm_at = min(cold, default=math.inf)
 
     def choose_subset(self, ready: list[Backend]) -> list[Backend]:
--- a/mintford/records.py
+++ b/mintford/records.py
@@ -139,6 +139,7 @@
         self.excess_latency, self.failure_level, self.decayed_at = 0.0, 0.0, -math.inf
         # The failure level found by other gateways, and the time of this gateway's last successful answer.
         self.peer_failure_level, self.last_success_at = 0.0, -math.inf
+        self.cold_since = 0.0  # its start by this machine's clock, see `start_times`; 0: long ago
         self.update(entry)
 
     def update(self, entry: api.BackendEntry) -> None:
--- a/setup.py
+++ b/setup.py
@@ -24,6 +24,7 @@
     "mintford/records.py",
     "mintford/rules.py",
     "mintford/shedding.py",
+    "mintford/start_times.py",
     "roadpulley/core/backends.py",
     "roadpulley/core/clock.py",
     "roadpulley/core/command.py",
