Soak: nodes reset connections behind half a value, and links pass resets on as resets

Half of the breaks are resets now, written right behind the half value, and links pass a reset on with the bytes before it.

--- a/roadpulley/soak/plan.py
+++ b/roadpulley/soak/plan.py
@@ -36,6 +36,7 @@
 LONG_VALUE_PLAYS_RATIO = 0.4  # of the plays: some values are long
 LONG_VALUE_RATIO = 0.1  # of the values of such a play
 BREAK_RATIO = 0.25  # of its long values: their connection ends half-way
+RESET_RATIO = 0.5  # of these: it is reset right behind what was written
 LONG_VALUE_PIPELINE = 4  # requests that a client of such a play may have open on one connection
 MIN_FAULTS = 3
 MAX_FAULTS = 6
@@ -107,7 +108,9 @@
     """Give some plays long values, which nodes may break off, and requests behind them. Drawn apart."""
     if random.Random(f"soak:{seed}:long values").random() >= LONG_VALUE_PLAYS_RATIO:
         return scenario
-    node = replace(scenario.node, long_ratio=LONG_VALUE_RATIO, break_ratio=BREAK_RATIO)
+    node = replace(
+        scenario.node, long_ratio=LONG_VALUE_RATIO, break_ratio=BREAK_RATIO, reset_ratio=RESET_RATIO
+    )
     return replace(scenario, node=node, load=replace(scenario.load, pipeline=LONG_VALUE_PIPELINE))
 
 
--- a/roadpulley/soak/planted.py
+++ b/roadpulley/soak/planted.py
@@ -174,6 +174,13 @@
     Lifecycle.change_drain_times = change  # type: ignore[method-assign]
 
 
+def miss_resets() -> None:
+    """The reader of a connection is called once after a reset, whatever lies unread before it."""
+    from roadpulley.core.socket_watcher import SocketWatcher
+
+    SocketWatcher._call_again = lambda self: None  # type: ignore[method-assign]
+
+
 MISTAKES: dict[str, Callable[[], None]] = {
     "close-over-open-requests": close_over_open_requests,
     "close-new-connections": close_new_connections,
@@ -187,6 +194,7 @@
     "leak-descriptors": leak_descriptors,
     "stream-before-other-answers": stream_before_other_answers,
     "set-timers-at-changes-of-state": set_timers_at_changes_of_state,
+    "miss-resets": miss_resets,
 }
 
 
--- a/roadpulley/testbed/node.py
+++ b/roadpulley/testbed/node.py
@@ -14,6 +14,7 @@
 
 from .ledger import Anomaly, Attempt, Ledger, Started
 from .node_machine import Change, Job, NodeMachine, Seen, State, draw_work
+from .relay import hard_close
 from .scenario import NodeKind
 from .server import Ends, Origins, Port, ends_at_server
 from .terms import TILES, Deployment
@@ -172,10 +173,13 @@
             self.node.command(self, args, receipt, now)
 
     def break_off(self, turn: PendingReply, reply: bytes) -> None:
-        """Write half of a reply, then end the connection."""
+        """Write half of a reply, then end the connection or reset it right behind that."""
         if turn.attempt is not None:
             turn.attempt.how = "broken"
-        self.transport.write(reply[: len(reply) // 2])
+        half = reply[: len(reply) // 2]
+        if self.node.break_rng.random() < self.node.kind.reset_ratio:
+            return hard_close(self.transport, half)
+        self.transport.write(half)
         self.transport.close()
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -201,6 +205,7 @@
     def __post_init__(self) -> None:
         self.connections: set[Connection] = set()
         self.rng = random.Random(f"{self.seed}:{self.name}")
+        self.break_rng = random.Random(f"{self.seed}:{self.name}:breaks")
         self.server: asyncio.Server | None = None
         self.kept: Port | None = None
         self.serial = 0  # of the values made, over all its processes
--- a/roadpulley/testbed/relay.py
+++ b/roadpulley/testbed/relay.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 import socket
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import cast
 
@@ -112,8 +114,8 @@
         for disturbance in self.active_disturbances("reset"):
             # With nothing to pass first, the byte that comes is the one that is cut off.
             if self.passed + len(data) > disturbance.after:
-                self.sink.write(data[: max(0, disturbance.after - self.passed)])
-                return self.pipe.reset()
+                last = data[: max(0, disturbance.after - self.passed)]
+                return self.pipe.reset(self.sink, last)
         if self.direction == TO_FAR_SIDE:
             self.pipe.note_far_end()
         self.passed += len(data)
@@ -149,7 +151,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Record the end of the connection."""
         self._ended()
-        self.pipe.side_lost()
+        self.pipe.side_lost(self, isinstance(error, ConnectionResetError))
 
     def _ended(self) -> None:
         if self.near:
@@ -233,11 +235,18 @@
             return None
         return self.far_ended_at - self.far_up_at
 
-    def side_lost(self) -> None:
-        """One side is gone for good; what it had said still arrives, if the link lets it."""
+    def side_lost(self, side: Side, was_reset: bool) -> None:
+        """One side is gone for good; what it had said still arrives, if the link lets it.
+
+        A reset is passed on as one, right behind the bytes before it: the other side may have read none of
+        them. Bytes that this process still holds would be lost with it, so that such a connection just ends.
+        """
         held = self.there.queue or self.back.queue
         if self.relay.silent and held and not self.over:
             return self.relay.closing.append(self)
+        other = (self.far if side.near else self.near).transport
+        if was_reset and not held and other is not None and not other.get_write_buffer_size():
+            return self.reset()
         self.close()
 
     def close(self) -> None:
@@ -248,19 +257,22 @@
             if side.transport is not None and not side.transport.is_closing():
                 side.transport.close()
 
-    def reset(self) -> None:
-        """Reset both sides; what is held is lost."""
+    def reset(self, sink: asyncio.Transport | None = None, last: bytes = b"") -> None:
+        """Reset both sides; what is held is lost. `last`: written to `sink` before."""
         self.over = True
         self.relay.pipes.discard(self)
         for side in (self.near, self.far):
             if side.transport is not None:
-                hard_close(side.transport)
+                hard_close(side.transport, last if side.transport is sink else b"")
 
 
-def hard_close(transport: asyncio.Transport) -> None:
-    """Close with a reset instead of an end of sending."""
+def hard_close(transport: asyncio.Transport, last: bytes = b"") -> None:
+    """Close with a reset instead of an end of sending, right behind `last` as far as the kernel takes it."""
     sock = transport.get_extra_info("socket")
     if sock is not None and not transport.is_closing():
+        if last and not transport.get_write_buffer_size():
+            with suppress(OSError):
+                os.write(sock.fileno(), last)  # the transport would drop what it has not written yet
         # SO_LINGER with no time: the kernel throws away what is unsent and answers with RST.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
     transport.abort()
--- a/roadpulley/testbed/scenario.py
+++ b/roadpulley/testbed/scenario.py
@@ -104,6 +104,7 @@
     long_ratio: float = 0.0  # of the values that are long
     long_bytes: int = 200_000
     break_ratio: float = 0.0  # of the long values, whose connections end half-way
+    reset_ratio: float = 0.0  # of these, whose connections are reset
 
 
 @dataclass(frozen=True)
