Testbed: a customer's requests go to the gateways of its set alone, also while all of them are down

Trace: a customer with spread 1 got all its sends at n0 until n0 was restarted, and then full bursts at n1 and n2. The front deals a customer's requests among the gateways of its set (PROTOCOL); the load generator went on to the next gateways of all when no gateway of the set was taken in. What each gateway allows was right: it divides the limits by the set. No check is changed.

--- a/roadpulley/testbed/load_generator.py
+++ b/roadpulley/testbed/load_generator.py
@@ -343,16 +343,18 @@
         gate.leaving = gate.taken_in = False
 
     def choose(self, arrival: Arrival, place: int, may_reuse: bool) -> GatewayTarget:
-        """The gateway at a place of the customer's set, or the next that is taken in.
+        """The gateway at a place of the customer's set, or the next of the set that is taken in.
 
-        `may_reuse`: whether the request may go over a connection that there is already.
+        If none of them is, the one at the place all the same: no gateway outside the set may get the request,
+        as the customer's limits are divided in the set alone. `may_reuse`: whether the request may go over a
+        connection that there is already.
         """
         who = arrival.customer
         for step in range(who.spread):
             gate = self.gates[(who.first + (place + step) % who.spread) % len(self.gates)]
             if self.can_take(gate, may_reuse):
                 return gate
-        return self.gates[(who.first + place) % len(self.gates)]
+        return self.gates[(who.first + place % who.spread) % len(self.gates)]
 
     def can_take(self, gate: GatewayTarget, may_reuse: bool) -> bool:
         """Whether a request may go to this gateway. One that leaves gets no new connections."""
