--- a/tests/testbed/test_gateway_choice.py
+++ b/tests/testbed/test_gateway_choice.py
@@ -16,7 +16,7 @@
 @pytest.mark.parametrize("spread", range(1, GATEWAYS + 1))
 @pytest.mark.parametrize("first", range(GATEWAYS))
 def test_a_request_never_goes_to_a_gateway_outside_the_set_of_its_customer(first: int, spread: int) -> None:
-    gates = [SimpleNamespace(taken_in=False) for _ in range(GATEWAYS)]
+    gates = [SimpleNamespace(name=n, taken_in=False) for n in range(GATEWAYS)]
     generator = cast(Any, SimpleNamespace(gates=gates, can_take=lambda gate, may_reuse: gate.taken_in))
     arrival = cast(Any, SimpleNamespace(customer=SimpleNamespace(first=first, spread=spread)))
     own = [gates[(first + step) % GATEWAYS] for step in range(spread)]
