--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,16 @@
 
 SHARED = test_workers_share_an_address_without_violations
 
-.PHONY: demo test lint explore bench compiled test-compiled bench-compiled
+# Faults under the sockets of a process, for tests: see tests/preload/faults.c.
+FAULTS_LIBRARY ?= build/faults.so
+
+.PHONY: demo test lint explore bench compiled test-compiled bench-compiled faults
+
+faults: $(FAULTS_LIBRARY)
+
+$(FAULTS_LIBRARY): tests/preload/faults.c
+	mkdir -p $(dir $@)
+	$(CC) -std=gnu11 -Wall -Wextra -Werror -O2 -shared -fPIC -o $@ $< -ldl -lpthread
 
 demo: $(VENV)/.ready-dev
 	$(BIN)/roadpulley dev --for 20
