--- a/mintford/attempts.py
+++ b/mintford/attempts.py
@@ -35,7 +35,7 @@
         if target.entry.zone in self.excluded_pools or target.id in self.tried_backends:
             return False
         first = next(iter(self.possibly_run), None)
-        return first is None or can_repeat(self.kind, first.backend.entry, first.sent_at, target.entry, now)
+        return first is None or can_repeat(self.kind, first.entry, first.sent_at, target.entry, now)
 
 
 class Attempts:
--- a/mintford/records.py
+++ b/mintford/records.py
@@ -112,6 +112,7 @@
 
     __slots__ = (
         "backend",
+        "entry",
         "response_started",
         "response_stalled",
         "is_lost",
@@ -122,6 +123,7 @@
 
     def __init__(self, request: Request, backend: Backend, sent_at: float) -> None:
         self.request, self.backend, self.sent_at = request, backend, sent_at
+        self.entry = backend.entry  # as listed then: another process may come up under its name
         self.response_started = False  # its response is being sent to the client, or held
         self.response_stalled = False  # it was held and has stopped to come
         # A lost attempt has been in flight for so long that it can't be in a queue any more.
