--- a/roadpulley/core/driver.py
+++ b/roadpulley/core/driver.py
@@ -19,6 +19,7 @@
 from .connection import Attempt
 from .counter import CounterClient
 from .discovery import Member
+from .effect_ids import Admission, EffectIds
 from .event_ring import EventKind
 from .long_values import LongValues
 from .memory_limits import MemoryLimits, compute_memory_limits
@@ -35,8 +36,6 @@
 REFUSAL_LOG_INTERVAL_MS = 1_000.0
 MIN_REMAINING_MS = 60.0  # of a request's time; with less the decision module could not even refuse it
 CLIENT_PROBE_LAG_MS = 20.0  # with more lag, clients are probed: a disconnect must be noticed within 100 ms
-# How long after its time a request that was sent again may still come: the way to a new connection.
-RESEND_MARGIN_MS = 500.0
 CROWDED_RATIO = 0.5  # of the open requests that are allowed
 MIN_REPORTED_LAG_MS = 5.0  # timers are late by up to a tick and the rounding of the loop anyway
 
@@ -106,13 +105,13 @@
     ) -> None:
         self.memory_limits = memory_limits or compute_memory_limits()
         self.gateway, self.settings = Gateway(settings, seed, self.memory_limits.max_customers), settings
-        self.classes = {kind.name: kind for kind in settings.classes}
         self.timers = timers
         self.backends = backends
         self.event_ring = backends.stats.events
         self.counter = counter
         self.max_open_requests = min(max_open_requests, self.memory_limits.max_open_requests)
         self.recent_requests = RecentRequests(self.memory_limits.max_recent_ids)
+        self.effect_ids = EffectIds(self.recent_requests, settings)
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # open, also those of ended requests
         self.events: deque[api.Event] = deque()
@@ -234,7 +233,7 @@
         """Applies changed settings from the next event on. Open requests keep their previous limits."""
         self.settings = settings
         self.max_open_requests = min(max_open, self.memory_limits.max_open_requests)
-        self.classes = {kind.name: kind for kind in settings.classes}
+        self.effect_ids.apply_settings(settings)
         self.handle_event(api.SettingsChanged(settings))
 
     def update_members(self, scope: api.ListScope, members: tuple[Member, ...], since: float) -> None:
@@ -255,7 +254,7 @@
         if command.id in self.requests:
             slot.request = None  # the id belongs to the other request
             return slot.answer(b"-ERR id in use\r\n")
-        has_effects = self.has_effects(command.request_class)
+        has_effects = self.effect_ids.has_effects(command.request_class)
         if has_effects and not self.admit_id(command.id, slot):
             return None
         if len(self.requests) >= self.max_open_requests:
@@ -282,45 +281,25 @@
         owner.timer = self.timers.call_at(owner.expires_at, partial(self.on_expired, owner))
         self.handle_event(event)
 
-    def has_effects(self, request_class: str) -> bool:
-        """Whether a second run of a request of this class may change something."""
-        kind = self.classes.get(request_class)
-        return kind is not None and kind.effect is not api.Effect.SAFE
-
     def may_have_run(self, request: str) -> bool:
         """Whether an earlier request of this id may have run, so that a refusal would promise too much."""
-        return self.recent_requests.may_have_run(request, now_ms())
+        return self.effect_ids.may_have_run(request)
 
     def admit_id(self, request: str, slot: ReplySlot) -> bool:
         """Whether a request with effects may be sent on under this id. Otherwise it is answered."""
-        now = now_ms()
-        if self.recent_requests.may_have_run(request, now):
-            self.refusals["its id may have run before"] += 1
-            self.event_ring.record(EventKind.FAILED, request, "its id may have run before")
-            slot.answer(FAILED)
-            return False
-        if self.recent_requests.is_full(now):
-            self.refusals["too many ids are remembered"] += 1
-            slot.answer(b"-BUSY\r\n")
-            return False
-        return True
+        admission = self.effect_ids.admit(request)
+        if admission is Admission.ADMITTED:
+            return True
+        self.refusals[admission.value] += 1
+        self.event_ring.record(EventKind.REFUSED, request, admission.value)
+        slot.answer(FAILED if admission is Admission.MAY_HAVE_RUN else b"-BUSY\r\n")
+        return False
 
     def on_attempt_sent(self, owner: Request) -> None:
-        """The last byte of an attempt has been written: it may run from now on."""
+        """The last byte of an attempt has been written."""
         self.meter_sent(owner)
-        if not owner.has_effects:
-            return
-        owner.possible_runs += 1
-        now, kind = now_ms(), self.classes.get(owner.command.request_class)
-        deadline, window = (kind.deadline, kind.repeat_window) if kind is not None else (0.0, 0.0)
-        latest_return = max(owner.expires_at, owner.received_at + deadline, now + window)
-        self.recent_requests.add(owner.command.id, now, latest_return + RESEND_MARGIN_MS)
-
-    def note_not_run(self, owner: Request) -> None:
-        """An attempt that was sent certainly didn't run, as its backend refused it."""
-        owner.possible_runs -= 1
-        if not owner.possible_runs:
-            self.recent_requests.discard(owner.command.id)
+        if owner.has_effects:
+            self.effect_ids.record_sent(owner)
 
     def on_expired(self, owner: Request) -> None:
         """The request's time is over. Its attempts end, and the decision module gives the final answer."""
@@ -381,7 +360,7 @@
         if outcome is not api.Outcome.OK:
             self.record_attempt_end(attempt, outcome)
             if attempt.was_sent and owner.has_effects and outcome in NOT_RUN_OUTCOMES:
-                self.note_not_run(owner)
+                self.effect_ids.record_not_run(owner)
         if self.attempt_observer is not None:
             self.attempt_observer.record(attempt.backend, outcome, lag)
         cost = (
--- a/roadpulley/edges/connection.py
+++ b/roadpulley/edges/connection.py
@@ -164,7 +164,7 @@
                 self._write_replies()
                 if self.server.draining and self.is_at_rest:
                     self._on_readable()
-            if self.server.deferred and not self.has_turn and self.has_unparsed_bytes:
+            if self.server.turns.waiting and not self.has_turn and self.has_unparsed_bytes:
                 if not self._is_blocked():
                     self._defer()
             while self.has_unparsed_bytes and not self._is_blocked():
@@ -233,7 +233,7 @@
 
     def _defer(self) -> None:
         self.is_deferred = True
-        self.server.defer(self)
+        self.server.turns.add(self)
 
     def take_turn(self) -> None:
         """Handle further commands that were received before."""
--- a/roadpulley/edges/resp_server.py
+++ b/roadpulley/edges/resp_server.py
@@ -11,7 +11,6 @@
 import math
 import socket
 from collections import Counter as Tally
-from collections import deque
 from typing import Protocol
 
 from roadpulley.core.budget import MemoryBudget
@@ -24,6 +23,7 @@
 from .connection import ClientConnection
 from .request_parser import ATTRIBUTES_PATTERN, CLASS_PATTERN, RequestParser
 from .slots import MAX_HIGH_WATER_BYTES, MIN_HIGH_WATER_BYTES
+from .turns import TurnQueue
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +34,6 @@
 MAX_SHARED_ACCEPTS_PER_WAKEUP = 2  # so that a burst of connections is spread over the workers
 SWEEP_INTERVAL_MS = 250.0
 LOG_INTERVAL_MS = 1_000.0
-TURN_TIME_MS = 5.0  # for deferred commands, between two polls of all sockets
 MIN_EVICTABLE_IDLE_MS = 2_000.0  # connections idle for longer may be closed to make room
 NEW_CONNECTION_GRACE_MS = 100.0  # a new connection has this long to send before it may be closed to make room
 # At most the connection limit divided by this may linger until their clients have read the end.
@@ -93,8 +92,7 @@
         self.connections: dict[ClientConnection, None] = {}  # least recently used first
         # Subset of `connections` that never sent a valid request, the oldest first.
         self.without_request: dict[ClientConnection, None] = {}
-        self.deferred: deque[ClientConnection] = deque()  # whose commands wait, the longest first
-        self.is_turn_scheduled = False
+        self.turns = TurnQueue(loop)
         self.lingering: dict[ClientConnection, None] = {}  # subset of `connections` in state LINGERING
         self.refusals: Tally[str] = Tally()  # by reason, since the last log line
         self.last_log_at = 0.0
@@ -199,29 +197,6 @@
             least_recent.close_if_idle(room=True)
         return least_recent is not None and least_recent.is_closed
 
-    # ---- turns ----
-
-    def defer(self, connection: ClientConnection) -> None:
-        """Let a connection handle further commands after the others had a turn."""
-        self.deferred.append(connection)
-        if not self.is_turn_scheduled:
-            self.is_turn_scheduled = True
-            self.loop.call_soon(self._run_turns)
-
-    def _run_turns(self) -> None:
-        """Give the deferred connections their turns, for a bounded time before the sockets are polled."""
-        self.is_turn_scheduled = False
-        ends_at = now_ms() + TURN_TIME_MS
-        for _ in range(len(self.deferred)):
-            connection = self.deferred.popleft()
-            if connection.is_deferred:
-                connection.take_turn()
-            if now_ms() >= ends_at:
-                break
-        if self.deferred and not self.is_turn_scheduled:
-            self.is_turn_scheduled = True
-            self.loop.call_soon(self._run_turns)
-
     # ---- memory ----
 
     def get_body_budget(self, size: int) -> MemoryBudget:
--- a/setup.py
+++ b/setup.py
@@ -31,6 +31,7 @@
     "roadpulley/core/connection.py",
     "roadpulley/core/counter.py",
     "roadpulley/core/driver.py",
+    "roadpulley/core/effect_ids.py",
     "roadpulley/core/event_ring.py",
     "roadpulley/core/idle_limit.py",
     "roadpulley/core/long_answer.py",
@@ -45,6 +46,7 @@
     "roadpulley/edges/connection.py",
     "roadpulley/edges/slots.py",
     "roadpulley/edges/request_parser.py",
+    "roadpulley/edges/turns.py",
 )
 
 
