Memory: a new customer without limits is served without a record while the table is full

Beside a client of ever new customers another one of a plan without limits could be refused, as there was no room for its record, although nothing of it has to be remembered. Its requests get a record of their own now, which goes with them. The test fails without it.

--- a/mintford/customer_table.py
+++ b/mintford/customer_table.py
@@ -12,7 +12,8 @@
 | none of these                                     | forgotten                                |
 
 If none of those examined can be forgotten, the request of the new customer is refused: known customers come
-before strangers.
+before strangers. One whose plan has no limits is served all the same, without a record: there is nothing to
+remember of it.
 """
 
 from __future__ import annotations
@@ -58,6 +59,11 @@
     return False
 
 
+def has_no_limits(plan: api.Plan) -> bool:
+    """Whether nothing that a customer of this plan does has to be remembered."""
+    return not (plan.rate or plan.ceiling_rate or plan.open_limit)
+
+
 def can_forget(now: float, customer: Customer, quotas: Quotas, out: api.Actions) -> bool:
     """Whether a new record of this customer would hold no more than this one. Reports its units if not."""
     settings = quotas.settings
--- a/mintford/quotas.py
+++ b/mintford/quotas.py
@@ -16,7 +16,7 @@
 
 from . import interface as api
 from .ceilings import Ceiling
-from .customer_table import make_room, note_use
+from .customer_table import has_no_limits, make_room, note_use
 from .gateway_share import GatewayShare
 from .guards import LEASE_MS, NOT_RUN_OUTCOMES
 from .records import EPOCH_MS, Call, CallKind, CustomerRecord
@@ -147,9 +147,12 @@
             self.remove_idle_customers(now, out)
         record = self.customers.get(event.customer)
         if record is None:
-            if not make_room(now, self, out):
+            if make_room(now, self, out):
+                record = self.add_customer(event.customer, event.plan, event.spread, now)
+            elif has_no_limits(plan := self.get_plan(event.customer, event.plan)):
+                record = Customer(event.customer, plan, event.spread, now, self.settings)  # not remembered
+            else:
                 return None
-            record = self.add_customer(event.customer, event.plan, event.spread, now)
         else:
             note_use(self, record)
         self.refill(now, record)
--- a/tests/decisions/test_customer_table.py
+++ b/tests/decisions/test_customer_table.py
@@ -43,7 +43,7 @@
     """One gateway with a bounded table, and the exact ceiling of each customer beside it."""
 
     def __init__(self, quota_rate: float = 1.0) -> None:
-        plans = (make_plan(quota_rate),)
+        plans = (make_plan(quota_rate), api.Plan("unlimited"))
         self.world = World(BACKENDS, classes=(SAFE,), plans=plans, gateways=1, max_request_units=1.0)
         self.world.gateway.quotas.max_customers = MAX_CUSTOMERS
         self.counter = Counter()
@@ -92,3 +92,14 @@
         play.request("stranger", api.Outcome.OK)
     assert play.refused_strangers < 4
     assert "stranger" in play.world.gateway.quotas.customers
+
+
+def test_a_stranger_without_limits_is_served_although_the_table_is_full() -> None:
+    play = Play()
+    for number in range(MAX_CUSTOMERS):
+        play.request(f"c{number}", api.Outcome.OK)
+    actions = play.world.ask(plan="unlimited", customer="stranger", spread=1)
+    (sent,) = [action for action in actions if isinstance(action, api.Send)]
+    play.world.end(sent)
+    assert len(play.world.gateway.quotas.customers) == MAX_CUSTOMERS
+    assert "stranger" not in play.world.gateway.quotas.customers
